--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Installs, builds and runs all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+scripts/build.sh
+if [ -e KNOWN-RED.txt ]; then
+    echo "Known failing tests, which are not run (see KNOWN-RED.txt):"
+    cat KNOWN-RED.txt
+fi
+ctest --test-dir build --output-on-failure --no-tests=error
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,6 @@
+#include "app/CommandLine.h"
+
+int main(int argc, char **argv)
+{
+    return lovagecourse::runCommandLine(argc, argv);
+}
--- /dev/null
+++ b/src/core/EventLoop.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "core/Clock.h"
+
+#include <ev.h>
+
+#include <functional>
+#include <memory>
+
+namespace lovagecourse {
+
+/// Single-threaded event loop on libev.
+class EventLoop
+{
+public:
+    EventLoop();
+    ~EventLoop();
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    /// Runs until stop() is called.
+    void run();
+    /// Makes run() return after the current callbacks.
+    void stop();
+    /// Loop handle for libraries that bring their own descriptors.
+    struct ev_loop *handle() const { return loop_; }
+
+private:
+    struct ev_loop *loop_;
+};
+
+/// One-shot or repeating timer; stops when destroyed.
+class Timer
+{
+public:
+    using Callback = std::function<void()>;
+
+    Timer(EventLoop &loop, Callback callback);
+    ~Timer();
+    Timer(const Timer &) = delete;
+    Timer &operator=(const Timer &) = delete;
+
+    /// Fires once after the delay; replaces a pending start.
+    void startOnce(std::chrono::nanoseconds delay);
+    /// Fires first after one interval and then at each interval.
+    void startRepeating(std::chrono::nanoseconds interval);
+    void stop();
+    bool isActive() const;
+
+private:
+    static void onEvent(struct ev_loop *loop, ev_timer *watcher, int events);
+
+    EventLoop &loop_;
+    Callback callback_;
+    ev_timer watcher_{};
+};
+
+/// Watches one descriptor, which it does not own; stops when destroyed.
+class IoWatcher
+{
+public:
+    using Callback = std::function<void(int events)>;
+
+    IoWatcher(EventLoop &loop, int descriptor, Callback callback);
+    ~IoWatcher();
+    IoWatcher(const IoWatcher &) = delete;
+    IoWatcher &operator=(const IoWatcher &) = delete;
+
+    /// Sets the watched events, EV_READ and EV_WRITE; 0 stops watching.
+    void watch(int events);
+
+private:
+    static void onEvent(struct ev_loop *loop, ev_io *watcher, int events);
+
+    EventLoop &loop_;
+    Callback callback_;
+    ev_io watcher_{};
+    int descriptor_;
+};
+
+/// Runs a callback when the process gets a signal; stops when destroyed.
+class SignalWatcher
+{
+public:
+    using Callback = std::function<void()>;
+
+    SignalWatcher(EventLoop &loop, int signalNumber, Callback callback);
+    ~SignalWatcher();
+    SignalWatcher(const SignalWatcher &) = delete;
+    SignalWatcher &operator=(const SignalWatcher &) = delete;
+
+private:
+    static void onEvent(struct ev_loop *loop, ev_signal *watcher, int events);
+
+    EventLoop &loop_;
+    Callback callback_;
+    ev_signal watcher_{};
+};
+
+} // namespace lovagecourse
--- /dev/null
+++ b/src/core/Log.cpp
@@ -0,0 +1,103 @@
+#include "core/Log.h"
+
+#include <boost/log/attributes/mutable_constant.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/make_shared.hpp>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <chrono>
+#include <ctime>
+#include <iostream>
+
+namespace lovagecourse {
+
+namespace {
+
+constexpr std::array<std::string_view, 12> partPrefixes{
+        "app",    "entry",         "agent",      "wire",     "fairness", "routing",
+        "claims", "configuration", "membership", "platform", "gateway",  "backend"};
+constexpr std::array<std::string_view, 4> levelNames{"debug", "info", "warning", "error"};
+
+struct LogState
+{
+    LogLevel level = LogLevel::Warning;
+    LogFormat format = LogFormat::Text;
+    std::string daemonName;
+    boost::log::sources::logger logger;
+    bool hasSink = false;
+};
+
+LogState &logState()
+{
+    static LogState state;
+    return state;
+}
+
+std::string timestamp()
+{
+    const auto now = std::chrono::system_clock::now();
+    const auto sinceEpoch = now.time_since_epoch();
+    const auto millis =
+            std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count() % 1000;
+    const std::time_t wholeSeconds = std::chrono::system_clock::to_time_t(now);
+    std::tm broken{};
+    gmtime_r(&wholeSeconds, &broken);
+    std::array<char, 40> text{};
+    const std::size_t length = std::strftime(text.data(), text.size(), "%FT%T", &broken);
+    std::snprintf(text.data() + length, text.size() - length, ".%03dZ", static_cast<int>(millis));
+    return text.data();
+}
+
+std::string formatLine(LogPart part, LogLevel level, const std::string &line)
+{
+    const std::string_view prefix = partPrefixes[static_cast<std::size_t>(part)];
+    const std::string_view levelName = levelNames[static_cast<std::size_t>(level)];
+    if (logState().format == LogFormat::Json) {
+        const nlohmann::json json{{"time", timestamp()},
+                                  {"level", levelName},
+                                  {"part", prefix},
+                                  {"daemon", logState().daemonName},
+                                  {"message", line}};
+        return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    }
+    std::ostringstream text;
+    text << timestamp() << ' ' << levelName << ' ' << logState().daemonName << " [" << prefix
+         << "] " << line;
+    return text.str();
+}
+
+} // namespace
+
+void startLog(LogLevel level, LogFormat format, const std::string &daemonName)
+{
+    LogState &state = logState();
+    state.level = level;
+    state.format = format;
+    state.daemonName = daemonName;
+    if (state.hasSink)
+        return;
+    using Backend = boost::log::sinks::text_ostream_backend;
+    auto backend = boost::make_shared<Backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream *) {}));
+    backend->auto_flush(true);
+    boost::log::core::get()->add_sink(
+            boost::make_shared<boost::log::sinks::synchronous_sink<Backend>>(backend));
+    state.hasSink = true;
+}
+
+bool isLogged(LogLevel level)
+{
+    return logState().hasSink && level >= logState().level;
+}
+
+void writeLog(LogPart part, LogLevel level, const std::string &line)
+{
+    BOOST_LOG(logState().logger) << formatLine(part, level, line);
+}
+
+} // namespace lovagecourse
--- /dev/null
+++ b/src/wire/Codec.cpp
@@ -0,0 +1,257 @@
+#include "wire/Codec.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/params.h>
+#include <openssl/rand.h>
+
+#include <cassert>
+#include <cstring>
+#include <sstream>
+
+namespace lovagecourse {
+
+namespace {
+
+constexpr std::size_t lengthBytes = 4;
+constexpr std::size_t versionBytes = 2;
+// Consumed bytes stay in the buffer up to this size, to save moves.
+constexpr std::size_t compactThreshold = 64U << 10;
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(WireFault::Count)> faultNames{
+        "truncated", "oversized", "wrong-version", "wrong-key",
+        "malformed", "replayed",  "too-old",       "unexpected-message"};
+
+template <class Integer>
+std::string toBytes(Integer value)
+{
+    std::string bytes(sizeof(Integer), '\0');
+    for (std::size_t i = 0; i < sizeof(Integer); ++i)
+        bytes[i] = static_cast<char>(value >> (8 * i));
+    return bytes;
+}
+
+template <class Integer>
+Integer fromBytes(std::string_view bytes)
+{
+    assert(bytes.size() >= sizeof(Integer));
+    Integer value = 0;
+    for (std::size_t i = 0; i < sizeof(Integer); ++i)
+        value |= static_cast<Integer>(static_cast<std::uint8_t>(bytes[i])) << (8 * i);
+    return value;
+}
+
+std::string_view asView(const LinkNonce &nonce)
+{
+    return {reinterpret_cast<const char *>(nonce.data()), nonce.size()};
+}
+
+Tag tagFrom(std::string_view bytes)
+{
+    Tag tag{};
+    std::memcpy(tag.data(), bytes.data(), tag.size());
+    return tag;
+}
+
+std::string_view asView(const Tag &tag)
+{
+    return {reinterpret_cast<const char *>(tag.data()), tag.size()};
+}
+
+template <class Value>
+std::string encode(const Value &value)
+{
+    std::ostringstream stream;
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(value);
+    return std::move(stream).str();
+}
+
+template <class Value>
+std::variant<Value, WireFault> decode(std::string_view bytes)
+{
+    // cereal reports bad input by exceptions; they end here.
+    try {
+        std::istringstream stream{std::string(bytes)};
+        cereal::PortableBinaryInputArchive archive(stream);
+        Value value;
+        archive(value);
+        if (stream.peek() != std::istringstream::traits_type::eof())
+            return WireFault::Malformed;
+        return value;
+    } catch (const std::exception &) {
+        return WireFault::Malformed;
+    }
+}
+
+} // namespace
+
+std::string_view toString(WireFault fault)
+{
+    return faultNames[static_cast<std::size_t>(fault)];
+}
+
+LinkNonce makeNonce()
+{
+    LinkNonce nonce{};
+    const int done = RAND_bytes(nonce.data(), static_cast<int>(nonce.size()));
+    assert(done == 1);
+    static_cast<void>(done);
+    return nonce;
+}
+
+struct Authenticator::Impl
+{
+    EVP_MAC *mac = nullptr;
+    EVP_MAC_CTX *context = nullptr;
+
+    ~Impl()
+    {
+        EVP_MAC_CTX_free(context);
+        EVP_MAC_free(mac);
+    }
+};
+
+Authenticator::Authenticator(std::string_view key)
+    : impl_(std::make_unique<Impl>())
+{
+    impl_->mac = EVP_MAC_fetch(nullptr, "HMAC", nullptr);
+    impl_->context = EVP_MAC_CTX_new(impl_->mac);
+    std::string digest = "SHA256";
+    const std::array<OSSL_PARAM, 2> params{
+            OSSL_PARAM_construct_utf8_string("digest", digest.data(), 0),
+            OSSL_PARAM_construct_end()};
+    const int done =
+            EVP_MAC_init(impl_->context, reinterpret_cast<const unsigned char *>(key.data()),
+                         key.size(), params.data());
+    assert(done == 1);
+    static_cast<void>(done);
+}
+
+Authenticator::~Authenticator() = default;
+Authenticator::Authenticator(Authenticator &&) noexcept = default;
+Authenticator &Authenticator::operator=(Authenticator &&) noexcept = default;
+
+Tag Authenticator::sign(std::string_view header, std::string_view payload) const
+{
+    Tag tag{};
+    std::size_t length = 0;
+    // A null key keeps the one set at construction.
+    EVP_MAC_init(impl_->context, nullptr, 0, nullptr);
+    EVP_MAC_update(impl_->context, reinterpret_cast<const unsigned char *>(header.data()),
+                   header.size());
+    EVP_MAC_update(impl_->context, reinterpret_cast<const unsigned char *>(payload.data()),
+                   payload.size());
+    EVP_MAC_final(impl_->context, tag.data(), &length, tag.size());
+    assert(length == tag.size());
+    return tag;
+}
+
+bool Authenticator::verify(std::string_view header, std::string_view payload, const Tag &tag) const
+{
+    const Tag expected = sign(header, payload);
+    return CRYPTO_memcmp(expected.data(), tag.data(), tag.size()) == 0;
+}
+
+std::string deriveLinkKey(const Authenticator &fleetKey, const LinkNonce &connector,
+                          const LinkNonce &acceptor)
+{
+    const Tag key = fleetKey.sign(asView(connector), asView(acceptor));
+    return std::string(asView(key));
+}
+
+std::string encodeMessages(const std::vector<Message> &messages)
+{
+    return encode(messages);
+}
+
+std::variant<std::vector<Message>, WireFault> decodeMessages(std::string_view bytes)
+{
+    return decode<std::vector<Message>>(bytes);
+}
+
+FrameSealer::FrameSealer(const std::string &linkKey, bool fromConnector)
+    : authenticator_(linkKey)
+    , direction_(fromConnector ? 'c' : 'a')
+{}
+
+std::string FrameSealer::seal(std::string_view payload)
+{
+    assert(payload.size() <= maxFrameBytes);
+    const std::string header = direction_ + toBytes(sequence_++);
+    const Tag tag = authenticator_.sign(header, payload);
+    std::string frame = toBytes(static_cast<std::uint32_t>(payload.size()));
+    frame.reserve(frame.size() + tag.size() + payload.size());
+    frame.append(asView(tag));
+    frame.append(payload);
+    return frame;
+}
+
+FrameOpener::FrameOpener(const std::string &linkKey, bool fromConnector)
+    : authenticator_(linkKey)
+    , direction_(fromConnector ? 'c' : 'a')
+{}
+
+void FrameOpener::append(std::string_view bytes)
+{
+    if (consumed_ == buffer_.size() || consumed_ > compactThreshold) {
+        buffer_.erase(0, consumed_);
+        consumed_ = 0;
+    }
+    buffer_.append(bytes);
+}
+
+std::variant<std::optional<std::string>, WireFault> FrameOpener::next()
+{
+    const std::string_view unread = std::string_view(buffer_).substr(consumed_);
+    if (unread.size() < lengthBytes)
+        return std::optional<std::string>();
+    const std::size_t length = fromBytes<std::uint32_t>(unread);
+    if (length > maxFrameBytes)
+        return WireFault::Oversized;
+    const std::size_t overhead = lengthBytes + sizeof(Tag);
+    if (unread.size() < overhead + length)
+        return std::optional<std::string>();
+    const std::string_view payload = unread.substr(overhead, length);
+    const std::string header = direction_ + toBytes(sequence_);
+    if (!authenticator_.verify(header, payload, tagFrom(unread.substr(lengthBytes))))
+        return WireFault::WrongKey;
+    ++sequence_;
+    consumed_ += overhead + length;
+    return std::optional<std::string>(payload);
+}
+
+std::string sealDatagram(const Authenticator &fleetKey, const Datagram &datagram)
+{
+    const std::string version = toBytes(wireVersion);
+    const std::string payload = encode(std::make_pair(datagram.header, datagram.message));
+    const Tag tag = fleetKey.sign(version, payload);
+    return version + std::string(asView(tag)) + payload;
+}
+
+std::variant<Datagram, WireFault> openDatagram(const Authenticator &fleetKey,
+                                               std::string_view bytes)
+{
+    if (bytes.size() > maxDatagramBytes)
+        return WireFault::Oversized;
+    if (bytes.size() < versionBytes + sizeof(Tag))
+        return WireFault::Truncated;
+    const std::string_view version = bytes.substr(0, versionBytes);
+    if (fromBytes<std::uint16_t>(version) != wireVersion)
+        return WireFault::WrongVersion;
+    const std::string_view payload = bytes.substr(versionBytes + sizeof(Tag));
+    if (!fleetKey.verify(version, payload, tagFrom(bytes.substr(versionBytes))))
+        return WireFault::WrongKey;
+    auto decoded = decode<std::pair<DatagramHeader, Message>>(payload);
+    if (const auto *fault = std::get_if<WireFault>(&decoded))
+        return *fault;
+    auto &[header, message] = std::get<0>(decoded);
+    return Datagram{std::move(header), std::move(message)};
+}
+
+} // namespace lovagecourse
--- /dev/null
+++ b/src/wire/Link.cpp
@@ -0,0 +1,333 @@
+#include "wire/Link.h"
+
+#include "core/Log.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cassert>
+#include <cerrno>
+#include <cstring>
+
+namespace lovagecourse {
+
+namespace {
+
+constexpr std::string_view preambleMagic = "LVCR";
+constexpr std::size_t preambleBytes = preambleMagic.size() + 2 + sizeof(LinkNonce);
+constexpr std::size_t readChunkBytes = 64U << 10;
+// Reads per wake-up, so that one busy link does not hold up the others.
+constexpr int maxReadsPerEvent = 8;
+// A peer that connects and stays silent is dropped after this time.
+constexpr seconds handshakeTimeout{5};
+constexpr int listenBacklog = 512;
+
+std::string makePreamble(const LinkNonce &nonce)
+{
+    std::string preamble(preambleMagic);
+    preamble.push_back(static_cast<char>(wireVersion & 0xff));
+    preamble.push_back(static_cast<char>(wireVersion >> 8));
+    preamble.append(reinterpret_cast<const char *>(nonce.data()), nonce.size());
+    return preamble;
+}
+
+} // namespace
+
+std::string toString(const LinkFailure &failure)
+{
+    if (const auto *socket = std::get_if<SocketFailure>(&failure))
+        return std::strerror(socket->error);
+    if (const auto *fault = std::get_if<WireFault>(&failure))
+        return std::string(toString(*fault));
+    return "closed by peer";
+}
+
+struct Link::Impl
+{
+    Impl(const WireContext &wireContext, int socketDescriptor, bool connectorSide,
+         Handlers linkHandlers)
+        : context(wireContext)
+        , descriptor(socketDescriptor)
+        , isConnector(connectorSide)
+        , handlers(std::move(linkHandlers))
+        , watcher(context.loop, descriptor, [this](int events) { onEvents(events); })
+        , flushTimer(context.loop, [this] { flush(); })
+        , handshakeTimer(context.loop, [this] { fail(LinkClosed{}); })
+        , lastReceived(context.clock.now())
+    {
+        const int on = 1;
+        setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        unsent = makePreamble(ownNonce);
+        watcher.watch(EV_READ | EV_WRITE);
+        handshakeTimer.startOnce(handshakeTimeout);
+    }
+
+    ~Impl()
+    {
+        *alive = false;
+        close(descriptor);
+    }
+
+    void onEvents(int events);
+    void readAvailable();
+    void takePreamble();
+    void takeFrames();
+    bool deliver(Message &&message);
+    void flush();
+    void writeUnsent();
+    void fail(const LinkFailure &failure);
+
+    WireContext context;
+    int descriptor;
+    bool isConnector;
+    Handlers handlers;
+    IoWatcher watcher;
+    Timer flushTimer;
+    Timer handshakeTimer;
+    TimePoint lastReceived;
+    LinkNonce ownNonce = makeNonce();
+    std::string preamble;
+    std::optional<FrameSealer> sealer;
+    std::optional<FrameOpener> opener;
+    std::vector<Message> queued;
+    std::string unsent;
+    std::size_t sentOfUnsent = 0;
+    bool isReady = false;
+    bool failed = false;
+    /// Set to false on destruction, which a handler may cause.
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+void Link::Impl::onEvents(int events)
+{
+    const auto stillAlive = alive;
+    if (events & EV_WRITE)
+        writeUnsent();
+    if (*stillAlive && !failed && (events & EV_READ))
+        readAvailable();
+}
+
+void Link::Impl::readAvailable()
+{
+    static thread_local std::array<char, readChunkBytes> chunk;
+    const auto stillAlive = alive;
+    for (int reads = 0; reads < maxReadsPerEvent; ++reads) {
+        const ssize_t count = recv(descriptor, chunk.data(), chunk.size(), 0);
+        if (count < 0 && (errno == EAGAIN || errno == EINTR))
+            return;
+        if (count < 0)
+            return fail(SocketFailure{errno});
+        if (count == 0)
+            return fail(LinkClosed{});
+        lastReceived = context.clock.now();
+        const std::string_view bytes(chunk.data(), static_cast<std::size_t>(count));
+        context.metrics.count("lovagecourse_link_received_bytes_total", {},
+                              static_cast<double>(count));
+        if (opener) {
+            opener->append(bytes);
+        } else {
+            preamble.append(bytes);
+            takePreamble();
+        }
+        if (*stillAlive && !failed && opener)
+            takeFrames();
+        if (!*stillAlive || failed)
+            return;
+    }
+}
+
+void Link::Impl::takePreamble()
+{
+    if (preamble.size() < preambleBytes)
+        return;
+    const std::string expected = makePreamble(LinkNonce{});
+    if (preamble.compare(0, preambleMagic.size(), preambleMagic) != 0)
+        return fail(WireFault::Malformed);
+    if (preamble.compare(0, preambleMagic.size() + 2, expected, 0, preambleMagic.size() + 2) != 0)
+        return fail(WireFault::WrongVersion);
+    LinkNonce peerNonce{};
+    std::memcpy(peerNonce.data(), preamble.data() + preambleMagic.size() + 2, peerNonce.size());
+    const LinkNonce &connector = isConnector ? ownNonce : peerNonce;
+    const LinkNonce &acceptor = isConnector ? peerNonce : ownNonce;
+    const std::string key = deriveLinkKey(context.fleetKey, connector, acceptor);
+    sealer.emplace(key, isConnector);
+    opener.emplace(key, !isConnector);
+    opener->append(std::string_view(preamble).substr(preambleBytes));
+    preamble.clear();
+    queued.insert(queued.begin(), context.hello);
+    flush();
+}
+
+void Link::Impl::takeFrames()
+{
+    const auto stillAlive = alive;
+    while (*stillAlive && !failed) {
+        auto opened = opener->next();
+        if (const auto *fault = std::get_if<WireFault>(&opened))
+            return fail(*fault);
+        const auto &payload = std::get<0>(opened);
+        if (!payload)
+            return;
+        auto decoded = decodeMessages(*payload);
+        if (const auto *fault = std::get_if<WireFault>(&decoded))
+            return fail(*fault);
+        for (Message &message : std::get<0>(decoded)) {
+            if (!deliver(std::move(message)) || !*stillAlive || failed)
+                return;
+        }
+    }
+}
+
+bool Link::Impl::deliver(Message &&message)
+{
+    if (isReady) {
+        handlers.onMessage(std::move(message));
+        return true;
+    }
+    const auto *hello = std::get_if<Hello>(&message);
+    if (!hello) {
+        fail(WireFault::UnexpectedMessage);
+        return false;
+    }
+    isReady = true;
+    handshakeTimer.stop();
+    handlers.onReady(*hello);
+    return true;
+}
+
+void Link::Impl::flush()
+{
+    if (!sealer || queued.empty() || failed)
+        return;
+    const std::string payload = encodeMessages(queued);
+    queued.clear();
+    // A single message stays below this limit, since bodies are limited by settings.
+    assert(payload.size() <= maxFrameBytes);
+    unsent.append(sealer->seal(payload));
+    writeUnsent();
+}
+
+void Link::Impl::writeUnsent()
+{
+    while (sentOfUnsent < unsent.size()) {
+        const ssize_t count = ::send(descriptor, unsent.data() + sentOfUnsent,
+                                     unsent.size() - sentOfUnsent, MSG_NOSIGNAL);
+        if (count < 0 && (errno == EAGAIN || errno == EINTR || errno == ENOTCONN)) {
+            watcher.watch(EV_READ | EV_WRITE);
+            return;
+        }
+        if (count < 0)
+            return fail(SocketFailure{errno});
+        sentOfUnsent += static_cast<std::size_t>(count);
+        context.metrics.count("lovagecourse_link_sent_bytes_total", {}, static_cast<double>(count));
+    }
+    unsent.clear();
+    sentOfUnsent = 0;
+    watcher.watch(EV_READ);
+}
+
+void Link::Impl::fail(const LinkFailure &failure)
+{
+    if (failed)
+        return;
+    failed = true;
+    watcher.watch(0);
+    flushTimer.stop();
+    handshakeTimer.stop();
+    if (const auto *fault = std::get_if<WireFault>(&failure))
+        context.metrics.count("lovagecourse_link_faults_total", toString(*fault));
+    // The handler may destroy this object.
+    const auto onClosed = handlers.onClosed;
+    onClosed(failure);
+}
+
+Link::Link(std::unique_ptr<Impl> impl)
+    : impl_(std::move(impl))
+{}
+
+Link::~Link() = default;
+
+std::unique_ptr<Link> Link::connect(const WireContext &context, const Endpoint &endpoint,
+                                    Handlers handlers)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    assert(descriptor >= 0);
+    const sockaddr_in address = toSocketAddress(endpoint);
+    // Errors other than EINPROGRESS show up at the first read or write.
+    static_cast<void>(
+            ::connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)));
+    return std::unique_ptr<Link>(
+            new Link(std::make_unique<Impl>(context, descriptor, true, std::move(handlers))));
+}
+
+std::unique_ptr<Link> Link::accept(const WireContext &context, int descriptor, Handlers handlers)
+{
+    return std::unique_ptr<Link>(
+            new Link(std::make_unique<Impl>(context, descriptor, false, std::move(handlers))));
+}
+
+void Link::send(Message message)
+{
+    if (impl_->failed)
+        return;
+    impl_->queued.push_back(std::move(message));
+    if (!impl_->flushTimer.isActive())
+        impl_->flushTimer.startOnce(std::chrono::nanoseconds(0));
+}
+
+bool Link::isReady() const
+{
+    return impl_->isReady && !impl_->failed;
+}
+
+std::size_t Link::unsentBytes() const
+{
+    return impl_->unsent.size() - impl_->sentOfUnsent;
+}
+
+TimePoint Link::lastReceived() const
+{
+    return impl_->lastReceived;
+}
+
+std::variant<std::unique_ptr<LinkListener>, SocketFailure>
+LinkListener::open(EventLoop &loop, const Endpoint &endpoint, AcceptHandler onAccept)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+        return SocketFailure{errno};
+    // Allows a restart at once; a second listener on the address still fails.
+    const int on = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const sockaddr_in address = toSocketAddress(endpoint);
+    const bool opened =
+            bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0
+            && listen(descriptor, listenBacklog) == 0;
+    if (!opened) {
+        const SocketFailure failure{errno};
+        close(descriptor);
+        return failure;
+    }
+    return std::unique_ptr<LinkListener>(new LinkListener(loop, descriptor, std::move(onAccept)));
+}
+
+LinkListener::LinkListener(EventLoop &loop, int descriptor, AcceptHandler onAccept)
+    : descriptor_(descriptor)
+    , onAccept_(std::move(onAccept))
+    , watcher_(loop, descriptor, [this](int) {
+        const int accepted = accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (accepted >= 0)
+            onAccept_(accepted);
+    })
+{
+    watcher_.watch(EV_READ);
+}
+
+LinkListener::~LinkListener()
+{
+    close(descriptor_);
+}
+
+} // namespace lovagecourse
