Check container sizes before allocating while decoding messages

Cause: cereal's portable binary archive resizes to whatever size the input names, so a flipped bit allocated gigabytes; ruled out: the authentication, which runs before. Change: own cereal archive over memory that refuses sizes beyond the bytes that are left.

--- a/src/wire/Codec.cpp
+++ b/src/wire/Codec.cpp
@@ -1,6 +1,7 @@
 #include "wire/Codec.h"
 
-#include <cereal/archives/portable_binary.hpp>
+#include "wire/MessageArchive.h"
+
 #include <cereal/types/string.hpp>
 #include <cereal/types/utility.hpp>
 #include <cereal/types/variant.hpp>
@@ -12,7 +13,6 @@
 
 #include <cassert>
 #include <cstring>
-#include <sstream>
 
 namespace lovagecourse {
 
@@ -66,10 +66,9 @@
 template <class Value>
 std::string encode(const Value &value)
 {
-    std::ostringstream stream;
-    cereal::PortableBinaryOutputArchive archive(stream);
+    MessageOutputArchive archive;
     archive(value);
-    return std::move(stream).str();
+    return archive.take();
 }
 
 template <class Value>
@@ -77,11 +76,10 @@
 {
     // cereal reports bad input by exceptions; they end here.
     try {
-        std::istringstream stream{std::string(bytes)};
-        cereal::PortableBinaryInputArchive archive(stream);
+        MessageInputArchive archive(bytes);
         Value value;
         archive(value);
-        if (stream.peek() != std::istringstream::traits_type::eof())
+        if (!archive.isAtEnd())
             return WireFault::Malformed;
         return value;
     } catch (const std::exception &) {
