--- /dev/null
+++ b/src/http/HttpClient.cpp
@@ -0,0 +1,310 @@
+#include "http/HttpClient.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cctype>
+#include <unordered_map>
+#include <vector>
+
+namespace lovagecourse {
+
+namespace {
+
+constexpr long maxIdleConnections = 256;
+
+std::string_view trim(std::string_view text)
+{
+    const std::size_t first = text.find_first_not_of(" \t\r\n");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+std::string toLower(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return lower;
+}
+
+/// One libcurl easy transfer.
+struct Transfer
+{
+    HttpTransferId id;
+    CURL *easy = nullptr;
+    curl_slist *headerLines = nullptr;
+    std::string body;
+    HttpClient::Handlers handlers;
+    HeaderList headers;
+    bool headDelivered = false;
+    bool paused = false;
+    bool cancelled = false;
+
+    ~Transfer()
+    {
+        curl_slist_free_all(headerLines);
+        curl_easy_cleanup(easy);
+    }
+};
+
+void deliverHead(Transfer &transfer)
+{
+    if (transfer.headDelivered || transfer.cancelled)
+        return;
+    transfer.headDelivered = true;
+    long status = 0;
+    curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+    if (transfer.handlers.onHead)
+        transfer.handlers.onHead(static_cast<int>(status), transfer.headers);
+}
+
+std::size_t onHeaderLine(char *data, std::size_t size, std::size_t count, void *user)
+{
+    auto &transfer = *static_cast<Transfer *>(user);
+    const std::string_view line(data, size * count);
+    if (line.starts_with("HTTP/"))
+        transfer.headers.clear();
+    const std::size_t colon = line.find(':');
+    if (colon != std::string_view::npos)
+        transfer.headers.emplace_back(toLower(trim(line.substr(0, colon))),
+                                      std::string(trim(line.substr(colon + 1))));
+    return size * count;
+}
+
+std::size_t onBodyBytes(char *data, std::size_t size, std::size_t count, void *user)
+{
+    auto &transfer = *static_cast<Transfer *>(user);
+    if (transfer.cancelled)
+        return 0;
+    if (transfer.paused)
+        return CURL_WRITEFUNC_PAUSE;
+    deliverHead(transfer);
+    if (!transfer.cancelled && transfer.handlers.onData)
+        transfer.handlers.onData(std::string_view(data, size * count));
+    return transfer.cancelled ? 0 : size * count;
+}
+
+} // namespace
+
+struct HttpClient::Impl
+{
+    explicit Impl(EventLoop &eventLoop)
+        : loop(eventLoop)
+        , timer(loop, [this] { drive(CURL_SOCKET_TIMEOUT, 0); })
+        , reapTimer(loop, [this] { reap(); })
+    {
+        curl_global_init(CURL_GLOBAL_DEFAULT);
+        multi = curl_multi_init();
+        curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &Impl::onSocket);
+        curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &Impl::onTimer);
+        curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, maxIdleConnections);
+    }
+
+    ~Impl()
+    {
+        for (auto &[id, transfer] : transfers)
+            curl_multi_remove_handle(multi, transfer->easy);
+        transfers.clear();
+        curl_multi_cleanup(multi);
+    }
+
+    static int onSocket(CURL *, curl_socket_t socket, int what, void *user, void *)
+    {
+        static_cast<Impl *>(user)->watchSocket(socket, what);
+        return 0;
+    }
+
+    static int onTimer(CURLM *, long timeoutMs, void *user)
+    {
+        auto &self = *static_cast<Impl *>(user);
+        if (timeoutMs < 0)
+            self.timer.stop();
+        else
+            self.timer.startOnce(milliseconds(timeoutMs));
+        return 0;
+    }
+
+    void watchSocket(curl_socket_t socket, int what);
+    void drive(curl_socket_t socket, int action);
+    void collectDone();
+    void finish(Transfer &transfer, CURLcode code);
+    void reap();
+
+    EventLoop &loop;
+    CURLM *multi = nullptr;
+    Timer timer;
+    /// Destroys cancelled transfers outside of libcurl's callbacks.
+    Timer reapTimer;
+    std::unordered_map<curl_socket_t, std::unique_ptr<IoWatcher>> watchers;
+    std::unordered_map<HttpTransferId, std::unique_ptr<Transfer>> transfers;
+    std::uint64_t lastId = 0;
+};
+
+void HttpClient::Impl::watchSocket(curl_socket_t socket, int what)
+{
+    if (what == CURL_POLL_REMOVE) {
+        watchers.erase(socket);
+        return;
+    }
+    auto &watcher = watchers[socket];
+    if (!watcher) {
+        watcher = std::make_unique<IoWatcher>(loop, socket, [this, socket](int events) {
+            const int action = ((events & EV_READ) ? CURL_CSELECT_IN : 0)
+                               | ((events & EV_WRITE) ? CURL_CSELECT_OUT : 0);
+            drive(socket, action);
+        });
+    }
+    watcher->watch(((what & CURL_POLL_IN) ? EV_READ : 0) | ((what & CURL_POLL_OUT) ? EV_WRITE : 0));
+}
+
+void HttpClient::Impl::drive(curl_socket_t socket, int action)
+{
+    int running = 0;
+    curl_multi_socket_action(multi, socket, action, &running);
+    collectDone();
+}
+
+void HttpClient::Impl::collectDone()
+{
+    int left = 0;
+    while (CURLMsg *message = curl_multi_info_read(multi, &left)) {
+        if (message->msg != CURLMSG_DONE)
+            continue;
+        void *user = nullptr;
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &user);
+        finish(*static_cast<Transfer *>(user), message->data.result);
+    }
+}
+
+void HttpClient::Impl::finish(Transfer &transfer, CURLcode code)
+{
+    const auto found = transfers.find(transfer.id);
+    assert(found != transfers.end());
+    const std::unique_ptr<Transfer> owned = std::move(found->second);
+    transfers.erase(found);
+    std::optional<HttpFailure> failure;
+    if (code == CURLE_OK) {
+        deliverHead(*owned);
+    } else {
+        curl_off_t sentBytes = 0;
+        long requestBytes = 0;
+        curl_easy_getinfo(owned->easy, CURLINFO_SIZE_UPLOAD_T, &sentBytes);
+        curl_easy_getinfo(owned->easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+        failure = HttpFailure{static_cast<int>(code), sentBytes > 0 || requestBytes > 0};
+    }
+    curl_multi_remove_handle(multi, owned->easy);
+    if (!owned->cancelled && owned->handlers.onDone)
+        owned->handlers.onDone(failure);
+}
+
+void HttpClient::Impl::reap()
+{
+    std::vector<HttpTransferId> cancelled;
+    for (const auto &[id, transfer] : transfers) {
+        if (transfer->cancelled)
+            cancelled.push_back(id);
+    }
+    for (const HttpTransferId id : cancelled) {
+        curl_multi_remove_handle(multi, transfers.at(id)->easy);
+        transfers.erase(id);
+    }
+}
+
+HttpClient::HttpClient(EventLoop &loop)
+    : impl_(std::make_unique<Impl>(loop))
+{}
+
+HttpClient::~HttpClient() = default;
+
+HttpTransferId HttpClient::start(const HttpRequest &request, Handlers handlers)
+{
+    auto transfer = std::make_unique<Transfer>();
+    transfer->id = HttpTransferId(++impl_->lastId);
+    transfer->easy = curl_easy_init();
+    transfer->body = request.body;
+    transfer->handlers = std::move(handlers);
+    for (const auto &[name, value] : request.headers)
+        transfer->headerLines =
+                curl_slist_append(transfer->headerLines, (name + ": " + value).c_str());
+    // Without this, libcurl waits for "100 Continue" before larger bodies.
+    transfer->headerLines = curl_slist_append(transfer->headerLines, "Expect:");
+
+    CURL *easy = transfer->easy;
+    curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(request.connectTimeout.count()));
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(request.totalTimeout.count()));
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headerLines);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeaderLine);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBodyBytes);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.freshConnection ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request.freshConnection ? 1L : 0L);
+    if (request.method == "HEAD") {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    } else if (!request.body.empty() || request.method == "POST") {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(transfer->body.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
+    }
+    if (request.method != "HEAD")
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+
+    const HttpTransferId id = transfer->id;
+    impl_->transfers.emplace(id, std::move(transfer));
+    curl_multi_add_handle(impl_->multi, easy);
+    return id;
+}
+
+void HttpClient::cancel(HttpTransferId transfer)
+{
+    const auto found = impl_->transfers.find(transfer);
+    if (found == impl_->transfers.end())
+        return;
+    found->second->cancelled = true;
+    impl_->reapTimer.startOnce(milliseconds(0));
+}
+
+void HttpClient::pause(HttpTransferId transfer)
+{
+    const auto found = impl_->transfers.find(transfer);
+    if (found != impl_->transfers.end())
+        found->second->paused = true;
+}
+
+void HttpClient::resume(HttpTransferId transfer)
+{
+    const auto found = impl_->transfers.find(transfer);
+    if (found == impl_->transfers.end() || !found->second->paused)
+        return;
+    found->second->paused = false;
+    curl_easy_pause(found->second->easy, CURLPAUSE_CONT);
+}
+
+std::size_t HttpClient::runningTransfers() const
+{
+    return impl_->transfers.size();
+}
+
+std::string_view findHeader(const HeaderList &headers, std::string_view name)
+{
+    for (const auto &[headerName, value] : headers) {
+        if (headerName == name)
+            return value;
+    }
+    return {};
+}
+
+} // namespace lovagecourse
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -23,6 +23,9 @@
     milliseconds connectTimeout{1000};
     /// Limit for the whole transfer; 0 means none.
     milliseconds totalTimeout{0};
+    /// Uses a connection of its own. libcurl repeats a request by itself when a reused connection
+    /// turns out to be closed, which must not happen to a non-repeatable one.
+    bool freshConnection = false;
 };
 
 /// A transfer that ended without a whole answer.
--- a/src/wire/Link.cpp
+++ b/src/wire/Link.cpp
@@ -82,7 +82,8 @@
     WireContext context;
     int descriptor;
     bool isConnector;
-    Handlers handlers;
+    /// Shared, so that a handler stays valid when it destroys the link.
+    std::shared_ptr<const Handlers> handlers;
     IoWatcher watcher;
     Timer flushTimer;
     Timer handshakeTimer;
@@ -183,7 +184,8 @@
 bool Link::Impl::deliver(Message &&message)
 {
     if (isReady) {
-        handlers.onMessage(std::move(message));
+        const auto keptHandlers = handlers;
+        keptHandlers->onMessage(std::move(message));
         return true;
     }
     const auto *hello = std::get_if<Hello>(&message);
@@ -193,7 +195,8 @@
     }
     isReady = true;
     handshakeTimer.stop();
-    handlers.onReady(*hello);
+    const auto keptHandlers = handlers;
+    keptHandlers->onReady(*hello);
     return true;
 }
 
@@ -238,9 +241,8 @@
     handshakeTimer.stop();
     if (const auto *fault = std::get_if<WireFault>(&failure))
         context.metrics.count("lovagecourse_link_faults_total", toString(*fault));
-    // The handler may destroy this object.
-    const auto onClosed = handlers.onClosed;
-    onClosed(failure);
+    const auto keptHandlers = handlers;
+    keptHandlers->onClosed(failure);
 }
 
 Link::Link(std::unique_ptr<Impl> impl)
