Add the HTTP gateway on libmicrohttpd

The entry needs whole and streamed answers to callers in the event loop. libmicrohttpd runs without threads under its epoll descriptor; requests are suspended until answered and handlers run after it has returned. It does not look at suspended connections, so a separate epoll set reports hang-ups.

--- /dev/null
+++ b/src/gateway/CallerExchange.cpp
@@ -0,0 +1,212 @@
+#include "gateway/GatewayImpl.h"
+#include "gateway/Problem.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+
+namespace lovagecourse {
+
+namespace {
+
+// A body over the limit is read and dropped up to this many times the limit, because a connection
+// that is closed with unread bytes is reset and the caller may lose the 413 answer.
+constexpr std::size_t discardFactor = 16;
+
+std::string toLower(std::string_view text)
+{
+    std::string lower(text);
+    for (char &letter : lower)
+        if (letter >= 'A' && letter <= 'Z')
+            letter = static_cast<char>(letter - 'A' + 'a');
+    return lower;
+}
+
+} // namespace
+
+void *HttpGateway::Impl::onRequestLine(void *self, const char *uri, MHD_Connection *connection)
+{
+    auto &impl = *static_cast<Impl *>(self);
+    auto exchange = std::make_unique<Exchange>();
+    exchange->gateway = &impl;
+    exchange->connection = connection;
+    exchange->request.id = CallerId(++impl.lastCaller);
+    // The raw target: libmicrohttpd's own path has its escapes decoded.
+    const std::string_view target(uri);
+    const std::size_t queryStart = std::min(target.find('?'), target.size());
+    exchange->request.path = target.substr(0, queryStart);
+    exchange->request.query = target.substr(queryStart);
+    Exchange *raw = exchange.get();
+    impl.exchanges.emplace(raw->request.id, std::move(exchange));
+    return raw;
+}
+
+MHD_Result HttpGateway::Impl::onAccess(void *self, MHD_Connection *, const char *,
+                                       const char *method, const char *, const char *body,
+                                       std::size_t *bodyBytes, void **context)
+{
+    auto &impl = *static_cast<Impl *>(self);
+    auto &exchange = *static_cast<Exchange *>(*context);
+    if (impl.stopping)
+        return MHD_NO;
+    if (!exchange.headersSeen)
+        return impl.takeHeaders(exchange, method);
+    if (*bodyBytes > 0) {
+        impl.takeBody(exchange, std::string_view(body, *bodyBytes));
+        *bodyBytes = 0;
+        const bool endless = exchange.bodyBytes > discardFactor * impl.limits.maxBodyBytes;
+        return endless ? MHD_NO : MHD_YES;
+    }
+    return impl.takeEnd(exchange);
+}
+
+MHD_Result HttpGateway::Impl::onHeader(void *context, MHD_ValueKind, const char *name,
+                                       const char *value)
+{
+    auto &exchange = *static_cast<Exchange *>(context);
+    const char *text = value ? value : "";
+    exchange.headerBytes += std::strlen(name) + std::strlen(text);
+    exchange.request.headers.emplace_back(toLower(name), text);
+    return MHD_YES;
+}
+
+MHD_Result HttpGateway::Impl::takeHeaders(Exchange &exchange, const char *method)
+{
+    exchange.headersSeen = true;
+    exchange.request.method = method;
+    exchange.headerBytes = exchange.request.path.size() + exchange.request.query.size();
+    MHD_get_connection_values(exchange.connection, MHD_HEADER_KIND, &Impl::onHeader, &exchange);
+    if (exchange.headerBytes > limits.maxHeaderBytes) {
+        prepareRefusal(exchange, Refusal{RefusalReason::MalformedRequest, Ran::No});
+        return queueAnswer(exchange);
+    }
+    std::size_t declared = 0;
+    bool waits = false;
+    for (const auto &[name, value] : exchange.request.headers) {
+        if (name == "content-length")
+            std::from_chars(value.data(), value.data() + value.size(), declared);
+        waits = waits || name == "expect";
+    }
+    exchange.tooLarge = declared > limits.maxBodyBytes;
+    const bool answerNow = waits || declared > discardFactor * limits.maxBodyBytes;
+    if (!exchange.tooLarge || !answerNow)
+        return MHD_YES;
+    prepareRefusal(exchange, Refusal{RefusalReason::BodyTooLarge, Ran::No});
+    return queueAnswer(exchange);
+}
+
+void HttpGateway::Impl::takeBody(Exchange &exchange, std::string_view bytes)
+{
+    exchange.bodyBytes += bytes.size();
+    exchange.tooLarge = exchange.tooLarge || exchange.bodyBytes > limits.maxBodyBytes;
+    if (exchange.tooLarge)
+        std::string().swap(exchange.request.body);
+    else
+        exchange.request.body.append(bytes);
+}
+
+MHD_Result HttpGateway::Impl::takeEnd(Exchange &exchange)
+{
+    if (exchange.left || (exchange.aborted && !exchange.queued))
+        return MHD_NO;
+    if (exchange.response)
+        return queueAnswer(exchange);
+    if (exchange.tooLarge) {
+        prepareRefusal(exchange, Refusal{RefusalReason::BodyTooLarge, Ran::No});
+        return queueAnswer(exchange);
+    }
+    if (!exchange.delivered) {
+        exchange.delivered = true;
+        ++openRequests;
+        metrics.count("lovagecourse_caller_requests_total");
+        const MHD_ConnectionInfo *info =
+                MHD_get_connection_info(exchange.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        hangUps.add(exchange.request.id.value, info->connect_fd);
+        CallerRequest request = std::move(exchange.request);
+        exchange.request.id = request.id;
+        exchange.request.method = request.method;
+        events.emplace_back(std::move(request));
+    }
+    exchange.suspended = true;
+    MHD_suspend_connection(exchange.connection);
+    return MHD_YES;
+}
+
+MHD_Result HttpGateway::Impl::queueAnswer(Exchange &exchange)
+{
+    const MHD_Result result = MHD_queue_response(
+            exchange.connection, static_cast<unsigned>(exchange.status), exchange.response);
+    exchange.queued = true;
+    MHD_destroy_response(exchange.response);
+    exchange.response = nullptr;
+    return result;
+}
+
+ssize_t HttpGateway::Impl::onRead(void *context, std::uint64_t, char *buffer, std::size_t size)
+{
+    auto &exchange = *static_cast<Exchange *>(context);
+    return exchange.gateway->takeUnsent(exchange, buffer, size);
+}
+
+ssize_t HttpGateway::Impl::takeUnsent(Exchange &exchange, char *buffer, std::size_t size)
+{
+    if (exchange.aborted || exchange.left || stopping)
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    const std::size_t count = std::min(size, exchange.unsent.size() - exchange.taken);
+    if (count > 0) {
+        std::memcpy(buffer, exchange.unsent.data() + exchange.taken, count);
+        exchange.taken += count;
+        if (exchange.taken == exchange.unsent.size()) {
+            exchange.unsent.clear();
+            exchange.taken = 0;
+        }
+        events.emplace_back(Consumed{exchange.request.id, count});
+        return static_cast<ssize_t>(count);
+    }
+    if (exchange.ended)
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    exchange.suspended = true;
+    MHD_suspend_connection(exchange.connection);
+    return 0;
+}
+
+void HttpGateway::Impl::onCompleted(void *self, MHD_Connection *, void **context,
+                                    MHD_RequestTerminationCode)
+{
+    auto &impl = *static_cast<Impl *>(self);
+    auto *exchange = static_cast<Exchange *>(*context);
+    *context = nullptr;
+    if (!exchange)
+        return;
+    impl.hangUps.remove(exchange->request.id.value);
+    if (exchange->response)
+        MHD_destroy_response(exchange->response);
+    if (exchange->delivered) {
+        --impl.openRequests;
+        if (!exchange->ended && !exchange->left)
+            impl.events.emplace_back(Left{exchange->request.id});
+    }
+    impl.exchanges.erase(exchange->request.id);
+}
+
+void HttpGateway::Impl::prepareRefusal(Exchange &exchange, const Refusal &refusal)
+{
+    metrics.count("lovagecourse_caller_requests_total");
+    prepareAnswer(exchange, httpStatus(refusal.reason), {{"content-type", problemMediaType}},
+                  makeProblemBody(refusal));
+    metrics.count("lovagecourse_refusals_total", toString(refusal.reason));
+}
+
+void HttpGateway::Impl::onHangUp(CallerId caller)
+{
+    Exchange *exchange = find(caller);
+    // An ended answer may still be on its way to a caller that closed only its sending side.
+    if (!exchange || exchange->ended)
+        return;
+    exchange->left = true;
+    events.emplace_back(Left{caller});
+    resume(*exchange);
+    runSoon();
+}
+
+} // namespace lovagecourse
--- /dev/null
+++ b/src/gateway/HttpGateway.cpp
@@ -0,0 +1,289 @@
+#include "gateway/HttpGateway.h"
+
+#include "gateway/GatewayImpl.h"
+#include "gateway/Problem.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cerrno>
+
+namespace lovagecourse {
+
+namespace {
+
+constexpr int listenBacklog = 4096;
+constexpr std::size_t streamBlockBytes = 16U << 10;
+// Unsent bytes that the kernel keeps per connection. Without it the send buffer grows to
+// megabytes and hides a slow caller from the flow control.
+constexpr int unsentLowWaterBytes = 128 << 10;
+// Room in libmicrohttpd's memory pool of a connection beside the request's headers.
+constexpr std::size_t poolReserveBytes = 16U << 10;
+constexpr int lowestFinalStatus = 200;
+constexpr int highestStatus = 599;
+
+// Headers that describe one connection; libmicrohttpd writes its own.
+constexpr std::array<const char *, 9> hopByHopHeaders{
+        "connection", "content-length", "keep-alive",        "proxy-connection",  "te",
+        "trailer",    "upgrade",        "transfer-encoding", "proxy-authenticate"};
+
+bool isHopByHop(const std::string &name)
+{
+    return std::any_of(hopByHopHeaders.begin(), hopByHopHeaders.end(),
+                       [&](const char *header) { return strcasecmp(name.c_str(), header) == 0; });
+}
+
+bool hasNoBody(const std::string &method, int status)
+{
+    return method == "HEAD" || status == MHD_HTTP_NO_CONTENT || status == MHD_HTTP_NOT_MODIFIED;
+}
+
+std::variant<int, SocketFailure> openListenSocket(const Endpoint &endpoint)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+        return SocketFailure{errno};
+    // Allows a restart at once; a second listener on the address still fails.
+    const int on = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    // Accepted sockets inherit both.
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsentLowWaterBytes,
+               sizeof(unsentLowWaterBytes));
+    const sockaddr_in address = toSocketAddress(endpoint);
+    if (bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0
+        || listen(descriptor, listenBacklog) != 0) {
+        const int error = errno;
+        close(descriptor);
+        return SocketFailure{error};
+    }
+    return descriptor;
+}
+
+} // namespace
+
+HttpGateway::Impl::~Impl()
+{
+    *alive = false;
+    stopping = true;
+    // libmicrohttpd aborts the process when it stops with suspended connections.
+    for (auto &entry : exchanges)
+        resume(*entry.second);
+    watcher.reset();
+    if (daemon)
+        MHD_stop_daemon(daemon);
+}
+
+bool HttpGateway::Impl::start(int listenSocket)
+{
+    const std::size_t poolBytes = 2 * limits.maxHeaderBytes + poolReserveBytes;
+    daemon = MHD_start_daemon(
+            MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, &Impl::onAccess, this,
+            MHD_OPTION_LISTEN_SOCKET, listenSocket, MHD_OPTION_URI_LOG_CALLBACK,
+            &Impl::onRequestLine, this, MHD_OPTION_NOTIFY_COMPLETED, &Impl::onCompleted, this,
+            MHD_OPTION_CONNECTION_MEMORY_LIMIT, poolBytes, MHD_OPTION_CONNECTION_LIMIT,
+            limits.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT,
+            static_cast<unsigned>(limits.idleTimeout.count()), MHD_OPTION_STRICT_FOR_CLIENT, 1,
+            MHD_OPTION_END);
+    if (!daemon)
+        return false;
+    const MHD_DaemonInfo *info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    assert(info);
+    watcher = std::make_unique<IoWatcher>(loop, info->epoll_fd, [this](int) { run(); });
+    watcher->watch(EV_READ);
+    armTimer();
+    return true;
+}
+
+void HttpGateway::Impl::run()
+{
+    const auto stillAlive = alive;
+    MHD_run(daemon);
+    // Before the handlers, so that a resume by a handler can bring the run forward.
+    armTimer();
+    dispatch();
+    if (*stillAlive && !events.empty())
+        runSoon();
+}
+
+void HttpGateway::Impl::dispatch()
+{
+    const auto stillAlive = alive;
+    std::vector<Event> due;
+    due.swap(events);
+    for (Event &event : due) {
+        if (auto *request = std::get_if<CallerRequest>(&event))
+            handlers.onRequest(std::move(*request));
+        else if (const auto *consumed = std::get_if<Consumed>(&event))
+            handlers.onConsumed(consumed->caller, consumed->bytes);
+        else
+            handlers.onCallerLeft(std::get<Left>(event).caller);
+        if (!*stillAlive)
+            return;
+    }
+}
+
+void HttpGateway::Impl::armTimer()
+{
+    MHD_UNSIGNED_LONG_LONG timeout = 0;
+    if (MHD_get_timeout(daemon, &timeout) == MHD_YES)
+        timer.startOnce(milliseconds(timeout));
+    else
+        timer.stop();
+}
+
+void HttpGateway::Impl::runSoon()
+{
+    timer.startOnce(std::chrono::nanoseconds(0));
+}
+
+HttpGateway::Impl::Exchange *HttpGateway::Impl::find(CallerId caller)
+{
+    const auto found = exchanges.find(caller);
+    return found == exchanges.end() ? nullptr : found->second.get();
+}
+
+HttpGateway::Impl::Exchange *HttpGateway::Impl::findOpen(CallerId caller)
+{
+    Exchange *exchange = find(caller);
+    return exchange && !exchange->ended && !exchange->left ? exchange : nullptr;
+}
+
+void HttpGateway::Impl::resume(Exchange &exchange)
+{
+    if (!exchange.suspended)
+        return;
+    exchange.suspended = false;
+    MHD_resume_connection(exchange.connection);
+    runSoon();
+}
+
+void HttpGateway::Impl::setResponse(Exchange &exchange, int status, const HeaderList &headers,
+                                    MHD_Response *response)
+{
+    assert(response);
+    // A server's answer may hold any number; libmicrohttpd takes only final statuses.
+    const bool valid = status >= lowestFinalStatus && status <= highestStatus;
+    exchange.status = valid ? status : MHD_HTTP_BAD_GATEWAY;
+    exchange.noBody = hasNoBody(exchange.request.method, exchange.status);
+    exchange.response = response;
+    for (const auto &[name, value] : headers)
+        if (!isHopByHop(name))
+            MHD_add_response_header(response, name.c_str(), value.c_str());
+}
+
+void HttpGateway::Impl::prepareAnswer(Exchange &exchange, int status, const HeaderList &headers,
+                                      const std::string &body)
+{
+    // Copied by libmicrohttpd, which does not write to it.
+    void *bytes = const_cast<char *>(body.data());
+    setResponse(exchange, status, headers,
+                MHD_create_response_from_buffer(body.size(), bytes, MHD_RESPMEM_MUST_COPY));
+    exchange.ended = true;
+}
+
+HttpGateway::HttpGateway(std::unique_ptr<Impl> impl)
+    : impl_(std::move(impl))
+{}
+
+HttpGateway::~HttpGateway() = default;
+
+std::variant<std::unique_ptr<HttpGateway>, SocketFailure>
+HttpGateway::open(EventLoop &loop, Metrics &metrics, const Endpoint &endpoint,
+                  const GatewayLimits &limits, Handlers handlers)
+{
+    const auto socket = openListenSocket(endpoint);
+    if (const auto *failure = std::get_if<SocketFailure>(&socket))
+        return *failure;
+    auto impl = std::make_unique<Impl>(loop, metrics, limits, std::move(handlers));
+    // libmicrohttpd owns the socket from here on, even when it fails to start.
+    if (!impl->start(std::get<int>(socket)))
+        return SocketFailure{errno};
+    return std::unique_ptr<HttpGateway>(new HttpGateway(std::move(impl)));
+}
+
+void HttpGateway::answer(CallerId caller, int status, const HeaderList &headers,
+                         const std::string &body)
+{
+    Impl::Exchange *exchange = impl_->findOpen(caller);
+    if (!exchange || exchange->streaming)
+        return;
+    impl_->prepareAnswer(*exchange, status, headers, body);
+    impl_->resume(*exchange);
+}
+
+void HttpGateway::refuse(CallerId caller, const Refusal &refusal)
+{
+    impl_->metrics.count("lovagecourse_refusals_total", toString(refusal.reason));
+    answer(caller, httpStatus(refusal.reason), {{"content-type", problemMediaType}},
+           makeProblemBody(refusal));
+}
+
+void HttpGateway::beginStream(CallerId caller, int status, const HeaderList &headers)
+{
+    Impl::Exchange *exchange = impl_->findOpen(caller);
+    if (!exchange || exchange->streaming)
+        return;
+    exchange->streaming = true;
+    impl_->setResponse(*exchange, status, headers,
+                       MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, streamBlockBytes,
+                                                         &Impl::onRead, exchange, nullptr));
+    // libmicrohttpd reads no body here and would take the answer as whole at once.
+    if (!exchange->noBody)
+        impl_->resume(*exchange);
+}
+
+void HttpGateway::sendData(CallerId caller, std::string_view bytes)
+{
+    Impl::Exchange *exchange = impl_->findOpen(caller);
+    if (!exchange || !exchange->streaming || bytes.empty())
+        return;
+    if (exchange->noBody) {
+        impl_->events.emplace_back(Impl::Consumed{caller, bytes.size()});
+        impl_->runSoon();
+        return;
+    }
+    exchange->unsent.erase(0, exchange->taken);
+    exchange->taken = 0;
+    exchange->unsent.append(bytes);
+    impl_->resume(*exchange);
+}
+
+void HttpGateway::endStream(CallerId caller)
+{
+    Impl::Exchange *exchange = impl_->findOpen(caller);
+    if (!exchange || !exchange->streaming)
+        return;
+    exchange->ended = true;
+    impl_->resume(*exchange);
+}
+
+void HttpGateway::abortStream(CallerId caller)
+{
+    Impl::Exchange *exchange = impl_->findOpen(caller);
+    if (!exchange || !exchange->streaming)
+        return;
+    exchange->ended = true;
+    exchange->aborted = true;
+    impl_->resume(*exchange);
+}
+
+std::size_t HttpGateway::openRequests() const
+{
+    return impl_->openRequests;
+}
+
+void HttpGateway::stopListening()
+{
+    const MHD_socket socket = MHD_quiesce_daemon(impl_->daemon);
+    if (socket != MHD_INVALID_SOCKET)
+        close(socket);
+}
+
+} // namespace lovagecourse
--- /dev/null
+++ b/tests/gateway/HttpGatewayTest.cpp
@@ -0,0 +1,307 @@
+#include "gateway/HttpGateway.h"
+
+#include <catch2/catch.hpp>
+#include <curl/curl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstring>
+#include <thread>
+
+using namespace lovagecourse;
+
+namespace {
+
+constexpr std::size_t bodyLimit = 64U << 10;
+
+/// What libcurl saw of one request.
+struct Reply
+{
+    CURLcode code = CURLE_OK;
+    long status = 0;
+    std::string body;
+    std::string headers;
+};
+
+std::size_t appendTo(char *bytes, std::size_t size, std::size_t count, void *text)
+{
+    static_cast<std::string *>(text)->append(bytes, size * count);
+    return size * count;
+}
+
+/// A gateway in a loop of the test's thread; requests come from another thread.
+struct GatewayFixture
+{
+    EventLoop loop;
+    Metrics metrics;
+    Endpoint endpoint{"127.0.0.1", 23010};
+    std::vector<CallerRequest> requests;
+    std::vector<CallerId> left;
+    std::size_t consumed = 0;
+    std::function<void(const CallerRequest &)> onRequest = [](const CallerRequest &) {};
+    std::unique_ptr<HttpGateway> gateway = open();
+
+    std::unique_ptr<HttpGateway> open()
+    {
+        GatewayLimits limits;
+        limits.maxBodyBytes = bodyLimit;
+        HttpGateway::Handlers handlers;
+        handlers.onRequest = [this](CallerRequest &&request) {
+            requests.push_back(std::move(request));
+            onRequest(requests.back());
+        };
+        handlers.onCallerLeft = [this](CallerId caller) {
+            left.push_back(caller);
+            loop.stop();
+        };
+        handlers.onConsumed = [this](CallerId, std::size_t bytes) { consumed += bytes; };
+        auto opened = HttpGateway::open(loop, metrics, endpoint, limits, std::move(handlers));
+        REQUIRE(opened.index() == 0);
+        return std::move(std::get<0>(opened));
+    }
+
+    void runFor(milliseconds time)
+    {
+        Timer end(loop, [this] { loop.stop(); });
+        end.startOnce(time);
+        loop.run();
+    }
+
+    Reply fetch(const std::string &target, const std::string *body = nullptr, bool head = false)
+    {
+        Reply reply;
+        std::thread client([&] {
+            CURL *curl = curl_easy_init();
+            const std::string url = "http://" + toString(endpoint) + target;
+            curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
+            curl_easy_setopt(curl, CURLOPT_TIMEOUT, 3L);
+            curl_easy_setopt(curl, CURLOPT_NOBODY, head ? 1L : 0L);
+            curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &appendTo);
+            curl_easy_setopt(curl, CURLOPT_WRITEDATA, &reply.body);
+            curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &appendTo);
+            curl_easy_setopt(curl, CURLOPT_HEADERDATA, &reply.headers);
+            if (body) {
+                curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE, static_cast<long>(body->size()));
+                curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body->data());
+            }
+            reply.code = curl_easy_perform(curl);
+            curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &reply.status);
+            curl_easy_cleanup(curl);
+            done = true;
+        });
+        done = false;
+        Timer watch(loop, [this] {
+            if (done)
+                loop.stop();
+        });
+        watch.startRepeating(milliseconds(2));
+        loop.run();
+        client.join();
+        return reply;
+    }
+
+    int connectRaw(const std::string &bytes) const
+    {
+        const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        const sockaddr_in address = toSocketAddress(endpoint);
+        REQUIRE(connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address))
+                == 0);
+        REQUIRE(send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL)
+                == static_cast<ssize_t>(bytes.size()));
+        return descriptor;
+    }
+
+    std::atomic<bool> done = false;
+};
+
+const std::string plainGet = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+// Guards against targets, headers and bodies that change on their way in or out.
+TEST_CASE_METHOD(GatewayFixture, "gateway, request with body, passes it and the answer on whole")
+{
+    onRequest = [this](const CallerRequest &request) {
+        gateway->answer(request.id, 201, {{"X-Kind", "quote"}, {"Transfer-Encoding", "x"}},
+                        request.body);
+    };
+    const std::string body(50000, 'b');
+    const Reply reply = fetch("/a%2Fb/c?q=%20", &body);
+    REQUIRE(reply.code == CURLE_OK);
+    CHECK(reply.status == 201);
+    CHECK(reply.body == body);
+    CHECK(reply.headers.find("X-Kind: quote") != std::string::npos);
+    CHECK(reply.headers.find("Transfer-Encoding") == std::string::npos);
+    CHECK(requests[0].path == "/a%2Fb/c");
+    CHECK(requests[0].query == "?q=%20");
+    CHECK(requests[0].method == "POST");
+    CHECK(left.empty());
+    CHECK(gateway->openRequests() == 0);
+    CHECK(metrics.counterValue("lovagecourse_caller_requests_total") == 1);
+}
+
+// Guards against streams that lose their pace or their end.
+TEST_CASE_METHOD(GatewayFixture, "gateway, stream in pieces, arrives whole and ends normally")
+{
+    int pieces = 0;
+    Timer pace(loop, [&] {
+        gateway->sendData(requests[0].id, "piece " + std::to_string(++pieces) + '\n');
+        if (pieces < 3)
+            return pace.startOnce(milliseconds(5));
+        gateway->endStream(requests[0].id);
+    });
+    onRequest = [&](const CallerRequest &request) {
+        gateway->beginStream(request.id, 200, {});
+        pace.startOnce(milliseconds(5));
+    };
+    const Reply reply = fetch("/stream");
+    CHECK(reply.code == CURLE_OK);
+    CHECK(reply.body == "piece 1\npiece 2\npiece 3\n");
+    CHECK(consumed == reply.body.size());
+    CHECK(left.empty());
+}
+
+// Guards against a cut-off answer that the caller takes as whole.
+TEST_CASE_METHOD(GatewayFixture, "gateway, aborted stream, is an error for the caller")
+{
+    Timer abort(loop, [&] { gateway->abortStream(requests[0].id); });
+    onRequest = [&](const CallerRequest &request) {
+        gateway->beginStream(request.id, 200, {});
+        gateway->sendData(request.id, "half");
+        abort.startOnce(milliseconds(20));
+    };
+    const Reply reply = fetch("/stream");
+    CHECK(reply.code != CURLE_OK);
+    CHECK(reply.body == "half");
+    CHECK(left.empty());
+}
+
+// Guards against refusals that clients can't tell apart.
+TEST_CASE_METHOD(GatewayFixture, "gateway, refusal, is a counted problem document")
+{
+    onRequest = [this](const CallerRequest &request) {
+        gateway->refuse(request.id, Refusal{RefusalReason::ServerLost, Ran::Unknown});
+    };
+    const Reply reply = fetch("/x");
+    CHECK(reply.status == 502);
+    CHECK(reply.headers.find("application/problem+json") != std::string::npos);
+    CHECK(reply.body
+          == "{\"type\":\"urn:lovagecourse:problem:server-lost\",\"title\":\"server lost\","
+             "\"status\":502,\"ran\":\"unknown\"}\n");
+    CHECK(metrics.counterValue("lovagecourse_refusals_total", "server-lost") == 1);
+}
+
+// Guards against callers that fill the memory, and against a lost 413.
+TEST_CASE_METHOD(GatewayFixture, "gateway, body over the limit, is refused and not passed on")
+{
+    const std::size_t size = GENERATE(bodyLimit + 1, 4 * bodyLimit, 30 * bodyLimit);
+    const std::string body(size, 'b');
+    const Reply reply = fetch("/x", &body);
+    CHECK(reply.status == 413);
+    CHECK(reply.body.find("body-too-large") != std::string::npos);
+    CHECK(requests.empty());
+}
+
+// Guards against a HEAD answer that ends before the handler has ended it.
+TEST_CASE_METHOD(GatewayFixture, "gateway, streamed answer to HEAD, has headers only")
+{
+    Timer end(loop, [&] { gateway->endStream(requests[0].id); });
+    onRequest = [&](const CallerRequest &request) {
+        gateway->beginStream(request.id, 200, {{"X-Kind", "head"}});
+        gateway->sendData(request.id, "unseen");
+        end.startOnce(milliseconds(10));
+    };
+    const Reply reply = fetch("/x", nullptr, true);
+    CHECK(reply.code == CURLE_OK);
+    CHECK(reply.headers.find("X-Kind: head") != std::string::npos);
+    CHECK(consumed == 6);
+    CHECK(left.empty());
+}
+
+// Guards against work that goes on for callers that are gone.
+TEST_CASE_METHOD(GatewayFixture, "gateway, caller leaves, is reported once within a second")
+{
+    const bool streaming = GENERATE(false, true);
+    onRequest = [&](const CallerRequest &request) {
+        if (streaming)
+            gateway->beginStream(request.id, 200, {});
+        loop.stop();
+    };
+    const int descriptor = connectRaw(plainGet);
+    runFor(milliseconds(1000));
+    REQUIRE(requests.size() == 1);
+    runFor(milliseconds(20));
+    close(descriptor);
+    runFor(milliseconds(1000));
+    REQUIRE(left.size() == 1);
+    CHECK(left[0] == requests[0].id);
+    gateway->sendData(requests[0].id, "late");
+    gateway->answer(requests[0].id, 200, {}, "late");
+    runFor(milliseconds(20));
+    CHECK(left.size() == 1);
+    CHECK(gateway->openRequests() == 0);
+}
+
+// Guards against malformed input that stops the server.
+TEST_CASE_METHOD(GatewayFixture, "gateway, malformed HTTP, keeps serving others")
+{
+    onRequest = [this](const CallerRequest &request) {
+        gateway->answer(request.id, 200, {}, "ok");
+    };
+    const std::array<std::string, 5> inputs{
+            std::string("\r\n\r\n\0\1\2", 7), "GET\r\n\r\n", "GET / HTTP/9.9\r\n\r\n",
+            "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(60000, 'x') + "\r\n\r\n"};
+    for (const std::string &input : inputs) {
+        const int descriptor = connectRaw(input);
+        runFor(milliseconds(10));
+        close(descriptor);
+    }
+    runFor(milliseconds(10));
+    CHECK(fetch("/x").body == "ok");
+    CHECK(gateway->openRequests() == 0);
+}
+
+// Guards against answers that pile up in memory for a slow caller.
+TEST_CASE_METHOD(GatewayFixture, "gateway, caller does not read, consumption stops")
+{
+    const std::size_t size = 32U << 20;
+    onRequest = [&](const CallerRequest &request) {
+        gateway->beginStream(request.id, 200, {});
+        gateway->sendData(request.id, std::string(size, 'd'));
+    };
+    const int descriptor = connectRaw(plainGet);
+    runFor(milliseconds(150));
+    const std::size_t early = consumed;
+    runFor(milliseconds(100));
+    CHECK(early > 0);
+    CHECK(consumed == early);
+    CHECK(consumed < size / 2);
+    close(descriptor);
+    runFor(milliseconds(500));
+    CHECK(left.size() == 1);
+}
+
+// Guards against two processes on one address and against refusing callers while draining.
+TEST_CASE_METHOD(GatewayFixture, "gateway, address in use, is free after listening has stopped")
+{
+    auto second = HttpGateway::open(loop, metrics, endpoint, GatewayLimits{}, {});
+    REQUIRE(second.index() == 1);
+    CHECK(std::get<SocketFailure>(second).error == EADDRINUSE);
+
+    onRequest = [&](const CallerRequest &) { loop.stop(); };
+    const int descriptor = connectRaw(plainGet);
+    runFor(milliseconds(1000));
+    gateway->stopListening();
+    CHECK(HttpGateway::open(loop, metrics, endpoint, GatewayLimits{}, {}).index() == 0);
+    CHECK(gateway->openRequests() == 1);
+    gateway->answer(requests.at(0).id, 200, {}, "drained");
+    runFor(milliseconds(20));
+    std::array<char, 1000> bytes{};
+    CHECK(recv(descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT) > 0);
+    CHECK(std::strstr(bytes.data(), "drained") != nullptr);
+    CHECK(gateway->openRequests() == 0);
+    close(descriptor);
+}
