--- a/src/gateway/CallerExchange.cpp
+++ b/src/gateway/CallerExchange.cpp
@@ -154,7 +154,7 @@
         return MHD_CONTENT_READER_END_WITH_ERROR;
     const std::size_t count = std::min(size, exchange.unsent.size() - exchange.taken);
     if (count > 0) {
-        std::memcpy(buffer, exchange.unsent.data() + exchange.taken, count);
+        exchange.unsent.copy(buffer, count, exchange.taken);
         exchange.taken += count;
         if (exchange.taken == exchange.unsent.size()) {
             exchange.unsent.clear();
--- /dev/null
+++ b/src/settings/SettingsReader.cpp
@@ -0,0 +1,174 @@
+#include "settings/SettingsReader.h"
+
+namespace lovagecourse {
+
+namespace {
+
+constexpr std::string_view urlScheme = "http://";
+const std::string endpointForm = "an address \"a.b.c.d:port\" with a port from 1 to 65535";
+
+} // namespace
+
+SettingsReader::SettingsReader(const toml::table *table, std::string section, std::string file,
+                               std::vector<SettingsFault> &faults)
+    : table_(table)
+    , section_(std::move(section))
+    , file_(std::move(file))
+    , faults_(faults)
+{}
+
+void SettingsReader::readText(std::string_view name, std::string &value, std::size_t minBytes)
+{
+    const std::string expected =
+            minBytes > 1 ? "a string of at least " + std::to_string(minBytes) + " bytes"
+                         : "a string that is not empty";
+    const toml::node *node = findRequired(name, expected);
+    const std::optional<std::string> text = takeText(node, name, expected);
+    if (!text)
+        return;
+    if (text->size() < minBytes)
+        return report(SettingsFaultKind::OutOfRange, name, &node->source(), expected);
+    value = *text;
+}
+
+void SettingsReader::readUrl(std::string_view name, std::string &value)
+{
+    const std::string expected = "a URL that starts with \"http://\"";
+    const toml::node *node = findRequired(name, expected);
+    const std::optional<std::string> text = takeText(node, name, expected);
+    if (!text)
+        return;
+    const bool valid = text->starts_with(urlScheme) && text->size() > urlScheme.size();
+    if (!valid)
+        return report(SettingsFaultKind::OutOfRange, name, &node->source(), expected);
+    value = *text;
+}
+
+void SettingsReader::readEndpoint(std::string_view name, Endpoint &value)
+{
+    const toml::node *node = findRequired(name, endpointForm);
+    const std::optional<std::string> text = takeText(node, name, endpointForm);
+    if (!text)
+        return;
+    const std::optional<Endpoint> endpoint = parseEndpoint(*text);
+    if (!endpoint)
+        return report(SettingsFaultKind::OutOfRange, name, &node->source(), endpointForm);
+    value = *endpoint;
+}
+
+void SettingsReader::readEndpoints(std::string_view name, std::vector<Endpoint> &values)
+{
+    const toml::node *node = find(name);
+    if (!node)
+        return;
+    const toml::array *array = node->as_array();
+    if (!array)
+        return report(SettingsFaultKind::WrongType, name, &node->source(),
+                      "a list of addresses \"a.b.c.d:port\"");
+    for (const toml::node &element : *array) {
+        const std::optional<std::string> text = takeText(&element, name, endpointForm);
+        if (!text)
+            continue;
+        const std::optional<Endpoint> endpoint = parseEndpoint(*text);
+        if (endpoint)
+            values.push_back(*endpoint);
+        else
+            report(SettingsFaultKind::OutOfRange, name, &element.source(), endpointForm);
+    }
+}
+
+bool SettingsReader::readInteger(std::string_view name, std::int64_t &value, std::int64_t low,
+                                 std::int64_t high)
+{
+    const toml::node *node = find(name);
+    if (!node)
+        return false;
+    const std::string expected =
+            "a whole number from " + std::to_string(low) + " to " + std::to_string(high);
+    const toml::value<std::int64_t> *number = node->as_integer();
+    if (!number) {
+        report(SettingsFaultKind::WrongType, name, &node->source(), expected);
+        return false;
+    }
+    if (number->get() < low || number->get() > high) {
+        report(SettingsFaultKind::OutOfRange, name, &node->source(), expected);
+        return false;
+    }
+    value = number->get();
+    return true;
+}
+
+void SettingsReader::readFlag(std::string_view name, bool &value)
+{
+    const toml::node *node = find(name);
+    if (!node)
+        return;
+    const toml::value<bool> *flag = node->as_boolean();
+    if (!flag)
+        return report(SettingsFaultKind::WrongType, name, &node->source(), "true or false");
+    value = flag->get();
+}
+
+const toml::table *SettingsReader::readTable(std::string_view name)
+{
+    const toml::node *node = find(name);
+    if (node && !node->as_table())
+        report(SettingsFaultKind::WrongType, name, &node->source(), "a table");
+    return node ? node->as_table() : nullptr;
+}
+
+void SettingsReader::reportUnknown()
+{
+    if (!table_)
+        return;
+    std::string expected = "one of the names";
+    for (const std::string &name : known_)
+        expected.append(" ").append(name);
+    for (const auto &[key, node] : *table_)
+        if (!known_.contains(key.str()))
+            report(SettingsFaultKind::UnknownName, key.str(), &key.source(), expected);
+}
+
+void SettingsReader::report(SettingsFaultKind kind, std::string_view name,
+                            const toml::source_region *place, std::string expected)
+{
+    SettingsFault fault;
+    fault.kind = kind;
+    fault.file = file_;
+    if (place) {
+        fault.line = place->begin.line;
+        fault.column = place->begin.column;
+    }
+    fault.setting = section_.empty() ? std::string(name) : section_ + '.' + std::string(name);
+    fault.expected = std::move(expected);
+    faults_.push_back(std::move(fault));
+}
+
+const toml::node *SettingsReader::find(std::string_view name)
+{
+    known_.emplace(name);
+    return table_ ? table_->get(name) : nullptr;
+}
+
+const toml::node *SettingsReader::findRequired(std::string_view name, const std::string &expected)
+{
+    const toml::node *node = find(name);
+    if (!node)
+        report(SettingsFaultKind::Missing, name, nullptr, expected);
+    return node;
+}
+
+std::optional<std::string> SettingsReader::takeText(const toml::node *node, std::string_view name,
+                                                    const std::string &expected)
+{
+    if (!node)
+        return std::nullopt;
+    const toml::value<std::string> *text = node->as_string();
+    if (!text) {
+        report(SettingsFaultKind::WrongType, name, &node->source(), expected);
+        return std::nullopt;
+    }
+    return text->get();
+}
+
+} // namespace lovagecourse
