--- a/src/membership/PeerTable.h
+++ b/src/membership/PeerTable.h
@@ -18,11 +18,12 @@
 
     /// Changes what is told of this daemon.
     void setSelf(LogOffset configurationOffset, bool leaving);
-    /// Counts the own heartbeat and picks entries to tell: self first, then random live peers.
+    /// Counts the own heartbeat and picks entries to tell: self first, then live peers with the
+    /// newest heartbeats, equal ones in random order.
     std::vector<PeerEntry> gossipEntries(std::size_t maxEntries, std::mt19937_64 &random);
     /// Takes entries from another daemon; only a higher heartbeat of the newest incarnation counts.
     void merge(const std::vector<PeerEntry> &entries, TimePoint now);
-    /// Random live peers to gossip with.
+    /// Random live peers to gossip with; filled up with remembered dead ones when too few live.
     std::vector<Endpoint> gossipTargets(std::size_t count, std::mt19937_64 &random) const;
     /// Names of the live entries, this daemon included when it is one; sorted.
     std::vector<DaemonId> liveEntries() const;
