--- a/src/configuration/ConfigurationFold.h
+++ b/src/configuration/ConfigurationFold.h
@@ -4,6 +4,7 @@
 #include "configuration/ReleaseNote.h"
 #include "platform/LogRecord.h"
 
+#include <deque>
 #include <string>
 #include <variant>
 #include <vector>
@@ -38,8 +39,17 @@
 struct RecordMalformed
 {};
 
-using FoldOutcome =
-        std::variant<NoteAccepted, NoteOutdated, NoteInvalid, SnapshotSeen, RecordMalformed>;
+/// The state holds the record's effect already, because it came from a peer or a snapshot.
+struct RecordAlreadyFolded
+{};
+
+/// Records before this one are missing, so its effect is unknown. It is kept and folded once a
+/// snapshot or a peer's state closes the gap.
+struct RecordHeldBack
+{};
+
+using FoldOutcome = std::variant<NoteAccepted, NoteOutdated, NoteInvalid, SnapshotSeen,
+                                 RecordMalformed, RecordAlreadyFolded, RecordHeldBack>;
 
 /// Folds the records of stream "configuration". All daemons that read the same records get the
 /// same state.
@@ -54,13 +64,34 @@
     std::size_t notesSinceSnapshot() const;
     /// When the newest snapshot was stored; the epoch when there is none.
     WallTime lastSnapshotTime() const;
+    /// True while records between the state and the last record are missing; the state is valid,
+    /// but not the newest.
+    bool hasGap() const;
 
 private:
+    FoldOutcome foldNext(const LogRecord &record);
+    FoldOutcome foldNote(const LogRecord &record, const std::string &toml);
+    FoldOutcome takeSnapshot(const ConfigurationState &state);
+    void noteSnapshotSeen(const LogRecord &record);
+    void holdBack(const LogRecord &record);
+    void foldHeldRecords();
+
     ConfigurationState state_;
     std::size_t notesSinceSnapshot_ = 0;
     WallTime lastSnapshotTime_;
+    /// Consecutive records after a gap.
+    std::deque<LogRecord> held_;
+};
+
+/// Record that carries a release note.
+struct NoteRecord
+{
+    std::string toml;
 };
 
+/// Content of a record: a note, a snapshot's state, or neither.
+std::variant<NoteRecord, ConfigurationState, RecordMalformed>
+parseConfigurationRecord(const std::string &body);
 /// Body of a record that carries a release note's text.
 std::string noteRecordBody(const std::string &toml);
 /// Body of a snapshot record.
--- a/src/configuration/ReleaseNote.h
+++ b/src/configuration/ReleaseNote.h
@@ -2,6 +2,7 @@
 
 #include "configuration/ConfigurationState.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -37,6 +38,13 @@
 /// "line:column: item: expected ...".
 std::string toString(const NoteFault &fault);
 
+/// Place in a note's text; both count from 1.
+struct NotePlace
+{
+    unsigned line = 0;
+    unsigned column = 0;
+};
+
 /// Change to one item; only the fields that are set change.
 struct AccountChange
 {
@@ -84,6 +92,8 @@
     std::vector<ServerId> withdrawnServers;
     /// Their fencing numbers are set when the note is folded.
     std::vector<ServerOrder> orders;
+    /// Where the items stand in the text, by item such as "added.accounts.retailer.share".
+    std::map<std::string, NotePlace> places;
 };
 
 using ReleaseNoteResult = std::variant<ReleaseNote, std::vector<NoteFault>>;
