Add the offer queue and the concurrency limit

Cause: agents need the order of grants and a limit that follows their server. Change: OfferQueue keeps flows ordered by position and looks positions up lazily, with a full refresh every 100 ms above 64 flows. The reserve opens one slot per running long request. A suspect blocks other grants for at most 2 s in 40 s.

--- /dev/null
+++ b/src/scheduling/OfferQueue.cpp
@@ -0,0 +1,360 @@
+#include "scheduling/OfferQueue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+#include <map>
+#include <set>
+#include <tuple>
+#include <unordered_map>
+
+namespace lovagecourse {
+
+namespace {
+
+/// Up to this many waiting flows, every decision looks up all positions.
+constexpr std::size_t exactLookupFlows = 64;
+/// Above it, all positions are looked up at this interval. Positions rarely fall (only when an
+/// estimate is corrected), and homes refresh them every 250 ms.
+constexpr milliseconds refreshInterval{100};
+/// Longest time that a suspect keeps slots free until the server is idle.
+constexpr milliseconds suspectBlock{2000};
+/// Time after a block that did not succeed before the next one; caps the lost capacity at 5%.
+constexpr milliseconds suspectPause{38000};
+
+/// Place among the offers of a flow: start of the request's wait, then arrival number.
+using Place = std::pair<TimePoint, std::uint64_t>;
+using OfferMap = std::map<Place, QueuedOffer>;
+
+/// Offers of one flow.
+struct FlowQueue
+{
+    FlowId flow;
+    std::uint64_t number = 0;
+    /// Position in the order; may be older than the lookup's answer.
+    Position position;
+    OfferMap shortOffers;
+    OfferMap longOffers;
+    OfferMap suspects;
+
+    bool empty() const { return shortOffers.empty() && longOffers.empty() && suspects.empty(); }
+};
+
+/// Lowest position first, then the flow that began to wait first.
+struct PositionLess
+{
+    bool operator()(const FlowQueue *left, const FlowQueue *right) const
+    {
+        return std::tie(left->position, left->number) < std::tie(right->position, right->number);
+    }
+};
+
+/// Where an offer waits.
+struct Location
+{
+    FlowQueue *queue = nullptr;
+    OfferMap *offers = nullptr;
+    Place place;
+};
+
+/// Kinds of offers that a free slot admits.
+struct Admission
+{
+    bool anyClass = false;
+    bool shortOnly = false;
+    bool suspects = false;
+};
+
+/// Offer that a flow would be granted next.
+struct Head
+{
+    OfferMap *offers = nullptr;
+    OfferMap::iterator offer;
+    bool isSuspect = false;
+};
+
+TimePoint deadlineOf(const QueuedOffer &queued)
+{
+    return queued.arrived + milliseconds(queued.offer.deadlineMs);
+}
+
+} // namespace
+
+int shortReserve(int limit)
+{
+    return std::max(1, limit / 8);
+}
+
+struct OfferQueue::Impl
+{
+    explicit Impl(OfferQueueOptions initial)
+        : options(initial)
+    {}
+
+    FlowQueue &queueOf(const FlowId &flow);
+    OfferMap &offersFor(FlowQueue &queue, const Offer &offer) const;
+    QueuedOffer remove(const OfferKey &key);
+    Admission admission(TimePoint now, const SlotState &slots) const;
+    std::optional<Head> headOf(FlowQueue &queue, TimePoint now, const Admission &admitted) const;
+    void refreshPositions(TimePoint now, const PositionLookup &position);
+    std::optional<Head> lowestHead(TimePoint now, const Admission &admitted,
+                                   const PositionLookup &position);
+    std::optional<Head> oldestHead(TimePoint now, const Admission &admitted);
+    void blockForSuspect(TimePoint now);
+
+    OfferQueueOptions options;
+    std::unordered_map<FlowId, FlowQueue> flows;
+    std::set<FlowQueue *, PositionLess> order;
+    std::map<OfferKey, Location> index;
+    std::set<std::pair<TimePoint, OfferKey>> deadlines;
+    std::unordered_map<AccountId, std::size_t> offersOfAccount;
+    std::uint64_t lastNumber = 0;
+    std::size_t shortCount = 0;
+    TimePoint refreshedAt;
+    std::optional<TimePoint> blockedSince;
+    std::optional<TimePoint> noBlockBefore;
+};
+
+FlowQueue &OfferQueue::Impl::queueOf(const FlowId &flow)
+{
+    const auto [found, isNew] = flows.try_emplace(flow);
+    FlowQueue &queue = found->second;
+    if (isNew) {
+        queue.flow = flow;
+        queue.number = ++lastNumber;
+        // A lookup only moves a flow back, so a new flow starts at the front.
+        queue.position = Position(-std::numeric_limits<double>::infinity());
+        order.insert(&queue);
+    }
+    return queue;
+}
+
+OfferMap &OfferQueue::Impl::offersFor(FlowQueue &queue, const Offer &offer) const
+{
+    if (offer.suspect)
+        return queue.suspects;
+    const bool isLong = options.costClasses && offer.costClass == CostClass::Long;
+    return isLong ? queue.longOffers : queue.shortOffers;
+}
+
+QueuedOffer OfferQueue::Impl::remove(const OfferKey &key)
+{
+    const auto found = index.find(key);
+    assert(found != index.end());
+    const Location location = found->second;
+    index.erase(found);
+    auto node = location.offers->extract(location.place);
+    QueuedOffer queued = std::move(node.mapped());
+    deadlines.erase({deadlineOf(queued), key});
+    if (location.offers == &location.queue->shortOffers)
+        --shortCount;
+    const auto count = offersOfAccount.find(queued.offer.flow.account);
+    if (--count->second == 0)
+        offersOfAccount.erase(count);
+    if (location.queue->empty()) {
+        order.erase(location.queue);
+        flows.erase(queued.offer.flow);
+    }
+    return queued;
+}
+
+Admission OfferQueue::Impl::admission(TimePoint now, const SlotState &slots) const
+{
+    Admission admitted;
+    const int inFlight = slots.shortInFlight + slots.longInFlight;
+    admitted.anyClass = inFlight < slots.limit;
+    // Each running long request opens at most one slot of the reserve, so that short work alone
+    // stays within the limit.
+    const int reserve = std::min(shortReserve(slots.limit), slots.longInFlight);
+    admitted.shortOnly = options.costClasses && !admitted.anyClass && shortCount > 0
+                         && inFlight < slots.limit + reserve;
+    const bool mayBlock = blockedSince ? now - *blockedSince < suspectBlock
+                                       : !noBlockBefore || now >= *noBlockBefore;
+    admitted.suspects = admitted.anyClass && (inFlight == 0 || mayBlock);
+    return admitted;
+}
+
+std::optional<Head> OfferQueue::Impl::headOf(FlowQueue &queue, TimePoint now,
+                                             const Admission &admitted) const
+{
+    if (admitted.suspects && !queue.suspects.empty())
+        return Head{&queue.suspects, queue.suspects.begin(), true};
+    const bool hasShort = !queue.shortOffers.empty();
+    if (!admitted.anyClass || queue.longOffers.empty()) {
+        if (!hasShort)
+            return std::nullopt;
+        return Head{&queue.shortOffers, queue.shortOffers.begin()};
+    }
+    const Place oldestLong = queue.longOffers.begin()->first;
+    const bool aged = now - oldestLong.first >= options.ageing;
+    const bool shortFirst = hasShort && (!aged || queue.shortOffers.begin()->first < oldestLong);
+    OfferMap &offers = shortFirst ? queue.shortOffers : queue.longOffers;
+    return Head{&offers, offers.begin()};
+}
+
+void OfferQueue::Impl::refreshPositions(TimePoint now, const PositionLookup &position)
+{
+    if (order.size() > exactLookupFlows && now - refreshedAt < refreshInterval)
+        return;
+    refreshedAt = now;
+    order.clear();
+    for (auto &[flow, queue] : flows) {
+        queue.position = position(flow);
+        order.insert(&queue);
+    }
+}
+
+std::optional<Head> OfferQueue::Impl::lowestHead(TimePoint now, const Admission &admitted,
+                                                 const PositionLookup &position)
+{
+    refreshPositions(now, position);
+    auto next = order.begin();
+    while (next != order.end()) {
+        FlowQueue *queue = *next;
+        const std::optional<Head> head = headOf(*queue, now, admitted);
+        if (!head) {
+            ++next;
+            continue;
+        }
+        const Position current = position(queue->flow);
+        if (current <= queue->position)
+            return head;
+        next = order.erase(next);
+        queue->position = current;
+        const auto moved = order.insert(queue).first;
+        if (next == order.end() || PositionLess{}(*moved, *next))
+            next = moved;
+    }
+    return std::nullopt;
+}
+
+std::optional<Head> OfferQueue::Impl::oldestHead(TimePoint now, const Admission &admitted)
+{
+    std::optional<Head> oldest;
+    for (auto &[flow, queue] : flows) {
+        const std::optional<Head> head = headOf(queue, now, admitted);
+        if (head && (!oldest || head->offer->first < oldest->offer->first))
+            oldest = head;
+    }
+    return oldest;
+}
+
+void OfferQueue::Impl::blockForSuspect(TimePoint now)
+{
+    if (blockedSince)
+        return;
+    blockedSince = now;
+    noBlockBefore = now + suspectBlock + suspectPause;
+}
+
+OfferQueue::OfferQueue(OfferQueueOptions options)
+    : impl_(std::make_unique<Impl>(options))
+{}
+
+OfferQueue::~OfferQueue() = default;
+
+std::optional<RefusalReason> OfferQueue::add(const OfferKey &key, const Offer &offer, TimePoint now)
+{
+    if (impl_->index.contains(key))
+        return std::nullopt;
+    if (impl_->index.size() >= impl_->options.maxOffers)
+        return RefusalReason::AgentQueueFull;
+    const auto count = impl_->offersOfAccount.find(offer.flow.account);
+    if (count != impl_->offersOfAccount.end()
+        && count->second >= impl_->options.maxOffersPerAccount)
+        return RefusalReason::AgentQueueFull;
+
+    FlowQueue &queue = impl_->queueOf(offer.flow);
+    OfferMap &offers = impl_->offersFor(queue, offer);
+    const Place place{now - milliseconds(offer.waitedMs), ++impl_->lastNumber};
+    const QueuedOffer queued{key, offer, now};
+    offers.emplace(place, queued);
+    impl_->index.emplace(key, Location{&queue, &offers, place});
+    impl_->deadlines.emplace(deadlineOf(queued), key);
+    ++impl_->offersOfAccount[offer.flow.account];
+    if (&offers == &queue.shortOffers)
+        ++impl_->shortCount;
+    return std::nullopt;
+}
+
+bool OfferQueue::withdraw(const OfferKey &key)
+{
+    if (!impl_->index.contains(key))
+        return false;
+    impl_->remove(key);
+    return true;
+}
+
+void OfferQueue::withdrawLink(std::uint64_t link)
+{
+    auto next = impl_->index.lower_bound(OfferKey{link, OfferId(0)});
+    while (next != impl_->index.end() && next->first.link == link) {
+        const OfferKey key = next->first;
+        ++next;
+        impl_->remove(key);
+    }
+}
+
+std::optional<QueuedOffer> OfferQueue::takeNext(TimePoint now, const SlotState &slots,
+                                                const PositionLookup &position)
+{
+    if (slots.suspectRuns || impl_->index.empty())
+        return std::nullopt;
+    if (impl_->blockedSince && now - *impl_->blockedSince >= suspectBlock)
+        impl_->blockedSince.reset();
+    const Admission admitted = impl_->admission(now, slots);
+    if (!admitted.anyClass && !admitted.shortOnly)
+        return std::nullopt;
+
+    const bool byPosition = impl_->options.order == OfferOrder::LowestPosition;
+    const std::optional<Head> head = byPosition ? impl_->lowestHead(now, admitted, position)
+                                                : impl_->oldestHead(now, admitted);
+    if (!head)
+        return std::nullopt;
+    if (head->isSuspect && slots.shortInFlight + slots.longInFlight > 0) {
+        impl_->blockForSuspect(now);
+        return std::nullopt;
+    }
+    if (head->isSuspect) {
+        impl_->blockedSince.reset();
+        impl_->noBlockBefore.reset();
+    }
+    return impl_->remove(head->offer->second.key);
+}
+
+std::vector<QueuedOffer> OfferQueue::takeAll()
+{
+    std::vector<QueuedOffer> taken;
+    taken.reserve(impl_->index.size());
+    while (!impl_->index.empty()) {
+        const OfferKey key = impl_->index.begin()->first;
+        taken.push_back(impl_->remove(key));
+    }
+    return taken;
+}
+
+std::vector<QueuedOffer> OfferQueue::takeExpired(TimePoint now)
+{
+    std::vector<QueuedOffer> taken;
+    while (!impl_->deadlines.empty() && impl_->deadlines.begin()->first <= now) {
+        const OfferKey key = impl_->deadlines.begin()->second;
+        taken.push_back(impl_->remove(key));
+    }
+    return taken;
+}
+
+std::size_t OfferQueue::size() const
+{
+    return impl_->index.size();
+}
+
+std::vector<FlowId> OfferQueue::waitingFlows() const
+{
+    std::vector<FlowId> waiting;
+    waiting.reserve(impl_->flows.size());
+    for (const auto &[flow, queue] : impl_->flows)
+        waiting.push_back(flow);
+    return waiting;
+}
+
+} // namespace lovagecourse
--- /dev/null
+++ b/tests/scheduling/ConcurrencyLimitTest.cpp
@@ -0,0 +1,81 @@
+#include "scheduling/ConcurrencyLimit.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace lovagecourse;
+
+namespace {
+
+/// Server whose latency grows in proportion to the work beyond its capacity.
+struct ConcurrencyLimitFixture
+{
+    TimePoint now{std::chrono::hours(1)};
+    double slowdown = 1;
+    std::mt19937 random{5};
+
+    static ConcurrencyLimitOptions options(ServiceKind kind)
+    {
+        ConcurrencyLimitOptions options;
+        options.kind = kind;
+        options.maxLimit = 32;
+        return options;
+    }
+
+    std::chrono::nanoseconds latency(double base, int inFlight)
+    {
+        const double noise = 0.9 + static_cast<double>(random() % 200) / 1000;
+        const double load = std::max(1.0, inFlight / 20.0);
+        return std::chrono::nanoseconds(static_cast<long>(base * 1e6 * load * slowdown * noise));
+    }
+
+    void run(ConcurrencyLimit &limit, milliseconds duration)
+    {
+        for (const TimePoint end = now + duration; now < end; now += milliseconds(50)) {
+            limit.onServiceTime(latency(20, limit.limit()));
+            limit.onTokenGap(latency(40, limit.limit()));
+            limit.onFirstToken(latency(300, limit.limit()));
+            limit.onTick(now, limit.limit(), true);
+        }
+    }
+};
+
+} // namespace
+
+// Guards against a limit that ignores a slow server, and one that stays low afterwards.
+TEST_CASE_METHOD(ConcurrencyLimitFixture,
+                 "concurrency limit, server slows down for 4 s, shrinks and recovers")
+{
+    const ServiceKind kind = GENERATE(ServiceKind::Model, ServiceKind::Plain);
+    ConcurrencyLimit limit(options(kind));
+    CHECK(limit.limit() == 16);
+    run(limit, seconds(20));
+    const int before = limit.limit();
+    CHECK(before >= 20);
+    slowdown = 5;
+    run(limit, seconds(2));
+    CHECK(limit.limit() < before);
+    run(limit, seconds(2));
+    CHECK(limit.limit() <= before * 3 / 4);
+    slowdown = 1;
+    run(limit, seconds(5));
+    CHECK(limit.limit() >= before * 9 / 10);
+}
+
+// Guards against a limit that grows without evidence or past its bounds.
+TEST_CASE_METHOD(ConcurrencyLimitFixture, "concurrency limit, no work waits, keeps its limit")
+{
+    ConcurrencyLimit limit(options(ServiceKind::Model));
+    for (int i = 0; i < 200; ++i) {
+        limit.onTokenGap(milliseconds(10));
+        limit.onTick(now += milliseconds(50), 4, false);
+    }
+    CHECK(limit.limit() == 16);
+    slowdown = 100;
+    run(limit, seconds(30));
+    CHECK(limit.limit() == 1);
+    slowdown = 0.01;
+    run(limit, seconds(60));
+    CHECK(limit.limit() == 32);
+}
