--- a/src/fairness/AccountLedger.cpp
+++ b/src/fairness/AccountLedger.cpp
@@ -16,6 +16,8 @@
 /// Flows without service, backlog and reports for this long are forgotten. A flow that returns
 /// counts from 0, so the homes must have forgotten its old count: they do after 300 s.
 constexpr seconds forgetAfter{600};
+/// Totals with a lower virtual time than some heard this recently were overtaken on their way.
+constexpr seconds reorderTime{1};
 /// Service that is too small to be reported; absorbs rounding.
 constexpr double leastUnreported = 1e-6;
 
@@ -114,6 +116,15 @@
     return entries;
 }
 
+bool AccountLedger::isOvertaken(const Flow &flow, const FairTotals &totals,
+                                const FairTotalsEntry &entry, TimePoint now)
+{
+    // A new home may be behind in virtual time, so only recent totals count, and totals that
+    // include more of this agent's service are taken.
+    return totals.virtualTime < flow.totalsTime && entry.included <= flow.included
+           && now - flow.lastTotals < reorderTime;
+}
+
 void AccountLedger::applyTotals(const FairTotals &totals, TimePoint now)
 {
     if (self_ && totals.agentIncarnation != *self_)
@@ -125,6 +136,10 @@
         if (found == flows_.end())
             continue;
         Flow &flow = found->second;
+        if (isOvertaken(flow, totals, entry, now))
+            continue;
+        flow.totalsTime = totals.virtualTime;
+        flow.lastTotals = now;
         flow.knownPosition = entry.position;
         flow.included = entry.included;
         if (flow.backlogged)
--- a/src/fairness/AccountLedger.h
+++ b/src/fairness/AccountLedger.h
@@ -59,11 +59,16 @@
         TimePoint lastActive;
         TimePoint lastBacklogged;
         TimePoint lastReport;
+        /// Home's virtual time in the latest totals; orders the totals of one home.
+        Position totalsTime;
+        TimePoint lastTotals;
     };
 
     Flow &flowOf(const FlowId &id, Share share);
     void startAnew(const FlowId &id, Flow &flow) const;
     static Position positionOf(const Flow &flow);
+    static bool isOvertaken(const Flow &flow, const FairTotals &totals,
+                            const FairTotalsEntry &entry, TimePoint now);
     static bool isDue(const Flow &flow, TimePoint now);
 
     std::optional<Incarnation> self_;
--- a/src/fairness/FairnessHome.cpp
+++ b/src/fairness/FairnessHome.cpp
@@ -16,6 +16,8 @@
 /// Contributions and flows are forgotten after this time; must be less than the time after which
 /// ledgers forget theirs (600 s), or a new count would be taken for a correction.
 constexpr seconds forgetAfter{300};
+/// A report with a lower virtual time than one heard this recently was overtaken on its way.
+constexpr seconds reorderTime{1};
 /// Virtual time is computed at most this often, since it visits all flows of a service.
 constexpr milliseconds advanceInterval{50};
 /// Part of a second of fleet capacity that a flow may keep as credit over a pause under 2 s.
@@ -41,15 +43,21 @@
     });
 }
 
-FairnessHome::ServiceState &FairnessHome::hear(const ServiceReport &report,
+FairnessHome::ServiceState *FairnessHome::hear(const ServiceReport &report,
                                                const ServiceId &service, TimePoint now)
 {
     ServiceState &state = services_[service];
     AgentCapacity &capacity = state.capacities[report.agent];
+    const bool isOlder = report.incarnation < capacity.incarnation
+                         || (report.incarnation == capacity.incarnation
+                             && report.virtualTime < capacity.virtualTime
+                             && now - capacity.lastHeard < reorderTime);
+    if (isOlder)
+        return nullptr;
     state.capacity += report.capacityPerSecond - capacity.perSecond;
-    capacity = {report.capacityPerSecond, now};
+    capacity = {report.capacityPerSecond, now, report.incarnation, report.virtualTime};
     state.heardVirtualTime = std::max(state.heardVirtualTime, report.virtualTime);
-    return state;
+    return &state;
 }
 
 bool FairnessHome::addService(Flow &flow, const ServiceReport &report,
@@ -99,9 +107,9 @@
     totals.entries.reserve(report.entries.size());
     for (const ServiceReportEntry &entry : report.entries) {
         if (!lastService || *lastService != entry.flow.service)
-            state = &hear(report, entry.flow.service, now);
+            state = hear(report, entry.flow.service, now);
         lastService = &entry.flow.service;
-        if (!(entry.share.value > 0))
+        if (!state || !(entry.share.value > 0))
             continue;
 
         Flow &flow = flows_[entry.flow];
--- a/src/fairness/FairnessHome.h
+++ b/src/fairness/FairnessHome.h
@@ -47,6 +47,9 @@
     {
         Work perSecond;
         TimePoint lastHeard;
+        Incarnation incarnation;
+        /// Virtual time in the agent's latest report; orders its reports.
+        Position virtualTime;
     };
 
     /// Service of one agent's run that a flow's position includes.
@@ -80,7 +83,8 @@
         TimePoint lastHeard;
     };
 
-    ServiceState &hear(const ServiceReport &report, const ServiceId &service, TimePoint now);
+    /// Null when a newer report of the agent was already heard.
+    ServiceState *hear(const ServiceReport &report, const ServiceId &service, TimePoint now);
     static bool isStale(const Contribution &contribution, TimePoint now);
     static bool isBacklogged(const Flow &flow, TimePoint now);
     static bool addService(Flow &flow, const ServiceReport &report, const ServiceReportEntry &entry,
