standins: add the engine and desk stand-ins

The trials of entries and agents need a model engine and a plain service that follow a published protocol, count what ran, and crash, slow down, freeze and lose answers on demand.

Throughput is not measured yet.

--- /dev/null
+++ b/standins/LoadHistory.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+
+namespace lovagecourse {
+
+/// Load of an engine at one moment.
+struct LoadSample
+{
+    std::chrono::steady_clock::time_point time;
+    std::uint64_t running = 0;
+    /// Tokens since the start of the engine.
+    std::uint64_t tokens = 0;
+};
+
+/// Load as an engine reports it: correct, but late.
+struct LoadReport
+{
+    std::uint64_t running = 0;
+    double tokensPerSecond = 0;
+};
+
+/// Keeps load samples and reports the load as it was a fixed time ago.
+class LoadHistory
+{
+public:
+    explicit LoadHistory(std::chrono::milliseconds lag)
+        : lag_(lag)
+    {}
+
+    void add(const LoadSample &sample)
+    {
+        samples_.push_back(sample);
+        while (samples_.front().time < sample.time - lag_ - 2 * window)
+            samples_.pop_front();
+    }
+
+    /// The newest sample that is at least the lag old, with the rate over the second before it.
+    LoadReport report(std::chrono::steady_clock::time_point now) const
+    {
+        const LoadSample *newest = nullptr;
+        for (const LoadSample &sample : samples_) {
+            if (sample.time <= now - lag_)
+                newest = &sample;
+        }
+        if (newest == nullptr)
+            return {};
+        const LoadSample *oldest = newest;
+        for (auto sample = samples_.rbegin(); sample != samples_.rend(); ++sample) {
+            if (sample->time < newest->time && sample->time >= newest->time - window)
+                oldest = &*sample;
+        }
+        const std::chrono::duration<double> span = newest->time - oldest->time;
+        const auto tokens = static_cast<double>(newest->tokens - oldest->tokens);
+        return {newest->running, span.count() > 0 ? tokens / span.count() : 0};
+    }
+
+    void clear() { samples_.clear(); }
+
+private:
+    static constexpr std::chrono::seconds window{1};
+
+    std::chrono::milliseconds lag_;
+    std::deque<LoadSample> samples_;
+};
+
+} // namespace lovagecourse
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -1,7 +1,53 @@
+#include "Desk.h"
+#include "Engine.h"
+#if __has_include("Platform.h")
+#include "Platform.h"
+#endif
+#if __has_include("Proxy.h")
+#include "Proxy.h"
+#endif
+#if __has_include("LoadTool.h")
+#include "LoadTool.h"
+#endif
+
+#include <csignal>
 #include <iostream>
+#include <string>
+
+using namespace lovagecourse;
 
-int main()
+namespace {
+
+int printUsage()
 {
     std::cerr << "usage: lovagecourse-standins platform|engine|desk|proxy|load [options]\n";
     return 2;
 }
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    if (argc < 2)
+        return printUsage();
+    // A peer that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    const std::string command = argv[1];
+#if __has_include("Platform.h")
+    if (command == "platform")
+        return runPlatform(argc - 1, argv + 1);
+#endif
+    if (command == "engine")
+        return runEngine(argc - 1, argv + 1);
+    if (command == "desk")
+        return runDesk(argc - 1, argv + 1);
+#if __has_include("Proxy.h")
+    if (command == "proxy")
+        return runProxy(argc - 1, argv + 1);
+#endif
+#if __has_include("LoadTool.h")
+    if (command == "load")
+        return runLoad(argc - 1, argv + 1);
+#endif
+    return printUsage();
+}
