standins: add the fault proxy

Trials of partitions and lossy networks need faults between two processes that can be switched while both run.

--- a/standins/CommandLine.cpp
+++ b/standins/CommandLine.cpp
@@ -1,5 +1,7 @@
 #include "CommandLine.h"
 
+#include "wire/Endpoint.h"
+
 #include <algorithm>
 #include <exception>
 #include <iostream>
@@ -25,10 +27,11 @@
                                          const std::string &name)
 {
     const std::string text = arguments.count(name) == 0 ? "" : arguments[name].as<std::string>();
-    const auto address = parseSocketAddress(text);
-    if (!address)
-        std::cerr << "--" << name << ": expected a.b.c.d:port, got \"" << text << "\"\n";
-    return address;
+    const auto endpoint = parseEndpoint(text);
+    if (endpoint)
+        return toSocketAddress(*endpoint);
+    std::cerr << "--" << name << ": expected a.b.c.d:port, got \"" << text << "\"\n";
+    return std::nullopt;
 }
 
 std::shared_ptr<cxxopts::Value> number(const std::string &defaultValue)
--- a/standins/CommandLine.h
+++ b/standins/CommandLine.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "SocketAddress.h"
-
 #include <cxxopts.hpp>
 
+#include <netinet/in.h>
+
 #include <chrono>
 #include <cstdint>
 #include <memory>
--- a/standins/HttpServer.cpp
+++ b/standins/HttpServer.cpp
@@ -118,9 +118,8 @@
     const auto found = server.exchanges_.find(key);
     if (found == server.exchanges_.end())
         return;
-    const HttpExchangePtr exchange = *found;
-    server.exchanges_.erase(found);
-    exchange->finishConnection();
+    const auto node = server.exchanges_.extract(found);
+    node.value()->finishConnection();
 }
 
 void HttpServer::onPrepare(struct ev_loop *, ev_prepare *watcher, int)
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -1,11 +1,9 @@
 #include "Desk.h"
 #include "Engine.h"
+#include "Proxy.h"
 #if __has_include("Platform.h")
 #include "Platform.h"
 #endif
-#if __has_include("Proxy.h")
-#include "Proxy.h"
-#endif
 #if __has_include("LoadTool.h")
 #include "LoadTool.h"
 #endif
@@ -41,10 +39,8 @@
         return runEngine(argc - 1, argv + 1);
     if (command == "desk")
         return runDesk(argc - 1, argv + 1);
-#if __has_include("Proxy.h")
     if (command == "proxy")
         return runProxy(argc - 1, argv + 1);
-#endif
 #if __has_include("LoadTool.h")
     if (command == "load")
         return runLoad(argc - 1, argv + 1);
