--- /dev/null
+++ b/src/agent/AgentNode.cpp
@@ -0,0 +1,712 @@
+#include "agent/AgentNode.h"
+
+#include "agent/ClaimJournal.h"
+#include "agent/EntryLinks.h"
+#include "agent/OrderSender.h"
+#include "agent/RequestRun.h"
+#include "agent/ServerMonitor.h"
+#include "agent/ServiceReporter.h"
+#include "core/Log.h"
+#include "daemon/Daemon.h"
+#include "scheduling/ConcurrencyLimit.h"
+#include "scheduling/OfferQueue.h"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cassert>
+#include <map>
+
+namespace lovagecourse {
+
+namespace {
+
+constexpr milliseconds tickInterval{50};
+constexpr milliseconds stateInterval{500};
+// Idle slots are told at most this often.
+constexpr milliseconds idleStateInterval{10};
+constexpr milliseconds grantTimeout{250};
+// Longest run of a claimed request after its deadline; then its outcome is unknown.
+constexpr milliseconds claimedGrace{60000};
+constexpr double serviceTimeWeight = 0.1;
+
+std::string digestOf(const Offer &offer, const GrantAccept &request)
+{
+    const std::string text = offer.flow.service.value + '\n' + request.method + '\n' + request.path
+                             + '\n' + request.body;
+    return std::to_string(XXH64(text.data(), text.size(), 0));
+}
+
+double toMilliseconds(std::chrono::nanoseconds duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+} // namespace
+
+struct AgentNode::Impl
+{
+    std::optional<SocketFailure> open(EventLoop &eventLoop, const Clock &clock,
+                                      const DaemonSettings &settings);
+    Daemon::Handlers daemonHandlers();
+    EntryLinks::Handlers linkHandlers();
+
+    // Configuration and leaving.
+    void onConfiguration(const ConfigurationState &state);
+    void checkLeaving();
+    void beginLeaving(const char *reason);
+    void exitWhenDrained();
+
+    // Offers and grants.
+    void onMessage(std::uint64_t link, Message &&message);
+    void onOffer(std::uint64_t link, const Offer &offer);
+    void pumpGrants();
+    void grant(const QueuedOffer &queued);
+    void onAccept(std::uint64_t link, GrantAccept &&accept);
+    void onCancel(std::uint64_t link, GrantId grant);
+    void onLinkDown(std::uint64_t link);
+    SlotState slotState() const;
+    void updateBacklog();
+
+    // Runs.
+    void claim(RequestRun &run);
+    void onClaimDecision(GrantId grant, const ClaimDecision &decision);
+    void send(RequestRun &run);
+    void onHead(RequestRun &run, int status, const HeaderList &headers);
+    void onPart(RequestRun &run, AnswerPart &&part);
+    void onBackendEnd(GrantId grant, BackendOutcome outcome);
+    void onProbedAfterBreak(GrantId grant, bool serverAnswered);
+    void markCrash();
+    void finish(GrantId grant, bool complete, const Refusal &refusal);
+    void replay(RequestRun &run, const RecordedAnswer &answer);
+    void consume(RequestRun &run, Work work);
+
+    // Status.
+    void onTick();
+    void broadcastState();
+    void tellIdleSlots();
+    AgentState agentState() const;
+    void fillStatus(nlohmann::json &page);
+
+    const Service *findService(const ServiceId &service) const;
+    Share shareOf(const FlowId &flow) const;
+    TimePoint now() const { return daemon->now(); }
+
+    std::unique_ptr<Daemon> daemon;
+    std::unique_ptr<EntryLinks> links;
+    std::unique_ptr<ServerMonitor> monitor;
+    std::unique_ptr<ServiceReporter> reporter;
+    std::unique_ptr<ClaimJournal> journal;
+    std::unique_ptr<OrderSender> orders;
+    std::unique_ptr<ConcurrencyLimit> limit;
+    std::unique_ptr<OfferQueue> queue;
+    AccountLedger ledger;
+    /// This agent's server as the configuration has it; empty before it is added.
+    std::optional<BackendServer> server;
+    std::map<GrantId, std::unique_ptr<RequestRun>> runs;
+    std::set<FlowId> backlogged;
+    std::uint64_t lastGrant = 0;
+    std::uint64_t lastCrash = 0;
+    double serviceTimeMs = 0;
+    bool leaving = false;
+    bool terminating = false;
+    TimePoint terminateStarted;
+    TimePoint lastState;
+    TimePoint lastIdleState;
+    std::unique_ptr<Timer> tick;
+};
+
+std::optional<SocketFailure> AgentNode::Impl::open(EventLoop &eventLoop, const Clock &clock,
+                                                   const DaemonSettings &settings)
+{
+    auto opened = Daemon::open(eventLoop, clock, settings, daemonHandlers());
+    if (const auto *failure = std::get_if<SocketFailure>(&opened))
+        return *failure;
+    daemon = std::move(std::get<0>(opened));
+    OfferQueueOptions options;
+    options.costClasses = settings.costClasses;
+    if (settings.fairness == FairnessPolicy::FirstComeFirstServed)
+        options.order = OfferOrder::FirstComeFirstServed;
+    queue = std::make_unique<OfferQueue>(options);
+    monitor = std::make_unique<ServerMonitor>(*daemon, [this](bool) {
+        broadcastState();
+        pumpGrants();
+    });
+    reporter = std::make_unique<ServiceReporter>(*daemon, ledger);
+    links = std::make_unique<EntryLinks>(*daemon, linkHandlers());
+    if (const auto failure = links->listen())
+        return failure;
+    tick = std::make_unique<Timer>(eventLoop, [this] { onTick(); });
+    tick->startRepeating(tickInterval);
+    return std::nullopt;
+}
+
+Daemon::Handlers AgentNode::Impl::daemonHandlers()
+{
+    Daemon::Handlers handlers;
+    handlers.onConfiguration = [this](const ConfigurationState &state) { onConfiguration(state); };
+    handlers.onDatagram = [this](const DaemonId &, Message &&message) {
+        const auto *totals = std::get_if<FairTotals>(&message);
+        const bool usesTotals = daemon->settings().fairness == FairnessPolicy::Fleet;
+        if (totals && usesTotals)
+            reporter->onTotals(*totals);
+    };
+    handlers.onHosts = [this] { checkLeaving(); };
+    handlers.onSuspects = [] {};
+    handlers.onTerminate = [this] {
+        terminating = true;
+        terminateStarted = now();
+        beginLeaving("termination was requested");
+    };
+    handlers.fillStatus = [this](nlohmann::json &page) { fillStatus(page); };
+    handlers.isReady = [this] { return server && monitor->isUp() && !leaving; };
+    return handlers;
+}
+
+EntryLinks::Handlers AgentNode::Impl::linkHandlers()
+{
+    EntryLinks::Handlers handlers;
+    handlers.onUp = [this](std::uint64_t link, const Hello &hello) {
+        reporter->onEntryUp(hello.daemon, hello.datagramEndpoint);
+        links->send(link, agentState());
+        links->send(link, SuspectNotice{daemon->suspects().recent(now(), 100)});
+    };
+    handlers.onDown = [this](std::uint64_t link, const Hello &hello) {
+        reporter->onEntryDown(hello.daemon);
+        onLinkDown(link);
+    };
+    handlers.onMessage = [this](std::uint64_t link, Message &&message) {
+        onMessage(link, std::move(message));
+    };
+    return handlers;
+}
+
+void AgentNode::Impl::onConfiguration(const ConfigurationState &state)
+{
+    const auto found = state.servers.find(daemon->settings().server);
+    if (found == state.servers.end()) {
+        if (server)
+            beginLeaving("its server was withdrawn");
+        return;
+    }
+    const bool limitChanged = !server || server->minLimit != found->second.minLimit
+                              || server->maxLimit != found->second.maxLimit;
+    server = found->second;
+    bool needsClaims = !state.orders.empty();
+    ServiceKind kind = ServiceKind::Plain;
+    for (const ServiceId &id : server->services) {
+        const Service *service = findService(id);
+        if (!service)
+            continue;
+        needsClaims = needsClaims || !service->repeatable;
+        if (service->kind == ServiceKind::Model)
+            kind = ServiceKind::Model;
+    }
+    if (limitChanged) {
+        ConcurrencyLimitOptions options;
+        options.minLimit = static_cast<int>(server->minLimit);
+        options.maxLimit = static_cast<int>(server->maxLimit);
+        options.kind = kind;
+        options.fixedLimit = daemon->settings().fixedLimit;
+        limit = std::make_unique<ConcurrencyLimit>(options);
+    }
+    monitor->setAddress(server->address);
+    if (needsClaims && !journal) {
+        journal = std::make_unique<ClaimJournal>(*daemon, server->name);
+        orders = std::make_unique<OrderSender>(*daemon, *journal, server->name);
+    }
+    if (orders)
+        orders->onConfiguration(state);
+    checkLeaving();
+}
+
+void AgentNode::Impl::checkLeaving()
+{
+    if (server && server->leaving)
+        beginLeaving("a note says that its server leaves");
+    else if (daemon->isHostLeaving(daemon->settings().host))
+        beginLeaving("the host list says that its host leaves");
+}
+
+void AgentNode::Impl::beginLeaving(const char *reason)
+{
+    if (!leaving) {
+        leaving = true;
+        logInfo(LogPart::Agent, "leaving: ", reason);
+        daemon->setLeaving();
+        for (const QueuedOffer &queued : queue->takeAll())
+            links->send(queued.key.link,
+                        OfferRefused{queued.offer.offer, RefusalReason::AgentLeaving});
+        broadcastState();
+    }
+    exitWhenDrained();
+}
+
+void AgentNode::Impl::exitWhenDrained()
+{
+    if (!terminating)
+        return;
+    const bool outOfTime = now() - terminateStarted > daemon->settings().drainTimeout;
+    const bool recorded = !journal || journal->coordinator().pendingEntries() == 0;
+    if (!outOfTime && (!runs.empty() || !recorded))
+        return;
+    logInfo(LogPart::Agent, outOfTime ? "drain timeout passed; exits" : "drained; exits");
+    // The last answers leave in this turn of the loop; the timer runs in a later one.
+    tick = std::make_unique<Timer>(daemon->loop(), [this] { daemon->loop().stop(); });
+    tick->startOnce(tickInterval);
+    terminating = false;
+}
+
+void AgentNode::Impl::onMessage(std::uint64_t link, Message &&message)
+{
+    if (const auto *offer = std::get_if<Offer>(&message)) {
+        onOffer(link, *offer);
+    } else if (const auto *withdraw = std::get_if<OfferWithdraw>(&message)) {
+        queue->withdraw(OfferKey{link, withdraw->offer});
+    } else if (auto *accept = std::get_if<GrantAccept>(&message)) {
+        onAccept(link, std::move(*accept));
+    } else if (const auto *decline = std::get_if<GrantDecline>(&message)) {
+        onCancel(link, decline->grant);
+    } else if (const auto *cancel = std::get_if<Cancel>(&message)) {
+        onCancel(link, cancel->grant);
+    } else if (const auto *credit = std::get_if<Credit>(&message)) {
+        const auto run = runs.find(credit->grant);
+        if (run != runs.end() && run->second->backend)
+            run->second->backend->addCredit(credit->bytes);
+    } else if (const auto *notice = std::get_if<SuspectNotice>(&message)) {
+        daemon->suspects().merge(notice->suspects, now());
+    } else if (const auto *request = std::get_if<StateRequest>(&message)) {
+        links->send(link, daemon->configuration().replyTo(*request));
+    } else {
+        daemon->metrics().count("lovagecourse_unexpected_messages_total");
+    }
+}
+
+void AgentNode::Impl::onOffer(std::uint64_t link, const Offer &offer)
+{
+    const OfferKey key{link, offer.offer};
+    std::optional<RefusalReason> refusal;
+    if (leaving)
+        refusal = RefusalReason::AgentLeaving;
+    else if (daemon->suspects().verdict(offer.fingerprint, now()) == SuspectVerdict::Refuse)
+        refusal = RefusalReason::CrashSuspect;
+    else
+        refusal = queue->add(key, offer, now());
+    if (refusal) {
+        daemon->metrics().count("lovagecourse_offers_refused_total", toString(*refusal));
+        links->send(link, OfferRefused{offer.offer, *refusal});
+        return;
+    }
+    pumpGrants();
+}
+
+SlotState AgentNode::Impl::slotState() const
+{
+    SlotState slots;
+    slots.limit = limit ? limit->limit() : 0;
+    for (const auto &[id, run] : runs) {
+        if (run->costClass == CostClass::Long)
+            ++slots.longInFlight;
+        else
+            ++slots.shortInFlight;
+        slots.suspectRuns = slots.suspectRuns || run->offer.suspect;
+    }
+    return slots;
+}
+
+void AgentNode::Impl::pumpGrants()
+{
+    const bool mayGrant = server && limit && monitor->isUp() && !leaving;
+    if (!mayGrant)
+        return;
+    const auto position = [this](const FlowId &flow) {
+        return ledger.position(flow, shareOf(flow));
+    };
+    while (const auto next = queue->takeNext(now(), slotState(), position))
+        grant(*next);
+    updateBacklog();
+    tellIdleSlots();
+}
+
+void AgentNode::Impl::updateBacklog()
+{
+    const std::vector<FlowId> waiting = queue->waitingFlows();
+    std::set<FlowId> current(waiting.begin(), waiting.end());
+    for (const FlowId &flow : current)
+        ledger.setBacklogged(flow, shareOf(flow), true, now());
+    for (const FlowId &flow : backlogged) {
+        if (!current.contains(flow))
+            ledger.setBacklogged(flow, shareOf(flow), false, now());
+    }
+    backlogged = std::move(current);
+}
+
+void AgentNode::Impl::grant(const QueuedOffer &queued)
+{
+    auto run = std::make_unique<RequestRun>();
+    run->grant = GrantId(++lastGrant);
+    run->link = queued.key.link;
+    run->offer = queued.offer;
+    run->costClass = queued.offer.costClass;
+    run->grantedAt = now();
+    run->charged = queued.offer.expected;
+    // Service units of a grant count at once, so that the next grant goes to another flow.
+    ledger.charge(queued.offer.flow, shareOf(queued.offer.flow), run->charged, now());
+    links->send(run->link, Grant{run->grant, queued.offer.offer});
+    daemon->metrics().count("lovagecourse_grants_total");
+    runs.emplace(run->grant, std::move(run));
+}
+
+void AgentNode::Impl::onAccept(std::uint64_t link, GrantAccept &&accept)
+{
+    const auto found = runs.find(accept.grant);
+    const bool isOpen = found != runs.end() && found->second->link == link
+                        && found->second->phase == RunPhase::Granted;
+    if (!isOpen) {
+        // The grant expired; nothing was sent to the server.
+        AnswerEnd end{accept.grant, false, Refusal{RefusalReason::NoServer, Ran::No}, Work()};
+        links->send(link, end);
+        return;
+    }
+    RequestRun &run = *found->second;
+    run.request = std::move(accept);
+    run.deadline = now() + milliseconds(run.request.deadlineMs);
+    if (run.request.idempotencyKey.value.empty())
+        send(run);
+    else
+        claim(run);
+}
+
+void AgentNode::Impl::onCancel(std::uint64_t link, GrantId grant)
+{
+    const auto found = runs.find(grant);
+    if (found == runs.end() || found->second->link != link)
+        return;
+    RequestRun &run = *found->second;
+    run.abandoned = true;
+    // A claimed request that the server has runs to its outcome, which later calls get.
+    const bool runsOn = run.claim && run.phase != RunPhase::Claiming;
+    if (!runsOn)
+        finish(grant, false, Refusal{RefusalReason::CallerLeft, Ran::Unknown});
+}
+
+void AgentNode::Impl::onLinkDown(std::uint64_t link)
+{
+    queue->withdrawLink(link);
+    std::vector<GrantId> affected;
+    for (const auto &[grant, run] : runs) {
+        if (run->link == link)
+            affected.push_back(grant);
+    }
+    for (const GrantId grant : affected)
+        onCancel(link, grant);
+    pumpGrants();
+}
+
+void AgentNode::Impl::claim(RequestRun &run)
+{
+    run.phase = RunPhase::Claiming;
+    if (!journal)
+        return finish(run.grant, false, Refusal{RefusalReason::ClaimUnavailable, Ran::No});
+    ClaimRequest request;
+    request.key = AccountKey{run.offer.flow.account, run.request.idempotencyKey};
+    request.requestDigest = digestOf(run.offer, run.request);
+    request.deadline = run.deadline;
+    const GrantId grant = run.grant;
+    journal->coordinator().begin(
+            request,
+            [this, grant](const ClaimDecision &decision) { onClaimDecision(grant, decision); },
+            now());
+    journal->pump();
+}
+
+void AgentNode::Impl::onClaimDecision(GrantId grant, const ClaimDecision &decision)
+{
+    const auto found = runs.find(grant);
+    const auto *won = std::get_if<ClaimWon>(&decision);
+    if (found == runs.end()) {
+        if (won)
+            journal->coordinator().giveUp(won->claim);
+        return;
+    }
+    RequestRun &run = *found->second;
+    if (const auto *refused = std::get_if<ClaimRefused>(&decision))
+        return finish(grant, false, refused->refusal);
+    if (const auto *repeated = std::get_if<ClaimReplay>(&decision))
+        return replay(run, repeated->answer);
+    if (!journal->coordinator().mayRun(won->claim, now())) {
+        journal->coordinator().giveUp(won->claim);
+        return finish(grant, false, Refusal{RefusalReason::ClaimUnavailable, Ran::No});
+    }
+    run.claim = won->claim;
+    send(run);
+}
+
+void AgentNode::Impl::replay(RequestRun &run, const RecordedAnswer &answer)
+{
+    HeaderList headers = answer.headers;
+    headers.emplace_back("idempotent-replayed", "true");
+    links->send(run.link, AnswerHead{run.grant, answer.status, headers});
+    links->send(run.link, AnswerData{run.grant, 0, 0, answer.body});
+    daemon->metrics().count("lovagecourse_replayed_answers_total");
+    finish(run.grant, true, Refusal{});
+}
+
+void AgentNode::Impl::send(RequestRun &run)
+{
+    run.phase = RunPhase::Running;
+    run.sentAt = now();
+    run.lastPartAt = run.sentAt;
+    HttpRequest request;
+    request.method = run.request.method;
+    request.url = "http://" + toString(server->address) + run.request.path;
+    request.headers = run.request.headers;
+    request.body = run.request.body;
+    request.totalTimeout = milliseconds(std::max<std::uint32_t>(run.request.deadlineMs, 1));
+    if (run.claim) {
+        request.headers.emplace_back("idempotency-key", run.request.idempotencyKey.value);
+        request.totalTimeout += claimedGrace;
+        request.freshConnection = true;
+    }
+    if (run.request.resumeFromEvent > 0)
+        request.headers.emplace_back("x-resume-from", std::to_string(run.request.resumeFromEvent));
+    BackendRequest::Handlers handlers;
+    RequestRun *const runPointer = &run;
+    handlers.onHead = [this, runPointer](int status, const HeaderList &headers) {
+        onHead(*runPointer, status, headers);
+    };
+    handlers.onPart = [this, runPointer](AnswerPart &&part) {
+        onPart(*runPointer, std::move(part));
+    };
+    handlers.onEnd = [this, grant = run.grant](BackendOutcome outcome) {
+        onBackendEnd(grant, outcome);
+    };
+    run.backend =
+            std::make_unique<BackendRequest>(daemon->http(), request, run.request.resumeFromEvent,
+                                             run.request.credit, std::move(handlers));
+}
+
+void AgentNode::Impl::onHead(RequestRun &run, int status, const HeaderList &headers)
+{
+    run.isEventStream = findHeader(headers, "content-type").starts_with("text/event-stream");
+    if (run.claim) {
+        run.answer.status = static_cast<std::uint16_t>(status);
+        run.answer.headers = headers;
+    }
+    if (!run.abandoned)
+        links->send(run.link, AnswerHead{run.grant, static_cast<std::uint16_t>(status), headers});
+}
+
+void AgentNode::Impl::onPart(RequestRun &run, AnswerPart &&part)
+{
+    const TimePoint arrived = now();
+    if (!run.sawFirstPart) {
+        run.sawFirstPart = true;
+        if (run.isEventStream && limit)
+            limit->onFirstToken(arrived - run.sentAt);
+    } else if (run.isEventStream && part.eventCount > 0 && limit) {
+        limit->onTokenGap((arrived - run.lastPartAt) / part.eventCount);
+    }
+    run.lastPartAt = arrived;
+    if (run.isEventStream)
+        consume(run, Work(part.eventCount));
+    if (run.claim)
+        run.answer.body += part.bytes;
+    if (!run.abandoned)
+        links->send(run.link,
+                    AnswerData{run.grant, part.firstEvent, part.eventCount, std::move(part.bytes)});
+}
+
+void AgentNode::Impl::consume(RequestRun &run, Work work)
+{
+    run.consumed += work;
+    reporter->onServed(work);
+    const Service *service = findService(run.offer.flow.service);
+    if (service && run.consumed > service->longAbove)
+        run.costClass = CostClass::Long;
+    if (run.consumed <= run.charged)
+        return;
+    ledger.charge(run.offer.flow, shareOf(run.offer.flow), run.consumed - run.charged, now());
+    run.charged = run.consumed;
+}
+
+void AgentNode::Impl::onBackendEnd(GrantId grant, BackendOutcome outcome)
+{
+    RequestRun &run = *runs.at(grant);
+    const auto elapsed = now() - run.sentAt;
+    if (outcome == BackendOutcome::Complete) {
+        if (!run.isEventStream)
+            consume(run, Work(toMilliseconds(elapsed)));
+        if (!run.isEventStream && limit)
+            limit->onServiceTime(elapsed);
+        serviceTimeMs += serviceTimeWeight * (toMilliseconds(elapsed) - serviceTimeMs);
+        daemon->metrics().latency("lovagecourse_server_seconds", elapsed);
+        if (run.offer.suspect) {
+            daemon->suspects().onCompleted(run.offer.fingerprint, now());
+            links->sendToAll(SuspectNotice{daemon->suspects().recent(now(), 1)});
+        }
+        if (run.claim)
+            journal->coordinator().recordOutcome(*run.claim, run.answer);
+        return finish(grant, true, Refusal{});
+    }
+    if (outcome == BackendOutcome::NotSent && run.claim)
+        journal->coordinator().giveUp(*run.claim);
+    else if (run.claim)
+        journal->coordinator().recordUnknown(*run.claim);
+    if (outcome == BackendOutcome::TimedOut)
+        return finish(grant, false, Refusal{RefusalReason::DeadlineExpired, Ran::Unknown});
+    // Whether the server died decides whether this request is a suspect; the entry must know
+    // that before it sends the request anywhere else.
+    run.phase = outcome == BackendOutcome::NotSent ? RunPhase::NotSent : RunPhase::Probing;
+    monitor->probe([this, grant](bool answered) { onProbedAfterBreak(grant, answered); });
+}
+
+void AgentNode::Impl::onProbedAfterBreak(GrantId grant, bool serverAnswered)
+{
+    const auto found = runs.find(grant);
+    if (found == runs.end())
+        return;
+    if (!serverAnswered)
+        markCrash();
+    const bool notSent = found->second->phase == RunPhase::NotSent;
+    const Ran ran = notSent ? Ran::No : Ran::Unknown;
+    finish(grant, false, Refusal{RefusalReason::ServerLost, ran});
+}
+
+void AgentNode::Impl::markCrash()
+{
+    std::vector<Fingerprint> running;
+    for (const auto &[grant, run] : runs) {
+        const bool wasRunning = run->phase == RunPhase::Running || run->phase == RunPhase::Probing;
+        if (wasRunning)
+            running.push_back(run->offer.fingerprint);
+    }
+    if (running.empty())
+        return;
+    const std::uint64_t crashId = daemon->incarnation().value * 1000 + ++lastCrash;
+    logWarning(LogPart::Agent, "server died while running ", running.size(), " requests");
+    daemon->metrics().count("lovagecourse_server_crashes_total");
+    daemon->suspects().onCrash(running, crashId, now());
+    links->sendToAll(SuspectNotice{daemon->suspects().recent(now(), running.size())});
+}
+
+void AgentNode::Impl::finish(GrantId grant, bool complete, const Refusal &refusal)
+{
+    const auto found = runs.find(grant);
+    assert(found != runs.end());
+    const std::unique_ptr<RequestRun> run = std::move(found->second);
+    runs.erase(found);
+    // An estimate that was too high is given back.
+    ledger.charge(run->offer.flow, shareOf(run->offer.flow), run->consumed - run->charged, now());
+    if (!run->abandoned)
+        links->send(run->link, AnswerEnd{grant, complete, refusal, run->consumed});
+    if (!complete)
+        daemon->metrics().count("lovagecourse_runs_failed_total", toString(refusal.reason));
+    if (journal)
+        journal->pump();
+    pumpGrants();
+    exitWhenDrained();
+}
+
+void AgentNode::Impl::onTick()
+{
+    std::vector<GrantId> expired;
+    for (const auto &[grant, run] : runs) {
+        if (run->phase == RunPhase::Granted && now() - run->grantedAt > grantTimeout)
+            expired.push_back(grant);
+    }
+    for (const GrantId grant : expired) {
+        daemon->metrics().count("lovagecourse_grants_expired_total");
+        runs.at(grant)->abandoned = true;
+        finish(grant, false, Refusal{RefusalReason::NoServer, Ran::No});
+    }
+    queue->takeExpired(now());
+    if (limit)
+        limit->onTick(now(), static_cast<int>(runs.size()), queue->size() > 0);
+    pumpGrants();
+    if (now() - lastState >= stateInterval)
+        broadcastState();
+    exitWhenDrained();
+}
+
+AgentState AgentNode::Impl::agentState() const
+{
+    AgentState state;
+    state.server = daemon->settings().server;
+    state.limit = limit ? static_cast<std::uint32_t>(limit->limit()) : 0;
+    state.inFlight = static_cast<std::uint32_t>(runs.size());
+    state.queued = static_cast<std::uint32_t>(queue->size());
+    state.leaving = leaving;
+    state.serverUp = monitor->isUp();
+    state.serviceTimeMs = serviceTimeMs;
+    state.note = daemon->configuration().state().note;
+    return state;
+}
+
+void AgentNode::Impl::broadcastState()
+{
+    lastState = now();
+    links->sendToAll(agentState());
+}
+
+void AgentNode::Impl::tellIdleSlots()
+{
+    const bool hasIdleSlot = queue->size() == 0 && static_cast<int>(runs.size()) < limit->limit();
+    if (!hasIdleSlot || now() - lastIdleState < idleStateInterval)
+        return;
+    lastIdleState = now();
+    broadcastState();
+}
+
+void AgentNode::Impl::fillStatus(nlohmann::json &page)
+{
+    page["server"] = daemon->settings().server.value;
+    page["server_up"] = monitor->isUp();
+    page["limit"] = limit ? limit->limit() : 0;
+    page["in_flight"] = runs.size();
+    page["queued_offers"] = queue->size();
+    page["virtual_time"] = ledger.virtualTime().value;
+    page["accounts"] = nlohmann::json::array();
+    for (const auto &[account, details] : daemon->configuration().state().accounts) {
+        for (const ServiceId &service : server ? server->services : std::vector<ServiceId>{}) {
+            const FlowId flow{account, service};
+            page["accounts"].push_back({{"name", account.value},
+                                        {"service", service.value},
+                                        {"share", details.share.value},
+                                        {"position", ledger.position(flow, details.share).value},
+                                        {"backlogged", backlogged.contains(flow)}});
+        }
+    }
+}
+
+const Service *AgentNode::Impl::findService(const ServiceId &service) const
+{
+    const auto &services = daemon->configuration().state().services;
+    const auto found = services.find(service);
+    return found == services.end() ? nullptr : &found->second;
+}
+
+Share AgentNode::Impl::shareOf(const FlowId &flow) const
+{
+    const auto &accounts = daemon->configuration().state().accounts;
+    const auto found = accounts.find(flow.account);
+    return found == accounts.end() ? Share(1) : found->second.share;
+}
+
+AgentNode::AgentNode(std::unique_ptr<Impl> impl)
+    : impl_(std::move(impl))
+{}
+
+AgentNode::~AgentNode() = default;
+
+std::variant<std::unique_ptr<AgentNode>, SocketFailure>
+AgentNode::open(EventLoop &loop, const Clock &clock, const DaemonSettings &settings)
+{
+    auto impl = std::make_unique<Impl>();
+    if (const auto failure = impl->open(loop, clock, settings))
+        return *failure;
+    return std::unique_ptr<AgentNode>(new AgentNode(std::move(impl)));
+}
+
+} // namespace lovagecourse
--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -1,14 +1,106 @@
 #include "app/CommandLine.h"
 
+#include "agent/AgentNode.h"
+#include "app/NoteCommands.h"
+#include "app/StatusCommand.h"
+#include "core/Log.h"
+#include "entry/EntryNode.h"
+#include "settings/DaemonSettings.h"
+
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <cstring>
 #include <iostream>
+#include <string_view>
 
 namespace lovagecourse {
 
+namespace {
+
+constexpr int exitFailure = 1;
+
+constexpr std::string_view usage = R"(usage: lovagecourse <command> [options]
+
+  entry  --settings FILE [--check]   run a router process
+  agent  --settings FILE [--check]   run the process beside a backend server
+  note   submit FILE | list | show N | state | history
+                                     drive the system by release notes
+  status --admin ADDRESS [--json]    show a running process
+)";
+
+void printFaults(const std::vector<SettingsFault> &faults)
+{
+    for (const SettingsFault &fault : faults)
+        std::cerr << toString(fault) << '\n';
+}
+
+template <class Node>
+int runNode(const DaemonSettings &settings)
+{
+    EventLoop loop;
+    const SystemClock clock;
+    auto opened = Node::open(loop, clock, settings);
+    if (const auto *failure = std::get_if<SocketFailure>(&opened)) {
+        std::cerr << "lovagecourse: socket failed: " << std::strerror(failure->error) << '\n';
+        return exitFailure;
+    }
+    logInfo(LogPart::App, "started");
+    loop.run();
+    logInfo(LogPart::App, "stopped");
+    return 0;
+}
+
+int runDaemon(DaemonRole role, int argc, char **argv)
+{
+    cxxopts::Options options("lovagecourse");
+    options.add_options()("settings", "settings file",
+                          cxxopts::value<std::string>())("check", "only check the settings");
+    std::string file;
+    bool onlyCheck = false;
+    try {
+        const auto parsed = options.parse(argc, argv);
+        file = parsed["settings"].as<std::string>();
+        onlyCheck = parsed.count("check") > 0;
+    } catch (const cxxopts::OptionException &error) {
+        std::cerr << "lovagecourse: " << error.what() << '\n' << usage;
+        return exitUsage;
+    }
+    const SettingsResult settings = readSettings(file, role);
+    if (const auto *faults = std::get_if<std::vector<SettingsFault>>(&settings)) {
+        printFaults(*faults);
+        return exitUsage;
+    }
+    const auto &checked = std::get<DaemonSettings>(settings);
+    const std::vector<SettingsFault> addressFaults = checkAddresses(checked, file);
+    if (!addressFaults.empty()) {
+        printFaults(addressFaults);
+        return exitUsage;
+    }
+    if (onlyCheck)
+        return 0;
+    startLog(checked.logLevel, checked.logFormat, checked.name.value);
+    return role == DaemonRole::Entry ? runNode<EntryNode>(checked) : runNode<AgentNode>(checked);
+}
+
+} // namespace
+
 int runCommandLine(int argc, char **argv)
 {
-    static_cast<void>(argv);
-    std::cerr << "lovagecourse: " << (argc < 2 ? "no command given" : "unknown command") << '\n';
-    return exitUsage;
+    // A peer that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    const std::string_view command = argc > 1 ? argv[1] : "";
+    if (command == "entry")
+        return runDaemon(DaemonRole::Entry, argc - 1, argv + 1);
+    if (command == "agent")
+        return runDaemon(DaemonRole::Agent, argc - 1, argv + 1);
+    if (command == "note")
+        return runNoteCommand(argc - 1, argv + 1);
+    if (command == "status")
+        return runStatusCommand(argc - 1, argv + 1);
+    const bool wantsHelp = command == "--help" || command == "help";
+    (wantsHelp ? std::cout : std::cerr) << usage;
+    return wantsHelp ? 0 : exitUsage;
 }
 
 } // namespace lovagecourse
--- a/src/configuration/ConfigurationState.h
+++ b/src/configuration/ConfigurationState.h
@@ -27,7 +27,7 @@
 struct Service
 {
     ServiceId name;
-    /// Exact path of its requests.
+    /// Path of its requests; one that ends with '/' stands for all paths below it.
     std::string path;
     ServiceKind kind = ServiceKind::Plain;
     /// False when a request must not run twice.
--- /dev/null
+++ b/src/daemon/Daemon.cpp
@@ -0,0 +1,399 @@
+#include "daemon/Daemon.h"
+
+#include "core/Log.h"
+
+#include <nlohmann/json.hpp>
+#include <sys/resource.h>
+
+#include <csignal>
+#include <list>
+#include <random>
+
+namespace lovagecourse {
+
+namespace {
+
+constexpr milliseconds gossipInterval{500};
+constexpr std::size_t gossipFanOut = 2;
+// Keeps a gossip datagram below the MTU, and gossip below 3 KB/s.
+constexpr std::size_t gossipPeers = 8;
+constexpr std::size_t gossipSuspects = 4;
+constexpr milliseconds hostListInterval{1000};
+// A state link is used for one request; more at once are refused.
+constexpr std::size_t maxStateLinks = 64;
+
+Incarnation makeIncarnation(const Clock &clock)
+{
+    const auto sinceEpoch = clock.wallNow().time_since_epoch();
+    const auto count = std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count();
+    return Incarnation(static_cast<std::uint64_t>(count));
+}
+
+Hello makeHello(const DaemonSettings &settings, const Clock &clock)
+{
+    Hello hello;
+    hello.daemon = settings.name;
+    hello.role = settings.role;
+    hello.incarnation = makeIncarnation(clock);
+    hello.dataCentre = settings.dataCentre;
+    hello.server = settings.server;
+    hello.datagramEndpoint = settings.datagrams;
+    return hello;
+}
+
+PeerEntry makeSelf(const Hello &hello)
+{
+    PeerEntry self;
+    self.daemon = hello.daemon;
+    self.role = hello.role;
+    self.incarnation = hello.incarnation;
+    self.datagramEndpoint = hello.datagramEndpoint;
+    self.dataCentre = hello.dataCentre;
+    return self;
+}
+
+std::string_view toString(DaemonRole role)
+{
+    return role == DaemonRole::Entry ? "entry" : "agent";
+}
+
+} // namespace
+
+struct Daemon::Impl
+{
+    Impl(EventLoop &eventLoop, const Clock &daemonClock, DaemonSettings daemonSettings,
+         Handlers roleHandlers)
+        : loop(eventLoop)
+        , clock(daemonClock)
+        , settings(std::move(daemonSettings))
+        , handlers(std::move(roleHandlers))
+        , fleetKey(settings.fleetKey)
+        , wire{loop, clock, metrics, fleetKey, makeHello(settings, clock)}
+        , peers(makeSelf(wire.hello))
+        , http(loop)
+        , log(http, settings.platformUrl)
+        , gossipTimer(loop, [this] { gossip(); })
+        , hostListTimer(loop, [this] { readHostList(); })
+        , onTerm(loop, SIGTERM, [this] { handlers.onTerminate(); })
+        , onInterrupt(loop, SIGINT, [this] { handlers.onTerminate(); })
+    {}
+
+    std::optional<SocketFailure> openSockets();
+    void start();
+    void gossip();
+    void onDatagram(const DaemonId &sender, Message &&message);
+    void onGossip(const DaemonId &sender, const Gossip &message);
+    void acceptStateLink(int descriptor);
+    void readHostList();
+    Endpoint routeOf(const Endpoint &endpoint) const;
+    bool answerAdmin(HttpGateway &gateway, const CallerRequest &request);
+    std::string statusPage();
+    void updateGauges();
+
+    EventLoop &loop;
+    const Clock &clock;
+    DaemonSettings settings;
+    Handlers handlers;
+    Metrics metrics;
+    Authenticator fleetKey;
+    WireContext wire;
+    PeerTable peers;
+    SuspectList suspects;
+    HttpClient http;
+    LogClient log;
+    std::unique_ptr<DatagramSocket> datagrams;
+    std::unique_ptr<LinkListener> stateListener;
+    std::list<std::unique_ptr<Link>> stateLinks;
+    std::unique_ptr<HttpGateway> admin;
+    std::unique_ptr<ConfigurationFollower> configuration;
+    std::set<HostId> leavingHosts;
+    bool leaving = false;
+    std::mt19937_64 random{std::random_device{}()};
+    Timer gossipTimer;
+    Timer hostListTimer;
+    SignalWatcher onTerm;
+    SignalWatcher onInterrupt;
+};
+
+std::optional<SocketFailure> Daemon::Impl::openSockets()
+{
+    auto socket = DatagramSocket::open(wire, settings.datagrams,
+                                       [this](const DaemonId &sender, Message &&message) {
+                                           onDatagram(sender, std::move(message));
+                                       });
+    if (const auto *failure = std::get_if<SocketFailure>(&socket))
+        return *failure;
+    datagrams = std::move(std::get<0>(socket));
+
+    auto listener = LinkListener::open(loop, settings.datagrams,
+                                       [this](int descriptor) { acceptStateLink(descriptor); });
+    if (const auto *failure = std::get_if<SocketFailure>(&listener))
+        return *failure;
+    stateListener = std::move(std::get<0>(listener));
+
+    HttpGateway::Handlers adminHandlers;
+    adminHandlers.onRequest = [this](CallerRequest &&request) {
+        if (!answerAdmin(*admin, request))
+            admin->answer(request.id, 404, {}, "no such page\n");
+    };
+    adminHandlers.onCallerLeft = [](CallerId) {};
+    adminHandlers.onConsumed = [](CallerId, std::size_t) {};
+    auto gateway = HttpGateway::open(loop, metrics, settings.admin, settings.limits,
+                                     std::move(adminHandlers));
+    if (const auto *failure = std::get_if<SocketFailure>(&gateway))
+        return *failure;
+    admin = std::move(std::get<0>(gateway));
+    return std::nullopt;
+}
+
+void Daemon::Impl::start()
+{
+    configuration = std::make_unique<ConfigurationFollower>(
+            wire, settings, log, [this](const ConfigurationState &state) {
+                peers.setSelf(state.offset, leaving);
+                handlers.onConfiguration(state);
+            });
+    gossipTimer.startRepeating(gossipInterval);
+    hostListTimer.startOnce(milliseconds(0));
+}
+
+void Daemon::Impl::gossip()
+{
+    const TimePoint now = clock.now();
+    peers.expire(now);
+    suspects.expire(now);
+    Gossip message;
+    message.peers = peers.gossipEntries(gossipPeers, random);
+    message.suspects = suspects.recent(now, gossipSuspects);
+    std::vector<Endpoint> targets = peers.gossipTargets(gossipFanOut, random);
+    // Configured peers are tried as well: they may have come back under a new incarnation.
+    if (!settings.peers.empty())
+        targets.push_back(settings.peers[random() % settings.peers.size()]);
+    for (const Endpoint &target : targets) {
+        if (target != settings.datagrams)
+            datagrams->send(routeOf(target), message);
+    }
+}
+
+void Daemon::Impl::onDatagram(const DaemonId &sender, Message &&message)
+{
+    if (const auto *heard = std::get_if<Gossip>(&message))
+        onGossip(sender, *heard);
+    else
+        handlers.onDatagram(sender, std::move(message));
+}
+
+void Daemon::Impl::onGossip(const DaemonId &sender, const Gossip &message)
+{
+    const TimePoint now = clock.now();
+    peers.merge(message.peers, now);
+    suspects.merge(message.suspects, now);
+    if (!message.suspects.empty())
+        handlers.onSuspects();
+    // Only what a peer says of itself proves that it can be reached.
+    for (const PeerEntry &entry : message.peers) {
+        if (entry.daemon == sender)
+            configuration->onPeerOffset(entry.datagramEndpoint, entry.configurationOffset);
+    }
+}
+
+void Daemon::Impl::acceptStateLink(int descriptor)
+{
+    if (stateLinks.size() >= maxStateLinks)
+        stateLinks.pop_front();
+    stateLinks.push_back(nullptr);
+    const auto slot = std::prev(stateLinks.end());
+    Link::Handlers linkHandlers;
+    linkHandlers.onReady = [](const Hello &) {};
+    linkHandlers.onMessage = [this, slot](Message &&message) {
+        if (const auto *request = std::get_if<StateRequest>(&message))
+            (*slot)->send(configuration->replyTo(*request));
+    };
+    linkHandlers.onClosed = [this, slot](const LinkFailure &) { stateLinks.erase(slot); };
+    *slot = Link::accept(wire, descriptor, std::move(linkHandlers));
+}
+
+void Daemon::Impl::readHostList()
+{
+    log.listHosts([this](const HostListResult &result) {
+        if (const auto *hosts = std::get_if<std::vector<HostEntry>>(&result)) {
+            leavingHosts.clear();
+            for (const HostEntry &host : *hosts) {
+                if (host.leaving)
+                    leavingHosts.insert(host.host);
+            }
+            handlers.onHosts();
+        }
+        hostListTimer.startOnce(hostListInterval);
+    });
+}
+
+bool Daemon::Impl::answerAdmin(HttpGateway &gateway, const CallerRequest &request)
+{
+    const HeaderList text{{"content-type", "text/plain; version=0.0.4"}};
+    if (request.path == "/healthz") {
+        gateway.answer(request.id, 200, text, "alive\n");
+    } else if (request.path == "/readyz") {
+        const bool ready = !leaving && handlers.isReady();
+        gateway.answer(request.id, ready ? 200 : 503, text, ready ? "ready\n" : "not ready\n");
+    } else if (request.path == "/metrics") {
+        updateGauges();
+        gateway.answer(request.id, 200, text, metrics.renderPrometheus());
+    } else if (request.path == "/status") {
+        gateway.answer(request.id, 200, {{"content-type", "application/json"}}, statusPage());
+    } else {
+        return false;
+    }
+    return true;
+}
+
+std::string Daemon::Impl::statusPage()
+{
+    nlohmann::json page;
+    page["daemon"] = settings.name.value;
+    page["role"] = toString(settings.role);
+    page["data_centre"] = settings.dataCentre.value;
+    page["incarnation"] = wire.hello.incarnation.value;
+    page["ready"] = !leaving && handlers.isReady();
+    page["leaving"] = leaving;
+    page["log_available"] = configuration->isLogAvailable();
+    page["note"] = configuration->state().note.value;
+    page["configuration_offset"] = configuration->state().offset.value;
+    page["peers"] = nlohmann::json::array();
+    for (const PeerEntry &peer : peers.livePeers()) {
+        page["peers"].push_back({{"name", peer.daemon.value},
+                                 {"role", toString(peer.role)},
+                                 {"data_centre", peer.dataCentre.value},
+                                 {"address", toString(peer.datagramEndpoint)},
+                                 {"configuration_offset", peer.configurationOffset.value},
+                                 {"leaving", peer.leaving}});
+    }
+    handlers.fillStatus(page);
+    return page.dump(2) + '\n';
+}
+
+void Daemon::Impl::updateGauges()
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    const auto inSeconds = [](const timeval &time) {
+        return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) * 1e-6;
+    };
+    metrics.gauge("process_cpu_seconds_total",
+                  inSeconds(usage.ru_utime) + inSeconds(usage.ru_stime));
+    // Linux gives the peak resident size in kilobytes.
+    metrics.gauge("process_peak_resident_bytes", static_cast<double>(usage.ru_maxrss) * 1024.);
+    metrics.gauge("lovagecourse_note_number",
+                  static_cast<double>(configuration->state().note.value));
+    metrics.gauge("lovagecourse_live_peers", static_cast<double>(peers.livePeers().size()));
+}
+
+Endpoint Daemon::Impl::routeOf(const Endpoint &endpoint) const
+{
+    const auto replaced = settings.via.find(endpoint);
+    return replaced == settings.via.end() ? endpoint : replaced->second;
+}
+
+std::variant<std::unique_ptr<Daemon>, SocketFailure>
+Daemon::open(EventLoop &loop, const Clock &clock, DaemonSettings settings, Handlers handlers)
+{
+    auto impl = std::make_unique<Impl>(loop, clock, std::move(settings), std::move(handlers));
+    if (const auto failure = impl->openSockets())
+        return *failure;
+    impl->start();
+    return std::unique_ptr<Daemon>(new Daemon(std::move(impl)));
+}
+
+Daemon::Daemon(std::unique_ptr<Impl> impl)
+    : impl_(std::move(impl))
+{}
+
+Daemon::~Daemon() = default;
+
+EventLoop &Daemon::loop()
+{
+    return impl_->loop;
+}
+
+const Clock &Daemon::clock() const
+{
+    return impl_->clock;
+}
+
+TimePoint Daemon::now() const
+{
+    return impl_->clock.now();
+}
+
+Metrics &Daemon::metrics()
+{
+    return impl_->metrics;
+}
+
+const DaemonSettings &Daemon::settings() const
+{
+    return impl_->settings;
+}
+
+const WireContext &Daemon::wire() const
+{
+    return impl_->wire;
+}
+
+Incarnation Daemon::incarnation() const
+{
+    return impl_->wire.hello.incarnation;
+}
+
+HttpClient &Daemon::http()
+{
+    return impl_->http;
+}
+
+LogClient &Daemon::log()
+{
+    return impl_->log;
+}
+
+DatagramSocket &Daemon::datagrams()
+{
+    return *impl_->datagrams;
+}
+
+PeerTable &Daemon::peers()
+{
+    return impl_->peers;
+}
+
+SuspectList &Daemon::suspects()
+{
+    return impl_->suspects;
+}
+
+ConfigurationFollower &Daemon::configuration()
+{
+    return *impl_->configuration;
+}
+
+bool Daemon::isHostLeaving(const HostId &host) const
+{
+    return impl_->leavingHosts.contains(host);
+}
+
+Endpoint Daemon::route(const Endpoint &endpoint) const
+{
+    return impl_->routeOf(endpoint);
+}
+
+void Daemon::setLeaving()
+{
+    impl_->leaving = true;
+    impl_->peers.setSelf(impl_->configuration->state().offset, true);
+}
+
+bool Daemon::answerAdmin(HttpGateway &gateway, const CallerRequest &request)
+{
+    return impl_->answerAdmin(gateway, request);
+}
+
+} // namespace lovagecourse
--- /dev/null
+++ b/src/entry/EntryNode.cpp
@@ -0,0 +1,218 @@
+#include "entry/EntryNode.h"
+
+#include "core/Log.h"
+#include "daemon/Daemon.h"
+#include "entry/AgentLinks.h"
+#include "entry/RequestIntake.h"
+#include "entry/RequestRouter.h"
+#include "fairness/FairnessHome.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lovagecourse {
+
+namespace {
+
+constexpr milliseconds housekeepingInterval{200};
+// The balancer needs this long to see /readyz and send new callers elsewhere; until then they are
+// served as usual.
+constexpr seconds balancerGrace{2};
+
+} // namespace
+
+struct EntryNode::Impl
+{
+    std::optional<SocketFailure> open(EventLoop &eventLoop, const Clock &clock,
+                                      const DaemonSettings &settings);
+    Daemon::Handlers daemonHandlers();
+    HttpGateway::Handlers gatewayHandlers();
+    AgentLinks::Handlers linkHandlers();
+    AnswerSink answerSink();
+
+    void onConfiguration(const ConfigurationState &state);
+    void onDatagram(const DaemonId &sender, const Message &message);
+    void onRequest(CallerRequest &&request);
+    void onAgentMessage(const ServerId &server, Message &&message);
+    void onTick();
+    void drain();
+
+    std::unique_ptr<Daemon> daemon;
+    std::unique_ptr<FairnessHome> home;
+    std::unique_ptr<RequestIntake> intake;
+    std::unique_ptr<AgentLinks> links;
+    std::unique_ptr<RequestRouter> router;
+    std::unique_ptr<HttpGateway> gateway;
+    std::unique_ptr<Timer> tick;
+    bool terminating = false;
+    TimePoint terminateStarted;
+};
+
+std::optional<SocketFailure> EntryNode::Impl::open(EventLoop &eventLoop, const Clock &clock,
+                                                   const DaemonSettings &settings)
+{
+    auto opened = Daemon::open(eventLoop, clock, settings, daemonHandlers());
+    if (const auto *failure = std::get_if<SocketFailure>(&opened))
+        return *failure;
+    daemon = std::move(std::get<0>(opened));
+    home = std::make_unique<FairnessHome>(settings.name);
+    intake = std::make_unique<RequestIntake>(settings.keyWindow);
+    links = std::make_unique<AgentLinks>(*daemon, linkHandlers());
+    router = std::make_unique<RequestRouter>(*daemon, *links, answerSink());
+    auto gatewayOpened = HttpGateway::open(eventLoop, daemon->metrics(), settings.callers,
+                                           settings.limits, gatewayHandlers());
+    if (const auto *failure = std::get_if<SocketFailure>(&gatewayOpened))
+        return *failure;
+    gateway = std::move(std::get<0>(gatewayOpened));
+    tick = std::make_unique<Timer>(eventLoop, [this] { onTick(); });
+    tick->startRepeating(housekeepingInterval);
+    return std::nullopt;
+}
+
+Daemon::Handlers EntryNode::Impl::daemonHandlers()
+{
+    Daemon::Handlers handlers;
+    handlers.onConfiguration = [this](const ConfigurationState &state) { onConfiguration(state); };
+    handlers.onDatagram = [this](const DaemonId &sender, Message &&message) {
+        onDatagram(sender, message);
+    };
+    handlers.onHosts = [] {};
+    handlers.onSuspects = [] {};
+    handlers.onTerminate = [this] {
+        if (terminating)
+            return;
+        terminating = true;
+        terminateStarted = daemon->now();
+        logInfo(LogPart::Entry, "draining");
+        daemon->setLeaving();
+    };
+    handlers.fillStatus = [this](nlohmann::json &page) {
+        links->fillStatus(page);
+        router->fillStatus(page);
+        page["homed_flows"] = home->size();
+    };
+    handlers.isReady = [this] { return daemon->configuration().isReady(); };
+    return handlers;
+}
+
+HttpGateway::Handlers EntryNode::Impl::gatewayHandlers()
+{
+    HttpGateway::Handlers handlers;
+    handlers.onRequest = [this](CallerRequest &&request) { onRequest(std::move(request)); };
+    handlers.onCallerLeft = [this](CallerId caller) { router->onCallerLeft(caller); };
+    handlers.onConsumed = [this](CallerId caller, std::size_t bytes) {
+        router->onConsumed(caller, bytes);
+    };
+    return handlers;
+}
+
+AgentLinks::Handlers EntryNode::Impl::linkHandlers()
+{
+    AgentLinks::Handlers handlers;
+    handlers.onState = [this](const ServerId &server) { router->onAgentState(server); };
+    handlers.onDown = [this](const ServerId &server) { router->onAgentDown(server); };
+    handlers.onMessage = [this](const ServerId &server, Message &&message) {
+        onAgentMessage(server, std::move(message));
+    };
+    return handlers;
+}
+
+AnswerSink EntryNode::Impl::answerSink()
+{
+    AnswerSink sink;
+    sink.answer = [this](CallerId caller, int status, const HeaderList &headers,
+                         const std::string &body) {
+        gateway->answer(caller, status, headers, body);
+    };
+    sink.refuse = [this](CallerId caller, const Refusal &refusal) {
+        gateway->refuse(caller, refusal);
+    };
+    sink.beginStream = [this](CallerId caller, int status, const HeaderList &headers) {
+        gateway->beginStream(caller, status, headers);
+    };
+    sink.sendData = [this](CallerId caller, std::string_view bytes) {
+        gateway->sendData(caller, bytes);
+    };
+    sink.endStream = [this](CallerId caller) { gateway->endStream(caller); };
+    sink.abortStream = [this](CallerId caller) { gateway->abortStream(caller); };
+    return sink;
+}
+
+void EntryNode::Impl::onConfiguration(const ConfigurationState &state)
+{
+    intake->onConfiguration(state);
+    links->onConfiguration(state);
+}
+
+void EntryNode::Impl::onDatagram(const DaemonId &sender, const Message &message)
+{
+    const auto *report = std::get_if<ServiceReport>(&message);
+    const auto endpoint = links->datagramEndpoint(sender);
+    const bool isForHome = report && report->agent == sender && endpoint;
+    if (!isForHome) {
+        daemon->metrics().count("lovagecourse_unexpected_messages_total");
+        return;
+    }
+    daemon->datagrams().send(daemon->route(*endpoint), home->apply(*report, daemon->now()));
+}
+
+void EntryNode::Impl::onRequest(CallerRequest &&request)
+{
+    const bool isAdminPage = request.path == "/healthz" || request.path == "/readyz";
+    if (isAdminPage && daemon->answerAdmin(*gateway, request))
+        return;
+    if (!daemon->configuration().isReady())
+        return gateway->refuse(request.id, Refusal{RefusalReason::NotReady, Ran::No});
+    const bool isDrained = terminating && daemon->now() - terminateStarted > balancerGrace;
+    if (isDrained)
+        return gateway->refuse(request.id, Refusal{RefusalReason::Draining, Ran::No});
+    IntakeResult taken = intake->take(request, daemon->clock().wallNow());
+    if (const auto *refusal = std::get_if<Refusal>(&taken))
+        return gateway->refuse(request.id, *refusal);
+    router->add(std::move(request), std::move(std::get<RequestDetails>(taken)));
+}
+
+void EntryNode::Impl::onAgentMessage(const ServerId &server, Message &&message)
+{
+    const auto *notice = std::get_if<SuspectNotice>(&message);
+    if (notice)
+        daemon->suspects().merge(notice->suspects, daemon->now());
+    else
+        router->onAgentMessage(server, std::move(message));
+}
+
+void EntryNode::Impl::onTick()
+{
+    home->expire(daemon->now());
+    if (terminating)
+        drain();
+}
+
+void EntryNode::Impl::drain()
+{
+    const auto elapsed = daemon->now() - terminateStarted;
+    if (elapsed < balancerGrace)
+        return;
+    gateway->stopListening();
+    const bool outOfTime = elapsed > daemon->settings().drainTimeout;
+    if (gateway->openRequests() > 0 && !outOfTime)
+        return;
+    logInfo(LogPart::Entry, outOfTime ? "drain timeout passed; exits" : "drained; exits");
+    daemon->loop().stop();
+}
+
+EntryNode::EntryNode(std::unique_ptr<Impl> impl)
+    : impl_(std::move(impl))
+{}
+
+EntryNode::~EntryNode() = default;
+
+std::variant<std::unique_ptr<EntryNode>, SocketFailure>
+EntryNode::open(EventLoop &loop, const Clock &clock, const DaemonSettings &settings)
+{
+    auto impl = std::make_unique<Impl>();
+    if (const auto failure = impl->open(loop, clock, settings))
+        return *failure;
+    return std::unique_ptr<EntryNode>(new EntryNode(std::move(impl)));
+}
+
+} // namespace lovagecourse
--- /dev/null
+++ b/src/entry/RequestRouter.cpp
@@ -0,0 +1,669 @@
+#include "entry/RequestRouter.h"
+
+#include "core/Log.h"
+#include "entry/FirstByteTracker.h"
+#include "entry/OfferBook.h"
+#include "entry/WaitingRequests.h"
+#include "routing/PushChoice.h"
+#include "routing/RetryBudget.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <unordered_map>
+#include <utility>
+
+namespace lovagecourse {
+
+namespace {
+
+constexpr std::size_t firstOffers = 2;
+constexpr milliseconds widenInterval{50};
+// A flood must not fill the agents' queues.
+constexpr std::size_t offersPerAccountAndServer = 4;
+// Waiting requests of a flow that are looked at when offers become free.
+constexpr std::size_t waitingScan = 24;
+constexpr std::uint32_t answerCredit = 256U << 10;
+// A longer answer than this is passed on before it is whole.
+constexpr std::size_t maxBufferedBytes = 1U << 20;
+// The agent decides on a claimed request at its deadline; the entry waits this much longer.
+constexpr milliseconds claimGrace{2000};
+constexpr milliseconds timerGranularity{5};
+constexpr double retryRatio = 0.1;
+constexpr double hedgeRatio = 0.05;
+constexpr double budgetReserve = 20;
+
+using Wakeups = std::multimap<TimePoint, CallerId>;
+
+} // namespace
+
+struct RequestRouter::Impl
+{
+    Impl(Daemon &owner, AgentLinks &agentLinks, AnswerSink answerSink)
+        : daemon(owner)
+        , links(agentLinks)
+        , sink(std::move(answerSink))
+        , wakeTimer(owner.loop(), [this] { onWake(); })
+        , refillTimer(owner.loop(), [this] { refill(); })
+    {}
+
+    // Waiting and offers.
+    void admit(std::unique_ptr<PendingRequest> request);
+    void requeue(PendingRequest &request);
+    void offerMore(PendingRequest &request);
+    std::vector<ServerId> pickServers(const PendingRequest &request, std::size_t count);
+    void sendOffer(PendingRequest &request, const ServerId &server);
+    void withdrawOffers(PendingRequest &request);
+    void scheduleRefill(const FlowId &flow);
+    void refill();
+
+    // Grants and attempts.
+    void onGrant(const ServerId &server, const Grant &grant);
+    void onOfferRefused(const OfferRefused &refused);
+    void accept(PendingRequest &request, const ServerId &server, GrantId grant);
+    void cancelAttempts(PendingRequest &request, std::optional<GrantId> except);
+
+    // Answers.
+    void onHead(const ServerId &server, AnswerHead &&head);
+    void onData(const ServerId &server, const AnswerData &data);
+    void onEnd(const ServerId &server, const AnswerEnd &end);
+    void onFirstByte(PendingRequest &request, const Attempt &attempt);
+    void passOn(PendingRequest &request, const Attempt &attempt, const AnswerData &data);
+    void complete(PendingRequest &request, const Attempt &attempt, Work cost);
+    void onAttemptFailed(PendingRequest &request, const ServerId &server, const Refusal &refusal);
+    bool mayTryAgain(PendingRequest &request, const Refusal &refusal);
+    void refuse(PendingRequest &request, Refusal refusal);
+    void remove(PendingRequest &request);
+
+    // Time.
+    void scheduleWake(PendingRequest &request);
+    TimePoint nextWake(const PendingRequest &request) const;
+    std::optional<TimePoint> hedgeTime(const PendingRequest &request) const;
+    void onWake();
+    void wake(PendingRequest &request);
+
+    PendingRequest *findByGrant(const ServerId &server, GrantId grant);
+    PendingRequest *find(CallerId caller);
+    static Attempt &attemptOf(PendingRequest &request, GrantId grant);
+    TimePoint now() const { return daemon.now(); }
+
+    Daemon &daemon;
+    AgentLinks &links;
+    AnswerSink sink;
+    std::unordered_map<CallerId, std::unique_ptr<PendingRequest>> requests;
+    std::map<std::pair<ServerId, GrantId>, CallerId> grants;
+    WaitingRequests waiting;
+    OfferBook offers;
+    CostEstimator estimator;
+    FirstByteTracker firstBytes;
+    RetryBudget retries{retryRatio, budgetReserve};
+    RetryBudget hedges{hedgeRatio, budgetReserve};
+    std::mt19937_64 random{std::random_device{}()};
+    Wakeups wakeups;
+    std::unordered_map<CallerId, Wakeups::iterator> wakeOf;
+    std::set<FlowId> refillDue;
+    Timer wakeTimer;
+    Timer refillTimer;
+};
+
+void RequestRouter::Impl::admit(std::unique_ptr<PendingRequest> owned)
+{
+    PendingRequest &request = *owned;
+    const RequestDetails &details = request.details;
+    const CallerId caller = request.caller;
+    requests.emplace(caller, std::move(owned));
+    retries.onRequest();
+    hedges.onRequest();
+
+    const SuspectVerdict verdict = daemon.suspects().verdict(details.fingerprint, now());
+    if (verdict == SuspectVerdict::Refuse)
+        return refuse(request, Refusal{RefusalReason::CrashSuspect, Ran::No});
+    if (!links.isServed(details.service.name, details.model))
+        return refuse(request, Refusal{RefusalReason::NoServer, Ran::No});
+    if (waiting.count(details.flow) >= details.service.queueLimit)
+        return refuse(request, Refusal{RefusalReason::AccountQueueFull, Ran::No});
+    request.estimate = estimator.estimate(details.flow, details.service, details.hint);
+    waiting.add(details.flow, request.estimate.costClass, caller, false);
+    offerMore(request);
+    scheduleWake(request);
+}
+
+void RequestRouter::Impl::requeue(PendingRequest &request)
+{
+    request.waiting = true;
+    request.hedging = false;
+    request.winner.reset();
+    if (!request.streamBegun)
+        request.buffered.clear();
+    waiting.add(request.details.flow, request.estimate.costClass, request.caller, true);
+    offerMore(request);
+    scheduleWake(request);
+}
+
+std::vector<ServerId> RequestRouter::Impl::pickServers(const PendingRequest &request,
+                                                       std::size_t count)
+{
+    const RequestDetails &details = request.details;
+    std::vector<Candidate> candidates = links.candidates(details.service.name, details.model);
+    const bool isPush = daemon.settings().routing != RoutingPolicy::Offers;
+    for (Candidate &candidate : candidates) {
+        const std::size_t held = offers.count(details.flow.account, candidate.server);
+        const bool isFull = !isPush && held >= offersPerAccountAndServer;
+        candidate.usable = candidate.usable && !isFull;
+        candidate.alreadyOffered = request.offers.contains(candidate.server);
+        for (const Attempt &attempt : request.attempts)
+            candidate.alreadyOffered =
+                    candidate.alreadyOffered || attempt.server == candidate.server;
+    }
+    const bool hasFresh = std::any_of(candidates.begin(), candidates.end(), [&](const auto &item) {
+        return item.usable && !item.alreadyOffered && !request.failedAt.contains(item.server);
+    });
+    if (hasFresh)
+        std::erase_if(candidates, [&](const Candidate &candidate) {
+            return request.failedAt.contains(candidate.server);
+        });
+    if (isPush)
+        return choosePushTarget(candidates, daemon.settings().routing, random);
+    return chooseCandidates(candidates, daemon.settings().dataCentre, details.prefixHash, count,
+                            random);
+}
+
+void RequestRouter::Impl::offerMore(PendingRequest &request)
+{
+    const bool isPush = daemon.settings().routing != RoutingPolicy::Offers;
+    if (isPush && !request.offers.empty())
+        return;
+    const bool waitedLong = now() - request.arrived >= widenInterval;
+    const std::size_t wanted = waitedLong ? links.candidateCount() : firstOffers;
+    if (request.offers.size() >= wanted)
+        return;
+    for (const ServerId &server : pickServers(request, wanted - request.offers.size()))
+        sendOffer(request, server);
+}
+
+void RequestRouter::Impl::sendOffer(PendingRequest &request, const ServerId &server)
+{
+    const RequestDetails &details = request.details;
+    Offer offer;
+    offer.offer = offers.add(request.caller, server, details.flow.account);
+    offer.flow = details.flow;
+    offer.model = details.model;
+    offer.expected = request.estimate.expected;
+    offer.costClass = request.estimate.costClass;
+    const auto left = std::chrono::duration_cast<milliseconds>(request.deadline - now());
+    const auto waited = std::chrono::duration_cast<milliseconds>(now() - request.arrived);
+    offer.deadlineMs = static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 1));
+    offer.waitedMs = static_cast<std::uint32_t>(waited.count());
+    offer.fingerprint = details.fingerprint;
+    offer.repeatable = details.service.repeatable;
+    offer.suspect =
+            daemon.suspects().verdict(details.fingerprint, now()) == SuspectVerdict::RunAlone;
+    request.offers.emplace(server, offer.offer);
+    daemon.metrics().count("lovagecourse_offers_total");
+    links.send(server, std::move(offer));
+}
+
+void RequestRouter::Impl::withdrawOffers(PendingRequest &request)
+{
+    for (const auto &[server, offer] : std::exchange(request.offers, {})) {
+        offers.remove(offer);
+        links.send(server, OfferWithdraw{offer});
+    }
+    scheduleRefill(request.details.flow);
+}
+
+void RequestRouter::Impl::scheduleRefill(const FlowId &flow)
+{
+    refillDue.insert(flow);
+    if (!refillTimer.isActive())
+        refillTimer.startOnce(std::chrono::nanoseconds(0));
+}
+
+void RequestRouter::Impl::refill()
+{
+    for (const FlowId &flow : std::exchange(refillDue, {})) {
+        for (const CallerId caller : waiting.first(flow, waitingScan))
+            offerMore(*requests.at(caller));
+    }
+}
+
+void RequestRouter::Impl::onGrant(const ServerId &server, const Grant &grant)
+{
+    const auto entry = offers.remove(grant.offer);
+    if (!entry) {
+        daemon.metrics().count("lovagecourse_grants_declined_total");
+        links.send(server, GrantDecline{grant.grant});
+        return;
+    }
+    PendingRequest &request = *requests.at(entry->caller);
+    request.offers.erase(server);
+    assert(request.waiting || request.hedging);
+    accept(request, server, grant.grant);
+}
+
+void RequestRouter::Impl::accept(PendingRequest &request, const ServerId &server, GrantId grant)
+{
+    if (request.waiting)
+        waiting.remove(request.details.flow, request.caller);
+    request.waiting = false;
+    request.hedging = false;
+    withdrawOffers(request);
+
+    Attempt attempt;
+    attempt.server = server;
+    attempt.grant = grant;
+    attempt.acceptedAt = now();
+    request.attempts.push_back(attempt);
+    grants[{server, grant}] = request.caller;
+
+    GrantAccept message;
+    message.grant = grant;
+    message.method = request.request.method;
+    message.path = request.request.path + request.request.query;
+    for (const auto &[name, value] : request.request.headers) {
+        const bool isOwn = name == "authorization" || name == "idempotency-key" || name == "host"
+                           || name == "connection" || name == "content-length" || name == "expect"
+                           || name == "transfer-encoding" || name == "x-resume-from";
+        if (!isOwn)
+            message.headers.emplace_back(name, value);
+    }
+    message.body = request.request.body;
+    message.idempotencyKey = request.details.idempotencyKey;
+    message.resumeFromEvent = request.deliveredEvents;
+    const auto left = std::chrono::duration_cast<milliseconds>(request.deadline - now());
+    message.deadlineMs = static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 1));
+    message.credit = answerCredit;
+    links.send(server, std::move(message));
+    daemon.metrics().latency("lovagecourse_wait_seconds", now() - request.arrived);
+    scheduleWake(request);
+}
+
+void RequestRouter::Impl::onOfferRefused(const OfferRefused &refused)
+{
+    const auto entry = offers.remove(refused.offer);
+    if (!entry)
+        return;
+    daemon.metrics().count("lovagecourse_offers_refused_total", toString(refused.reason));
+    PendingRequest &request = *requests.at(entry->caller);
+    request.offers.erase(entry->server);
+    if (refused.reason == RefusalReason::CrashSuspect && request.attempts.empty())
+        refuse(request, Refusal{RefusalReason::CrashSuspect, request.ran});
+}
+
+void RequestRouter::Impl::cancelAttempts(PendingRequest &request, std::optional<GrantId> except)
+{
+    for (const Attempt &attempt : request.attempts) {
+        if (attempt.grant == except)
+            continue;
+        grants.erase({attempt.server, attempt.grant});
+        links.send(attempt.server, Cancel{attempt.grant});
+    }
+    std::erase_if(request.attempts,
+                  [&](const Attempt &attempt) { return attempt.grant != except; });
+}
+
+PendingRequest *RequestRouter::Impl::findByGrant(const ServerId &server, GrantId grant)
+{
+    const auto found = grants.find({server, grant});
+    return found == grants.end() ? nullptr : find(found->second);
+}
+
+PendingRequest *RequestRouter::Impl::find(CallerId caller)
+{
+    const auto found = requests.find(caller);
+    return found == requests.end() ? nullptr : found->second.get();
+}
+
+Attempt &RequestRouter::Impl::attemptOf(PendingRequest &request, GrantId grant)
+{
+    const auto found = std::find_if(request.attempts.begin(), request.attempts.end(),
+                                    [&](const Attempt &attempt) { return attempt.grant == grant; });
+    assert(found != request.attempts.end());
+    return *found;
+}
+
+void RequestRouter::Impl::onHead(const ServerId &server, AnswerHead &&head)
+{
+    PendingRequest *request = findByGrant(server, head.grant);
+    if (!request)
+        return;
+    Attempt &attempt = attemptOf(*request, head.grant);
+    attempt.status = head.status;
+    attempt.headers = std::move(head.headers);
+}
+
+void RequestRouter::Impl::onFirstByte(PendingRequest &request, const Attempt &attempt)
+{
+    request.winner = attempt.grant;
+    withdrawOffers(request);
+    request.hedging = false;
+    cancelAttempts(request, attempt.grant);
+    if (request.firstByteSeen)
+        return;
+    request.firstByteSeen = true;
+    firstBytes.onFirstByte(request.details.service.name, now() - attempt.acceptedAt);
+    daemon.metrics().latency("lovagecourse_first_byte_seconds", now() - request.arrived);
+}
+
+void RequestRouter::Impl::onData(const ServerId &server, const AnswerData &data)
+{
+    PendingRequest *request = findByGrant(server, data.grant);
+    if (!request)
+        return;
+    const Attempt attempt = attemptOf(*request, data.grant);
+    if (!request->winner) {
+        onFirstByte(*request, attempt);
+        scheduleWake(*request);
+    }
+    passOn(*request, attempt, data);
+}
+
+void RequestRouter::Impl::passOn(PendingRequest &request, const Attempt &attempt,
+                                 const AnswerData &data)
+{
+    request.isEventStream =
+            findHeader(attempt.headers, "content-type").starts_with("text/event-stream");
+    const bool isGap = request.isEventStream && data.firstEvent != request.deliveredEvents;
+    if (isGap) {
+        daemon.metrics().count("lovagecourse_answer_gaps_total");
+        return refuse(request, Refusal{RefusalReason::AnswerBroken, Ran::Unknown});
+    }
+    request.deliveredEvents += data.eventCount;
+    const bool mayWait = !request.isEventStream
+                         && request.buffered.size() + data.bytes.size() <= maxBufferedBytes;
+    if (mayWait && !request.streamBegun) {
+        request.buffered += data.bytes;
+        links.send(attempt.server,
+                   Credit{attempt.grant, static_cast<std::uint32_t>(data.bytes.size())});
+        return;
+    }
+    if (!request.streamBegun) {
+        request.streamBegun = true;
+        sink.beginStream(request.caller, attempt.status, attempt.headers);
+        if (!request.buffered.empty())
+            sink.sendData(request.caller, std::exchange(request.buffered, {}));
+    }
+    sink.sendData(request.caller, data.bytes);
+}
+
+void RequestRouter::Impl::onEnd(const ServerId &server, const AnswerEnd &end)
+{
+    PendingRequest *request = findByGrant(server, end.grant);
+    if (!request)
+        return;
+    const Attempt attempt = attemptOf(*request, end.grant);
+    if (!end.complete) {
+        grants.erase({server, end.grant});
+        std::erase_if(request->attempts,
+                      [&](const Attempt &item) { return item.grant == end.grant; });
+        return onAttemptFailed(*request, server, end.refusal);
+    }
+    if (!request->winner)
+        onFirstByte(*request, attempt);
+    complete(*request, attempt, end.cost);
+}
+
+void RequestRouter::Impl::complete(PendingRequest &request, const Attempt &attempt, Work cost)
+{
+    estimator.onFinished(request.details.flow, request.details.hint, cost);
+    daemon.metrics().count("lovagecourse_answers_total");
+    daemon.metrics().latency("lovagecourse_answer_seconds", now() - request.arrived);
+    if (request.streamBegun)
+        sink.endStream(request.caller);
+    else
+        sink.answer(request.caller, attempt.status, attempt.headers, request.buffered);
+    remove(request);
+}
+
+bool RequestRouter::Impl::mayTryAgain(PendingRequest &request, const Refusal &refusal)
+{
+    const bool isFinal = refusal.reason == RefusalReason::CrashSuspect
+                         || refusal.reason == RefusalReason::DeadlineExpired
+                         || refusal.reason == RefusalReason::ClaimUnavailable
+                         || refusal.reason == RefusalReason::KeyConflict
+                         || refusal.reason == RefusalReason::KeyInProgress
+                         || refusal.reason == RefusalReason::KeyUnsettled;
+    if (isFinal || now() >= request.deadline)
+        return false;
+    if (daemon.suspects().verdict(request.details.fingerprint, now()) == SuspectVerdict::Refuse)
+        return false;
+    // A broken answer that is not an event stream can't continue from the middle.
+    if (request.streamBegun && !request.isEventStream)
+        return false;
+    if (refusal.ran == Ran::No)
+        return true;
+    if (!request.details.service.repeatable)
+        return false;
+    if (retries.tryTake())
+        return true;
+    daemon.metrics().count("lovagecourse_retries_refused_total", "budget");
+    return false;
+}
+
+void RequestRouter::Impl::onAttemptFailed(PendingRequest &request, const ServerId &server,
+                                          const Refusal &refusal)
+{
+    request.failedAt.insert(server);
+    if (refusal.ran != Ran::No)
+        request.ran = refusal.ran;
+    // The other attempt of a hedged request goes on.
+    if (!request.attempts.empty())
+        return;
+    if (mayTryAgain(request, refusal)) {
+        daemon.metrics().count("lovagecourse_retries_total", toString(refusal.reason));
+        withdrawOffers(request);
+        return requeue(request);
+    }
+    const bool isSuspect =
+            daemon.suspects().verdict(request.details.fingerprint, now()) == SuspectVerdict::Refuse;
+    const RefusalReason reason = isSuspect ? RefusalReason::CrashSuspect : refusal.reason;
+    refuse(request, Refusal{reason, request.ran == Ran::No ? refusal.ran : request.ran});
+}
+
+void RequestRouter::Impl::refuse(PendingRequest &request, Refusal refusal)
+{
+    withdrawOffers(request);
+    if (request.waiting)
+        waiting.remove(request.details.flow, request.caller);
+    request.waiting = false;
+    cancelAttempts(request, std::nullopt);
+    if (request.streamBegun) {
+        daemon.metrics().count("lovagecourse_streams_aborted_total", toString(refusal.reason));
+        sink.abortStream(request.caller);
+    } else {
+        sink.refuse(request.caller, refusal);
+    }
+    remove(request);
+}
+
+void RequestRouter::Impl::remove(PendingRequest &request)
+{
+    const CallerId caller = request.caller;
+    for (const Attempt &attempt : request.attempts)
+        grants.erase({attempt.server, attempt.grant});
+    const auto wakeup = wakeOf.find(caller);
+    if (wakeup != wakeOf.end()) {
+        wakeups.erase(wakeup->second);
+        wakeOf.erase(wakeup);
+    }
+    scheduleRefill(request.details.flow);
+    requests.erase(caller);
+}
+
+std::optional<TimePoint> RequestRouter::Impl::hedgeTime(const PendingRequest &request) const
+{
+    const bool mayHedge = daemon.settings().hedging && request.details.service.repeatable
+                          && !request.hedged && !request.winner && request.attempts.size() == 1;
+    if (!mayHedge)
+        return std::nullopt;
+    const auto late = firstBytes.lateAfter(request.details.service.name);
+    if (!late)
+        return std::nullopt;
+    return request.attempts.front().acceptedAt + *late;
+}
+
+TimePoint RequestRouter::Impl::nextWake(const PendingRequest &request) const
+{
+    const bool isClaimed = !request.waiting && !request.details.idempotencyKey.value.empty();
+    TimePoint next = request.deadline + (isClaimed ? claimGrace : milliseconds(0));
+    if (request.waiting || request.hedging)
+        next = std::min(next, now() + widenInterval);
+    if (const auto hedge = hedgeTime(request))
+        next = std::min(next, *hedge);
+    return next;
+}
+
+void RequestRouter::Impl::scheduleWake(PendingRequest &request)
+{
+    const auto existing = wakeOf.find(request.caller);
+    if (existing != wakeOf.end())
+        wakeups.erase(existing->second);
+    wakeOf[request.caller] = wakeups.emplace(nextWake(request), request.caller);
+    if (!wakeTimer.isActive())
+        wakeTimer.startOnce(timerGranularity);
+}
+
+void RequestRouter::Impl::onWake()
+{
+    const TimePoint current = now();
+    std::vector<CallerId> due;
+    for (auto item = wakeups.begin(); item != wakeups.end() && item->first <= current; ++item)
+        due.push_back(item->second);
+    for (const CallerId caller : due) {
+        if (PendingRequest *request = find(caller))
+            wake(*request);
+    }
+    if (!wakeups.empty() && !wakeTimer.isActive())
+        wakeTimer.startOnce(timerGranularity);
+}
+
+void RequestRouter::Impl::wake(PendingRequest &request)
+{
+    const bool isClaimed = !request.waiting && !request.details.idempotencyKey.value.empty();
+    const TimePoint limit = request.deadline + (isClaimed ? claimGrace : milliseconds(0));
+    if (now() >= limit) {
+        // Only a request that no agent has is known not to run.
+        const Ran ran = request.waiting && request.ran == Ran::No ? Ran::No : Ran::Unknown;
+        return refuse(request, Refusal{RefusalReason::DeadlineExpired, ran});
+    }
+    const auto hedge = hedgeTime(request);
+    if (hedge && now() >= *hedge) {
+        request.hedged = true;
+        request.hedging = hedges.tryTake();
+        daemon.metrics().count("lovagecourse_hedges_total",
+                               request.hedging ? "late-first-byte" : "budget");
+    }
+    if (request.waiting || request.hedging)
+        offerMore(request);
+    scheduleWake(request);
+}
+
+RequestRouter::RequestRouter(Daemon &daemon, AgentLinks &links, AnswerSink sink)
+    : impl_(std::make_unique<Impl>(daemon, links, std::move(sink)))
+{}
+
+RequestRouter::~RequestRouter() = default;
+
+void RequestRouter::add(CallerRequest &&callerRequest, RequestDetails details)
+{
+    auto request = std::make_unique<PendingRequest>();
+    request->caller = callerRequest.id;
+    request->request = std::move(callerRequest);
+    request->details = std::move(details);
+    request->arrived = impl_->now();
+    request->deadline = request->arrived + request->details.deadline;
+    impl_->admit(std::move(request));
+}
+
+void RequestRouter::onCallerLeft(CallerId caller)
+{
+    PendingRequest *request = impl_->find(caller);
+    if (!request)
+        return;
+    impl_->daemon.metrics().count("lovagecourse_refusals_total",
+                                  toString(RefusalReason::CallerLeft));
+    impl_->withdrawOffers(*request);
+    if (request->waiting)
+        impl_->waiting.remove(request->details.flow, caller);
+    impl_->cancelAttempts(*request, std::nullopt);
+    impl_->remove(*request);
+}
+
+void RequestRouter::onConsumed(CallerId caller, std::size_t bytes)
+{
+    const PendingRequest *request = impl_->find(caller);
+    if (!request || !request->winner || request->attempts.empty())
+        return;
+    const Attempt &attempt = request->attempts.front();
+    impl_->links.send(attempt.server, Credit{attempt.grant, static_cast<std::uint32_t>(bytes)});
+}
+
+void RequestRouter::onAgentState(const ServerId &server)
+{
+    if (!impl_->links.isUsable(server))
+        return;
+    for (const FlowId &flow : impl_->waiting.flows())
+        impl_->scheduleRefill(flow);
+}
+
+void RequestRouter::onAgentDown(const ServerId &server)
+{
+    for (const OfferId offer : impl_->offers.at(server)) {
+        const auto entry = impl_->offers.remove(offer);
+        impl_->requests.at(entry->caller)->offers.erase(server);
+        impl_->scheduleRefill(impl_->requests.at(entry->caller)->details.flow);
+    }
+    std::vector<std::pair<GrantId, CallerId>> lost;
+    for (const auto &[key, caller] : impl_->grants) {
+        if (key.first == server)
+            lost.emplace_back(key.second, caller);
+    }
+    for (const auto &[grant, caller] : lost) {
+        const GrantId lostGrant = grant;
+        impl_->grants.erase({server, lostGrant});
+        PendingRequest *request = impl_->find(caller);
+        if (!request)
+            continue;
+        if (request->winner == lostGrant)
+            request->winner.reset();
+        std::erase_if(request->attempts,
+                      [&](const Attempt &attempt) { return attempt.grant == lostGrant; });
+        impl_->onAttemptFailed(*request, server, Refusal{RefusalReason::AgentLost, Ran::Unknown});
+    }
+}
+
+void RequestRouter::onAgentMessage(const ServerId &server, Message &&message)
+{
+    if (const auto *grant = std::get_if<Grant>(&message)) {
+        impl_->onGrant(server, *grant);
+    } else if (const auto *refused = std::get_if<OfferRefused>(&message)) {
+        impl_->onOfferRefused(*refused);
+    } else if (auto *head = std::get_if<AnswerHead>(&message)) {
+        impl_->onHead(server, std::move(*head));
+    } else if (const auto *data = std::get_if<AnswerData>(&message)) {
+        impl_->onData(server, *data);
+    } else if (const auto *end = std::get_if<AnswerEnd>(&message)) {
+        impl_->onEnd(server, *end);
+    } else {
+        impl_->daemon.metrics().count("lovagecourse_unexpected_messages_total");
+    }
+}
+
+std::size_t RequestRouter::openRequests() const
+{
+    return impl_->requests.size();
+}
+
+void RequestRouter::fillStatus(nlohmann::json &page) const
+{
+    page["open_requests"] = impl_->requests.size();
+    page["backlogs"] = nlohmann::json::array();
+    for (const FlowId &flow : impl_->waiting.flows()) {
+        page["backlogs"].push_back({{"account", flow.account.value},
+                                    {"service", flow.service.value},
+                                    {"waiting", impl_->waiting.count(flow)}});
+    }
+}
+
+} // namespace lovagecourse
--- /dev/null
+++ b/src/routing/PushChoice.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "routing/CandidateChoice.h"
+#include "settings/DaemonSettings.h"
+
+#include <random>
+#include <vector>
+
+namespace lovagecourse {
+
+/// The one server that a push policy binds a request to; empty when none is usable. Push policies
+/// are baselines for measurements.
+std::vector<ServerId> choosePushTarget(const std::vector<Candidate> &candidates,
+                                       RoutingPolicy policy, std::mt19937_64 &random);
+
+} // namespace lovagecourse
--- a/src/wire/Link.cpp
+++ b/src/wire/Link.cpp
@@ -51,7 +51,7 @@
         : context(wireContext)
         , descriptor(socketDescriptor)
         , isConnector(connectorSide)
-        , handlers(std::move(linkHandlers))
+        , handlers(std::make_shared<const Handlers>(std::move(linkHandlers)))
         , watcher(context.loop, descriptor, [this](int events) { onEvents(events); })
         , flushTimer(context.loop, [this] { flush(); })
         , handshakeTimer(context.loop, [this] { fail(LinkClosed{}); })
--- /dev/null
+++ b/tests/integration/RequestPathTest.cpp
@@ -0,0 +1,74 @@
+#include "integration/Fleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lovagecourse::test;
+
+namespace {
+
+struct RequestPathFixture
+{
+    Fleet fleet{FleetOptions{}};
+};
+
+std::size_t countEvents(const std::string &stream)
+{
+    std::size_t count = 0;
+    for (std::size_t at = stream.find("data: "); at != std::string::npos;
+         at = stream.find("data: ", at + 1))
+        ++count;
+    return count;
+}
+
+} // namespace
+
+// Guards against a break anywhere on the path from a caller to a server and back.
+TEST_CASE_METHOD(RequestPathFixture, "request path, two entries and three servers, answers whole")
+{
+    const HttpOutcome stream = fleet.chat(1, "a", "hello", 5, true);
+    CHECK(stream.isWhole());
+    CHECK(stream.status == 200);
+    CHECK(countEvents(stream.body) >= 6);
+    CHECK(stream.body.ends_with("data: [DONE]\n\n"));
+
+    const HttpOutcome whole = fleet.chat(2, "b", "hello", 5, false);
+    CHECK(whole.isWhole());
+    CHECK(whole.status == 200);
+
+    const std::string key = makeUuid7();
+    const HttpOutcome booking = fleet.book(1, "a", key, std::chrono::seconds(10));
+    CHECK(booking.status == 201);
+    const HttpOutcome repeated = fleet.book(2, "a", key, std::chrono::seconds(10));
+    CHECK(repeated.status == 201);
+    CHECK(repeated.body == booking.body);
+    CHECK(fleet.journal("desk-1")["runs"][key] == 1);
+}
+
+// Guards against requests that run although their caller is not known or their form is wrong.
+TEST_CASE_METHOD(RequestPathFixture, "request path, bad requests, are refused as not run")
+{
+    const std::string chat = fleet.entryUrl(1) + "/v1/chat/completions";
+    const HttpOutcome unknown =
+            call("POST", chat, {{"Authorization", "Bearer nobody"}}, "{\"model\":\"m\"}");
+    CHECK(unknown.status == 401);
+    CHECK(unknown.ran() == "no");
+    CHECK(unknown.refusal() == "unknown-key");
+
+    const HttpOutcome malformed = call("POST", chat, {{"Authorization", "Bearer a-key"}}, "{oops");
+    CHECK(malformed.status == 400);
+    CHECK(malformed.refusal() == "malformed-request");
+
+    const HttpOutcome path =
+            call("GET", fleet.entryUrl(1) + "/nowhere", {{"Authorization", "Bearer a-key"}}, "");
+    CHECK(path.status == 404);
+
+    const HttpOutcome keyless = call("POST", fleet.entryUrl(1) + "/bookings",
+                                     {{"Authorization", "Bearer a-key"}}, "{}");
+    CHECK(keyless.refusal() == "idempotency-key-missing");
+    const HttpOutcome badKey = fleet.book(1, "a", "not-a-uuid", std::chrono::seconds(5));
+    CHECK(badKey.refusal() == "idempotency-key-malformed");
+    const HttpOutcome oldKey =
+            fleet.book(1, "a", makeUuid7(std::chrono::hours(48)), std::chrono::seconds(5));
+    CHECK(oldKey.refusal() == "idempotency-key-too-old");
+    CHECK(fleet.journal("desk-1")["runs"].empty());
+}
