--- /dev/null
+++ b/src/app/NoteCommands.cpp
@@ -0,0 +1,376 @@
+#include "app/NoteCommands.h"
+
+#include "app/CommandLine.h"
+#include "app/NoteHistory.h"
+#include "app/NoteLog.h"
+#include "app/NotePages.h"
+
+#include <cxxopts.hpp>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <iterator>
+#include <optional>
+#include <random>
+#include <sstream>
+
+namespace lovagecourse {
+
+namespace {
+
+struct NoteOptions
+{
+    std::string command;
+    std::vector<std::string> arguments;
+    std::string platformUrl;
+    bool isJson = false;
+    bool isHelp = false;
+    milliseconds timeout{10000};
+};
+
+constexpr double longestTimeoutSeconds = 3600;
+
+cxxopts::Options commandOptions()
+{
+    cxxopts::Options options("lovagecourse note", "Release notes in the platform's log");
+    options.positional_help("submit FILE | list | show N | state | history");
+    options.add_options()("platform", "URL of the platform, else from LOVAGECOURSE_PLATFORM",
+                          cxxopts::value<std::string>());
+    options.add_options()("json", "print JSON");
+    options.add_options()("timeout", "seconds before a read or an append gives up",
+                          cxxopts::value<double>()->default_value("10"));
+    options.add_options()("help", "print this text");
+    options.add_options("hidden")("command", "", cxxopts::value<std::string>());
+    options.add_options("hidden")("arguments", "", cxxopts::value<std::vector<std::string>>());
+    options.parse_positional({"command", "arguments"});
+    return options;
+}
+
+std::optional<NoteOptions> usageFault(const std::string &fault)
+{
+    std::cerr << "lovagecourse note: " << fault << '\n' << commandOptions().help({""});
+    return std::nullopt;
+}
+
+std::string platformUrl(const cxxopts::ParseResult &parsed)
+{
+    if (parsed.count("platform") > 0)
+        return parsed["platform"].as<std::string>();
+    const char *url = std::getenv("LOVAGECOURSE_PLATFORM");
+    return url == nullptr ? "" : url;
+}
+
+std::optional<NoteOptions> checkOptions(const cxxopts::ParseResult &parsed)
+{
+    NoteOptions options;
+    options.isHelp = parsed.count("help") > 0;
+    if (options.isHelp)
+        return options;
+    if (parsed.count("command") > 0)
+        options.command = parsed["command"].as<std::string>();
+    if (parsed.count("arguments") > 0)
+        options.arguments = parsed["arguments"].as<std::vector<std::string>>();
+    options.platformUrl = platformUrl(parsed);
+    options.isJson = parsed.count("json") > 0;
+    const double timeout = parsed["timeout"].as<double>();
+    if (!(timeout > 0 && timeout <= longestTimeoutSeconds))
+        return usageFault("--timeout: expected seconds above 0, at most 3600");
+    options.timeout = milliseconds(static_cast<std::int64_t>(timeout * 1000) + 1);
+    const bool takesArgument = options.command == "submit" || options.command == "show";
+    const bool isKnown = takesArgument || options.command == "list" || options.command == "state"
+                         || options.command == "history";
+    if (!isKnown)
+        return usageFault("expected submit, list, show, state or history");
+    if (options.arguments.size() != (takesArgument ? 1U : 0U))
+        return usageFault(options.command + ": expected "
+                          + (takesArgument ? "one argument" : "no argument"));
+    if (options.platformUrl.empty())
+        return usageFault("--platform: expected the URL of the platform");
+    return options;
+}
+
+std::optional<NoteOptions> parseOptions(int argc, char **argv)
+{
+    try {
+        return checkOptions(commandOptions().parse(argc, argv));
+    } catch (const cxxopts::exceptions::exception &fault) {
+        return usageFault(fault.what());
+    }
+}
+
+/// Reads a file, or standard input for "-".
+std::optional<std::string> readText(const std::string &file)
+{
+    using Characters = std::istreambuf_iterator<char>;
+    if (file == "-")
+        return std::string(Characters(std::cin), Characters());
+    std::ifstream in(file, std::ios::binary);
+    if (!in)
+        return std::nullopt;
+    std::string text{Characters(in), Characters()};
+    if (in.bad())
+        return std::nullopt;
+    return text;
+}
+
+void printFaults(const std::string &file, const std::vector<NoteFault> &faults)
+{
+    for (const NoteFault &fault : faults)
+        std::cerr << file << ':' << (fault.line == 0 ? " " : "") << toString(fault) << '\n';
+}
+
+std::string toString(const PlatformFailure &failure)
+{
+    if (std::holds_alternative<PlatformAnswerMalformed>(failure))
+        return "its answer has another form than expected";
+    if (const auto *rejected = std::get_if<PlatformRejected>(&failure))
+        return "it rejected the request with status " + std::to_string(rejected->httpStatus);
+    const auto &unavailable = std::get<PlatformUnavailable>(failure);
+    if (unavailable.httpStatus != 0)
+        return "it answered with status " + std::to_string(unavailable.httpStatus);
+    if (unavailable.curlCode != 0)
+        return "transfer failure " + std::to_string(unavailable.curlCode) + " of libcurl";
+    return "no answer came in time";
+}
+
+std::string randomRecordId()
+{
+    std::random_device random;
+    std::ostringstream id;
+    id << "note-" << std::hex;
+    for (int word = 0; word < 4; ++word)
+        id << std::setw(8) << std::setfill('0') << random();
+    return id.str();
+}
+
+/// Reads and folds the whole log; prints why it can't.
+std::optional<NoteHistory> readHistory(NoteLog &log)
+{
+    const ReadResult result = log.readAll(LogOffset(0));
+    if (const auto *failure = std::get_if<PlatformFailure>(&result)) {
+        std::cerr << "the platform can't be reached: " << toString(*failure) << '\n';
+        return std::nullopt;
+    }
+    return foldHistory(std::get<LogBatch>(result));
+}
+
+/// Warns when the log alone does not give the newest state.
+void warnWhenIncomplete(const NoteHistory &history)
+{
+    if (!history.isComplete)
+        std::cerr << "records of the log expired and no snapshot covers them; the newest state "
+                     "is not known\n";
+}
+
+/// One submission, from the text to its verdict.
+class Submission
+{
+public:
+    Submission(const NoteOptions &options, NoteLog &log)
+        : options_(options)
+        , file_(options.arguments[0])
+        , log_(log)
+    {}
+
+    int run()
+    {
+        const auto text = readText(file_);
+        if (!text) {
+            std::cerr << file_ << ": expected a readable file\n";
+            return exitUsage;
+        }
+        const auto parsed = parseReleaseNote(*text);
+        if (const auto *faults = std::get_if<std::vector<NoteFault>>(&parsed))
+            return reportFaults(*faults);
+        note_ = std::get<ReleaseNote>(parsed);
+        const auto history = readHistory(log_);
+        if (!history) {
+            std::cerr << "nothing of this note was stored\n";
+            return exitPlatform;
+        }
+        if (const auto code = checkBefore(*history))
+            return *code;
+        return append(*text);
+    }
+
+private:
+    int reportFaults(const std::vector<NoteFault> &faults)
+    {
+        printFaults(file_, faults);
+        return exitUsage;
+    }
+
+    /// Exit code when the note can't be accepted, so that nothing needs to be stored.
+    std::optional<int> checkBefore(const NoteHistory &history)
+    {
+        if (!history.isComplete) {
+            warnWhenIncomplete(history);
+            std::cerr << "nothing of this note was stored\n";
+            return exitPlatform;
+        }
+        const ConfigurationState &state = history.fold.state();
+        if (note_.follows < state.note)
+            return reportLoss("nothing of this note was taken or stored");
+        if (note_.follows > state.note) {
+            const NotePlace place = note_.places["follows"];
+            return reportFaults({{NoteFaultKind::OutOfRange, place.line, place.column, "follows",
+                                  "the newest note, " + std::to_string(state.note.value)}});
+        }
+        const auto faults = checkReleaseNote(note_, state);
+        if (!faults.empty())
+            return reportFaults(faults);
+        return std::nullopt;
+    }
+
+    int append(const std::string &text)
+    {
+        const std::string recordId = randomRecordId();
+        const auto appended = log_.append(recordId, noteRecordBody(text));
+        if (const auto *offset = std::get_if<LogOffset>(&appended))
+            return readVerdict(*offset);
+        const auto &failure = std::get<NoteAppendFailure>(appended);
+        if (const auto offset = findRecord(recordId))
+            return readVerdict(*offset);
+        std::cerr << "the platform can't be reached: " << toString(failure.failure) << '\n';
+        if (failure.mayBeStored)
+            std::cerr << "this note may have been stored, as record " << recordId
+                      << "; look at the history before submitting again\n";
+        else
+            std::cerr << "nothing of this note was stored\n";
+        return exitPlatform;
+    }
+
+    /// Offset of a record whose append was never answered.
+    std::optional<LogOffset> findRecord(const std::string &recordId)
+    {
+        const ReadResult result = log_.readAll(LogOffset(0));
+        const auto *batch = std::get_if<LogBatch>(&result);
+        if (batch == nullptr)
+            return std::nullopt;
+        for (const LogRecord &record : batch->records) {
+            if (record.recordId == recordId)
+                return record.offset;
+        }
+        return std::nullopt;
+    }
+
+    int readVerdict(LogOffset offset)
+    {
+        const auto history = readHistory(log_);
+        const HistoryEntry *entry = history ? findOffset(*history, offset) : nullptr;
+        if (entry == nullptr) {
+            std::cerr << "this note was stored at offset " << offset
+                      << ", but its verdict could not be read; look at the history\n";
+            return exitPlatform;
+        }
+        if (const auto *accepted = std::get_if<NoteAccepted>(&entry->outcome))
+            return reportAcceptance(accepted->number);
+        if (const auto *invalid = std::get_if<NoteInvalid>(&entry->outcome))
+            return reportFaults(invalid->faults);
+        if (std::holds_alternative<NoteOutdated>(entry->outcome))
+            return reportLoss("nothing of this note was taken");
+        std::cerr << "this note was stored at offset " << offset
+                  << ", but records before it expired, so its verdict is not known\n";
+        return exitPlatform;
+    }
+
+    int reportAcceptance(NoteNumber number)
+    {
+        if (options_.isJson)
+            std::cout << nlohmann::json{{"verdict", "accepted"}, {"number", number.value}} << '\n';
+        else
+            std::cout << "note " << number << " is in force in the log\n";
+        return 0;
+    }
+
+    /// The winner is the accepted note with the same predecessor.
+    int reportLoss(const std::string &effect)
+    {
+        const std::uint64_t winner = note_.follows.value + 1;
+        if (options_.isJson)
+            std::cout << nlohmann::json{{"verdict", "outdated"}, {"winner", winner}} << '\n';
+        std::cerr << "note " << winner << " won the race to follow note " << note_.follows << "; "
+                  << effect << '\n';
+        return exitNoteLost;
+    }
+
+    const NoteOptions &options_;
+    const std::string &file_;
+    NoteLog &log_;
+    ReleaseNote note_;
+};
+
+int printHistory(const NoteOptions &options, const NoteHistory &history)
+{
+    // "list" shows what is in force, "history" also the notes that were not taken.
+    const bool onlyAccepted = options.command == "list";
+    if (options.isJson) {
+        std::cout << historyJson(history, onlyAccepted) << '\n';
+        return 0;
+    }
+    for (const HistoryEntry &entry : history.entries) {
+        if (!onlyAccepted || std::holds_alternative<NoteAccepted>(entry.outcome))
+            std::cout << historyLine(entry) << '\n';
+    }
+    return 0;
+}
+
+int printNote(const NoteOptions &options, const NoteHistory &history)
+{
+    const std::string &text = options.arguments[0];
+    std::uint64_t number = 0;
+    const auto end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    if (parsed.ec != std::errc{} || parsed.ptr != end) {
+        std::cerr << "lovagecourse note: show: expected the number of a note\n";
+        return exitUsage;
+    }
+    const HistoryEntry *entry = findNote(history, NoteNumber(number));
+    if (entry == nullptr) {
+        std::cerr << "the log holds no accepted note " << number << '\n';
+        return exitNoteNotFound;
+    }
+    if (options.isJson)
+        std::cout << noteJson(*entry) << '\n';
+    else
+        std::cout << entry->toml;
+    return 0;
+}
+
+int printState(const NoteOptions &options, const NoteHistory &history)
+{
+    const ConfigurationState &state = history.fold.state();
+    std::cout << (options.isJson ? stateToJson(state) + '\n' : statePage(state));
+    return history.isComplete ? 0 : exitPlatform;
+}
+
+} // namespace
+
+int runNoteCommand(int argc, char **argv)
+{
+    const auto options = parseOptions(argc, argv);
+    if (!options)
+        return exitUsage;
+    if (options->isHelp) {
+        std::cout << commandOptions().help({""});
+        return 0;
+    }
+    NoteLog log(options->platformUrl, options->timeout);
+    if (options->command == "submit")
+        return Submission(*options, log).run();
+    const auto history = readHistory(log);
+    if (!history)
+        return exitPlatform;
+    warnWhenIncomplete(*history);
+    if (options->command == "show")
+        return printNote(*options, *history);
+    if (options->command == "state")
+        return printState(*options, *history);
+    return printHistory(*options, *history);
+}
+
+} // namespace lovagecourse
--- a/src/configuration/NoteParser.cpp
+++ b/src/configuration/NoteParser.cpp
@@ -2,6 +2,7 @@
 #include "configuration/NoteTable.h"
 #include "configuration/ReleaseNote.h"
 
+#include <algorithm>
 #include <array>
 #include <limits>
 #include <set>
@@ -86,12 +87,22 @@
         root_.tables("orders", [this](NoteTable &table) { readOrder(table); });
         root_.finish();
         if (!reading_.faults.empty())
-            return std::move(reading_.faults);
+            return sortedFaults();
         note_.places = std::move(reading_.places);
         return std::move(note_);
     }
 
 private:
+    /// Faults in the order of the text, as an editor would step through them.
+    std::vector<NoteFault> sortedFaults()
+    {
+        auto &faults = reading_.faults;
+        std::stable_sort(faults.begin(), faults.end(), [](const auto &left, const auto &right) {
+            return std::pair(left.line, left.column) < std::pair(right.line, right.column);
+        });
+        return std::move(faults);
+    }
+
     void readHead()
     {
         if (const auto follows = root_.integer("follows", followsRule, Need::Required))
--- a/tests/configuration/ReleaseNoteTest.cpp
+++ b/tests/configuration/ReleaseNoteTest.cpp
@@ -146,8 +146,8 @@
              NoteFaultKind::Duplicate, 5, 77, "added.accounts.a.keys"},
             {account + keys + "share = 1\nshares = 2", NoteFaultKind::UnknownName, 6, 1,
              "added.accounts.a.shares"},
-            {"follows = 0\n[[changed.accounts]]\nname = \"a b\"", NoteFaultKind::OutOfRange, 3, 8,
-             "changed.accounts.name"},
+            {"follows = 0\n[[changed.accounts]]\nname = \"a b\"\nshare = 1",
+             NoteFaultKind::OutOfRange, 3, 8, "changed.accounts.name"},
             {"follows = 0\n[[changed.accounts]]\nname = \"a\"", NoteFaultKind::Missing, 2, 1,
              "changed.accounts.a"},
             {"follows = 0\n[[changed.servers]]\nname = \"s\"\nagent = \"host:1\"",
@@ -163,6 +163,7 @@
         CAPTURE(note.toml);
         const auto result = parseReleaseNote(note.toml);
         REQUIRE(std::holds_alternative<std::vector<NoteFault>>(result));
+        REQUIRE(std::get<std::vector<NoteFault>>(result).size() == 1);
         const NoteFault &fault = std::get<std::vector<NoteFault>>(result).at(0);
         CAPTURE(toString(fault));
         CHECK(fault.kind == note.kind);
