--- a/src/claims/ClaimFold.h
+++ b/src/claims/ClaimFold.h
@@ -92,4 +92,11 @@
     std::unique_ptr<Impl> impl_;
 };
 
+/// Body of a record by which an operator settles a key. A settlement of not-run frees the key only
+/// if it is Unsettled at that point of the log.
+std::string settlementRecordBody(const AccountKey &key, bool ran);
+/// The same for one claim of the key: changes nothing once another claim stands, so that an answer
+/// of the server about an earlier claim is not taken for a later one.
+std::string settlementRecordBody(const AccountKey &key, const ClaimId &claim, bool ran);
+
 } // namespace lovagecourse
