--- a/standins/CrashableServer.cpp
+++ b/standins/CrashableServer.cpp
@@ -22,6 +22,13 @@
     return server_.start();
 }
 
+void CrashableServer::stop()
+{
+    stopTimer_.stop();
+    restartTimer_.stop();
+    server_.stop();
+}
+
 void CrashableServer::crash()
 {
     if (crashing_)
--- a/standins/CrashableServer.h
+++ b/standins/CrashableServer.h
@@ -16,6 +16,8 @@
 
     /// False when the address cannot be bound.
     bool start();
+    /// Closes all connections for good; not to be called from a handler.
+    void stop();
     /// Closes all connections and the listening socket in the next loop iteration.
     void crash();
     bool isCrashing() const { return crashing_; }
--- a/standins/Engine.cpp
+++ b/standins/Engine.cpp
@@ -55,6 +55,12 @@
     , history_(options.loadLag)
 {}
 
+Engine::~Engine()
+{
+    // Closing connections calls cancel(), which needs the sequences.
+    server_.stop();
+}
+
 bool Engine::start()
 {
     sampleTimer_.startRepeating(sampleInterval);
--- a/standins/Engine.h
+++ b/standins/Engine.h
@@ -37,6 +37,9 @@
 {
 public:
     Engine(EventLoop &loop, const EngineOptions &options);
+    ~Engine();
+    Engine(const Engine &) = delete;
+    Engine &operator=(const Engine &) = delete;
 
     /// False when the address cannot be bound.
     bool start();
--- a/standins/UdpMap.cpp
+++ b/standins/UdpMap.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <iostream>
 #include <vector>
 
 namespace lovagecourse {
@@ -113,7 +114,9 @@
     Session &session = sessions_[id];
     session.sender = sender;
     session.upstream = openSocket();
-    connect(session.upstream, reinterpret_cast<const sockaddr *>(&target_), sizeof(target_));
+    const auto *target = reinterpret_cast<const sockaddr *>(&target_);
+    if (connect(session.upstream, target, sizeof(target_)) != 0)
+        std::cerr << "proxy cannot reach a UDP target\n";
     session.watcher = std::make_unique<IoWatcher>(loop_, session.upstream,
                                                   [this, id](int) { onTargetReady(id); });
     session.watcher->watch(EV_READ);
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -1,12 +1,10 @@
 #include "Desk.h"
 #include "Engine.h"
+#include "LoadTool.h"
 #include "Proxy.h"
 #if __has_include("Platform.h")
 #include "Platform.h"
 #endif
-#if __has_include("LoadTool.h")
-#include "LoadTool.h"
-#endif
 
 #include <csignal>
 #include <iostream>
@@ -41,9 +39,7 @@
         return runDesk(argc - 1, argv + 1);
     if (command == "proxy")
         return runProxy(argc - 1, argv + 1);
-#if __has_include("LoadTool.h")
     if (command == "load")
         return runLoad(argc - 1, argv + 1);
-#endif
     return printUsage();
 }
