--- a/src/routing/SuspectList.cpp
+++ b/src/routing/SuspectList.cpp
@@ -35,6 +35,7 @@
 {
     const auto remaining = std::chrono::duration_cast<milliseconds>(lifetime);
     std::vector<Suspect> suspects;
+    suspects.reserve(running.size());
     for (const Fingerprint fingerprint : running)
         suspects.push_back(
                 {fingerprint, {crashId}, false, static_cast<std::uint32_t>(remaining.count())});
