--- a/src/claims/ClaimCoordinator.cpp
+++ b/src/claims/ClaimCoordinator.cpp
@@ -79,7 +79,7 @@
     std::optional<ClaimDecision> decideByOwnRun(const ClaimId &claim) const;
     ClaimDecision refuseUndecided(const WaitingRequest &item, const KeyState &state) const;
     std::optional<ClaimDecision> decideOwnClaim(const WaitingRequest &item, const KeyState &state);
-    void queueClaim(WaitingRequest &item);
+    void queueClaim(WaitingRequest &item, TimePoint now);
     void release(const WaitingRequest &item);
     void abandon(const ClaimId &claim);
     void finish(const ClaimId &claim, std::optional<RecordedAnswer> answer);
@@ -148,7 +148,7 @@
         return decideOwnClaim(item, state);
     const bool free = state.phase == KeyPhase::Free || isAbandoned(state.claim);
     if (free && fencing && !hasOtherLiveClaim(item))
-        queueClaim(item);
+        queueClaim(item, now);
     return std::nullopt;
 }
 
@@ -211,13 +211,14 @@
     return ClaimWon{*item.claim};
 }
 
-void ClaimCoordinator::Impl::queueClaim(WaitingRequest &item)
+void ClaimCoordinator::Impl::queueClaim(WaitingRequest &item, TimePoint now)
 {
     const ClaimId claim(runPrefix(owner) + "c" + std::to_string(++claimCount));
     claims[claim] = OwnClaim{item.request.key, item.request.deadline};
     item.claim = claim;
+    const auto valid = std::chrono::ceil<milliseconds>(item.request.deadline - now);
     queue.push(ClaimRequested{item.request.key, claim, item.request.requestDigest, owner.server,
-                              owner.incarnation, *fencing});
+                              owner.incarnation, *fencing, valid});
 }
 
 void ClaimCoordinator::Impl::release(const WaitingRequest &item)
--- a/src/claims/ClaimEntry.cpp
+++ b/src/claims/ClaimEntry.cpp
@@ -2,12 +2,17 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace lovagecourse {
 
 namespace {
 
 using Json = nlohmann::json;
 
+// Longer times would overflow the clock; no deadline comes near a year.
+constexpr std::uint64_t maxValidMs = 365ULL * 24 * 3600 * 1000;
+
 // JSON strings must be UTF-8, while answers may hold any bytes. Each byte is written as the
 // character of the same number, which leaves ASCII readable.
 std::string toUtf8(std::string_view bytes)
@@ -147,6 +152,7 @@
     object["server"] = toUtf8(claim.server.value);
     object["incarnation"] = claim.incarnation.value;
     object["fencing"] = claim.fencing.value;
+    object["validMs"] = static_cast<std::uint64_t>(claim.valid.count());
     return object;
 }
 
@@ -198,6 +204,7 @@
     claim.server = ServerId(fields.text("server"));
     claim.incarnation = Incarnation(fields.number("incarnation"));
     claim.fencing = FencingNumber(fields.number("fencing"));
+    claim.valid = milliseconds(std::min(fields.number("validMs"), maxValidMs));
     return claim;
 }
 
--- a/src/claims/ClaimEntry.h
+++ b/src/claims/ClaimEntry.h
@@ -28,6 +28,8 @@
     ServerId server;
     Incarnation incarnation;
     FencingNumber fencing;
+    /// Time that the request had left when the claim was made; it never runs later.
+    milliseconds valid{0};
 };
 
 /// The claim's request was not sent and will not be sent.
--- a/src/claims/ClaimFold.cpp
+++ b/src/claims/ClaimFold.cpp
@@ -90,8 +90,14 @@
         return;
     if (!entry.state.claim.value.empty())
         entry.ended.insert(entry.state.claim);
-    entry.state = KeyState{KeyPhase::Claimed,   claim.claim, claim.server, claim.incarnation,
-                           claim.requestDigest, {},          record.time};
+    entry.state = KeyState{};
+    entry.state.phase = KeyPhase::Claimed;
+    entry.state.claim = claim.claim;
+    entry.state.server = claim.server;
+    entry.state.incarnation = claim.incarnation;
+    entry.state.requestDigest = claim.requestDigest;
+    entry.state.claimedAt = record.time;
+    entry.state.mayRunUntil = record.time + claim.valid;
     entry.fencing = claim.fencing;
 }
 
--- a/src/claims/ClaimFold.h
+++ b/src/claims/ClaimFold.h
@@ -55,6 +55,10 @@
     RecordedAnswer answer;
     /// When the standing claim was stored, by the platform's clock.
     WallTime claimedAt;
+    /// The claim's deadline is over by then, by the platform's clock. Until then an agent that does
+    /// not read the log may still run the request, so a server that is asked whether it ran must
+    /// be asked later.
+    WallTime mayRunUntil;
 };
 
 /// Key that an operator may have to settle.
