Compile toml++ alike in every unit

Cause: units with and without toml++'s exceptions, linked into one program, crashed when a settings file was read (seen: both daemons ended with signal 11 at start). Ruled out: the settings files.

--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -62,7 +62,7 @@
         const auto parsed = options.parse(argc, argv);
         file = parsed["settings"].as<std::string>();
         onlyCheck = parsed.count("check") > 0;
-    } catch (const cxxopts::OptionException &error) {
+    } catch (const cxxopts::exceptions::exception &error) {
         std::cerr << "lovagecourse: " << error.what() << '\n' << usage;
         return exitUsage;
     }
--- a/src/configuration/NoteParser.cpp
+++ b/src/configuration/NoteParser.cpp
@@ -285,15 +285,13 @@
 {
     if (toml.size() > maxNoteBytes)
         return wholeNoteFault(NoteFaultKind::OutOfRange, "at most 1048576 bytes");
-    try {
-        const toml::table root = toml::parse(toml);
-        return NoteParser(root).parse();
-    } catch (const toml::parse_error &fault) {
-        NoteReading reading;
-        reading.addFault(NoteFaultKind::Syntax, fault.source(), "note",
-                         "valid TOML (" + std::string(fault.description()) + ")");
-        return std::move(reading.faults);
-    }
+    const toml::parse_result root = toml::parse(toml);
+    if (root)
+        return NoteParser(root.table()).parse();
+    NoteReading reading;
+    reading.addFault(NoteFaultKind::Syntax, root.error().source(), "note",
+                     "valid TOML (" + std::string(root.error().description()) + ")");
+    return std::move(reading.faults);
 }
 
 } // namespace lovagecourse
--- a/src/settings/SettingsReader.h
+++ b/src/settings/SettingsReader.h
@@ -2,9 +2,6 @@
 
 #include "settings/DaemonSettings.h"
 
-#ifndef TOML_EXCEPTIONS
-#define TOML_EXCEPTIONS 0
-#endif
 #include <toml++/toml.h>
 
 #include <cstdint>
--- a/tests/integration/HttpCall.cpp
+++ b/tests/integration/HttpCall.cpp
@@ -104,7 +104,7 @@
     const auto time = std::chrono::system_clock::now() - age;
     const auto milliseconds = static_cast<unsigned long long>(
             std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count());
-    char text[40];
+    char text[80];
     std::snprintf(text, sizeof(text), "%08llx-%04llx-7%03llx-8%03llx-%012llx", milliseconds >> 16,
                   milliseconds & 0xffff, static_cast<unsigned long long>(random() & 0xfff),
                   static_cast<unsigned long long>(random() & 0xfff),
