Hold estimates at the agent, report measured service only

Cause: estimates from hints wrong by 10 times were reported, advanced virtual time for good and stayed in positions when their agent restarted. Change: AccountLedger::hold counts estimates in the agent's own position only. CostEstimator takes the history of the service for flows without one.

--- a/src/fairness/AccountLedger.cpp
+++ b/src/fairness/AccountLedger.cpp
@@ -46,6 +46,13 @@
     flow.lastActive = now;
 }
 
+void AccountLedger::hold(const FlowId &id, Share share, Work change, TimePoint now)
+{
+    Flow &flow = flowOf(id, share);
+    flow.held += change;
+    flow.lastActive = now;
+}
+
 void AccountLedger::setBacklogged(const FlowId &id, Share share, bool backlogged, TimePoint now)
 {
     Flow &flow = flowOf(id, share);
@@ -66,7 +73,7 @@
     // After a restart, flows whose home has not answered yet would be far behind the others.
     const Position base = flow.isConfirmed ? flow.knownPosition
                                            : std::max(flow.knownPosition, virtualTime(id.service));
-    return base + (flow.cumulative - flow.included) / flow.share;
+    return base + (flow.cumulative + flow.held - flow.included) / flow.share;
 }
 
 Position AccountLedger::position(const FlowId &id, Share share) const
--- a/src/fairness/AccountLedger.h
+++ b/src/fairness/AccountLedger.h
@@ -28,8 +28,13 @@
         : self_(self)
     {}
 
-    /// Adds service; negative work corrects an estimate that was too high.
+    /// Adds service; negative work corrects an estimate that was too high. Reported service
+    /// should be measured: an estimate that is corrected later may already have advanced virtual
+    /// time, and one that is reported before a restart is never corrected.
     void charge(const FlowId &flow, Share share, Work work, TimePoint now);
+    /// Changes the estimated service that running requests still need. It counts in this agent's
+    /// position of the flow, but is not reported, and ends with this run.
+    void hold(const FlowId &flow, Share share, Work change, TimePoint now);
     /// Notes whether offers of the flow wait at this agent.
     void setBacklogged(const FlowId &flow, Share share, bool backlogged, TimePoint now);
     /// Fleet-wide position: the home's, plus own service that it does not include.
@@ -51,6 +56,8 @@
     {
         Share share{1};
         Work cumulative;
+        /// Estimated service that running requests still need.
+        Work held;
         Position knownPosition;
         Work included;
         bool backlogged = false;
--- a/src/scheduling/CostEstimator.cpp
+++ b/src/scheduling/CostEstimator.cpp
@@ -38,15 +38,43 @@
     double hintError = 0;
 
     Work correctedHint(Work hint) const { return Work(hint.value * std::exp(hintRatio)); }
+    void learn(std::optional<Work> hint, Work actual);
 };
 
+void History::learn(std::optional<Work> hint, Work actual)
+{
+    if (hint && hasHintRatio && hasMean) {
+        approach(hintError, std::abs(logRatio(actual, correctedHint(*hint))), ratioWeight);
+        approach(meanError, std::abs(logRatio(actual, Work(mean))), ratioWeight);
+    }
+    approach(mean, actual.value, hasMean ? meanWeight : 1);
+    hasMean = true;
+    if (!hint)
+        return;
+    approach(hintRatio, logRatio(actual, *hint), hasHintRatio ? ratioWeight : 1);
+    hasHintRatio = true;
+}
+
 } // namespace
 
 struct CostEstimator::Impl
 {
+    const History *historyOf(const FlowId &flow) const;
+
     std::unordered_map<FlowId, History> histories;
+    /// All flows of a service together, for flows without a history.
+    std::unordered_map<ServiceId, History> services;
 };
 
+const History *CostEstimator::Impl::historyOf(const FlowId &flow) const
+{
+    const auto own = histories.find(flow);
+    if (own != histories.end())
+        return &own->second;
+    const auto common = services.find(flow.service);
+    return common == services.end() ? nullptr : &common->second;
+}
+
 CostEstimator::CostEstimator()
     : impl_(std::make_unique<Impl>())
 {}
@@ -57,15 +85,14 @@
                                      std::optional<Work> hint) const
 {
     Work expected = hint.value_or(service.defaultCost);
-    const auto found = impl_->histories.find(flow);
-    if (found != impl_->histories.end()) {
-        const History &history = found->second;
+    if (const History *history = impl_->historyOf(flow)) {
         // Hints that say less than the mean does are ignored.
-        const bool useHint = hint && history.hasHintRatio && history.hintError <= history.meanError;
+        const bool useHint =
+                hint && history->hasHintRatio && history->hintError <= history->meanError;
         if (useHint)
-            expected = history.correctedHint(*hint);
-        else if (history.hasMean)
-            expected = Work(history.mean);
+            expected = history->correctedHint(*hint);
+        else if (history->hasMean)
+            expected = Work(history->mean);
     }
     const bool isLong = expected > service.longAbove;
     return {expected, isLong ? CostClass::Long : CostClass::Short};
@@ -73,18 +100,8 @@
 
 void CostEstimator::onFinished(const FlowId &flow, std::optional<Work> hint, Work actual)
 {
-    History &history = impl_->histories[flow];
-    if (hint && history.hasHintRatio && history.hasMean) {
-        const double hintError = std::abs(logRatio(actual, history.correctedHint(*hint)));
-        approach(history.hintError, hintError, ratioWeight);
-        approach(history.meanError, std::abs(logRatio(actual, Work(history.mean))), ratioWeight);
-    }
-    approach(history.mean, actual.value, history.hasMean ? meanWeight : 1);
-    history.hasMean = true;
-    if (!hint)
-        return;
-    approach(history.hintRatio, logRatio(actual, *hint), history.hasHintRatio ? ratioWeight : 1);
-    history.hasHintRatio = true;
+    impl_->histories[flow].learn(hint, actual);
+    impl_->services[flow.service].learn(hint, actual);
 }
 
 } // namespace lovagecourse
--- a/tests/fairness/FleetSimulation.h
+++ b/tests/fairness/FleetSimulation.h
@@ -86,7 +86,8 @@
         std::optional<Work> hint;
         double cost;
         double done = 0;
-        double charged;
+        double expected;
+        double held;
     };
 
     struct Agent
@@ -274,11 +275,12 @@
             request.done = std::min(request.cost, request.done + work);
             served_[request.account] += work;
             lastServed_[request.account] = now_;
-            const double owed = request.done >= request.cost
-                                        ? request.cost - request.charged
-                                        : std::max(0.0, request.done - request.charged);
-            agent.ledger->charge(request.flow, shareOf(request.account), Work(owed), now_);
-            request.charged += owed;
+            agent.ledger->charge(request.flow, shareOf(request.account), Work(work), now_);
+            const bool isDone = request.done >= request.cost;
+            const double held = isDone ? 0 : std::max(0.0, request.expected - request.done);
+            agent.ledger->hold(request.flow, shareOf(request.account), Work(held - request.held),
+                               now_);
+            request.held = held;
             if (request.done >= request.cost)
                 agent.estimator->onFinished(request.flow, request.hint, Work(request.cost));
         }
@@ -315,8 +317,9 @@
         const double factor = options_.accounts[account].hintFactor;
         if (factor > 0)
             request.hint = Work(request.cost * factor);
-        request.charged = agent.estimator->estimate(flow, Service{}, request.hint).expected.value;
-        agent.ledger->charge(flow, shareOf(account), Work(request.charged), now_);
+        request.expected = agent.estimator->estimate(flow, Service{}, request.hint).expected.value;
+        request.held = request.expected;
+        agent.ledger->hold(flow, shareOf(account), Work(request.held), now_);
         agent.running.push_back(request);
     }
 
