--- a/src/fairness/AccountLedger.cpp
+++ b/src/fairness/AccountLedger.cpp
@@ -14,7 +14,7 @@
 /// A flow without backlog for this long starts anew, as at the homes.
 constexpr seconds idleAfter{2};
 /// Flows without service, backlog and reports for this long are forgotten. A flow that returns
-/// counts from 0, so the homes must have forgotten its old count: they do after 300 s.
+/// counts from 0, so the homes must have forgotten its old count: they do after 2 s.
 constexpr seconds forgetAfter{600};
 /// Totals with a lower virtual time than some heard this recently were overtaken on their way.
 constexpr seconds reorderTime{1};
--- a/src/fairness/FairnessHome.cpp
+++ b/src/fairness/FairnessHome.cpp
@@ -13,8 +13,13 @@
 constexpr seconds backlogTimeout{2};
 /// Capacity of an agent that reports nothing for this long is not counted.
 constexpr seconds capacityTimeout{10};
-/// Contributions and flows are forgotten after this time; must be less than the time after which
-/// ledgers forget theirs (600 s), or a new count would be taken for a correction.
+/// An agent that was not heard for this long may have reported to another home meanwhile, whose
+/// position already includes service of others that this home has not heard of. What the agent
+/// says is included then counts, not what this home remembers.
+constexpr seconds contributionTimeout{2};
+/// Contributions are kept for this long, so that late reports of an earlier run are recognised.
+constexpr seconds contributionForgetAfter{30};
+/// Flows are forgotten after this time; agents that use them later report the known position.
 constexpr seconds forgetAfter{300};
 /// A report with a lower virtual time than one heard this recently was overtaken on its way.
 constexpr seconds reorderTime{1};
@@ -32,7 +37,7 @@
 
 bool FairnessHome::isStale(const Contribution &contribution, TimePoint now)
 {
-    return now - contribution.lastHeard >= forgetAfter;
+    return now - contribution.lastHeard >= contributionTimeout;
 }
 
 bool FairnessHome::isBacklogged(const Flow &flow, TimePoint now)
@@ -107,8 +112,9 @@
         if (!state || !(entry.share.value > 0))
             continue;
 
-        Flow &flow = flows_[entry.flow];
-        const bool isKnownElsewhere = flow.agents.empty() && entry.knownPosition > Position(0);
+        const auto [found, isNew] = flows_.try_emplace(entry.flow);
+        Flow &flow = found->second;
+        const bool isKnownElsewhere = isNew && entry.knownPosition > Position(0);
         const bool wasBacklogged = isBacklogged(flow, now);
         Contribution *agent = contact(flow, report, entry, now);
         if (!agent)
@@ -149,9 +155,13 @@
 
 void FairnessHome::expire(TimePoint now)
 {
-    for (auto &[id, flow] : flows_)
-        std::erase_if(flow.agents, [now](const auto &item) { return isStale(item.second, now); });
-    std::erase_if(flows_, [](const auto &item) { return item.second.agents.empty(); });
+    for (auto &[id, flow] : flows_) {
+        std::erase_if(flow.agents, [now](const auto &item) {
+            return now - item.second.lastHeard >= contributionForgetAfter;
+        });
+    }
+    std::erase_if(flows_,
+                  [now](const auto &item) { return now - item.second.lastHeard >= forgetAfter; });
     for (auto &[id, service] : services_) {
         std::erase_if(service.capacities, [now](const auto &item) {
             return now - item.second.lastHeard >= capacityTimeout;
--- a/src/fairness/FairnessHome.h
+++ b/src/fairness/FairnessHome.h
@@ -15,12 +15,17 @@
 /// capacity divided by the share, plus twice the largest request's cost divided by the share, as
 /// long as each agent's reports and totals get through within 1 s.
 ///
+/// The property test reaches this bound only with estimates held at the agents
+/// (AccountLedger::hold) and measured service in the reports.
+///
 /// Reports are cumulative: lost, repeated and reordered ones change the sum only until the next
-/// one. A home that does not know an agent's run (it is new, restarted or replaced another) takes
-/// the largest known position of any agent, then adds what that agent says is not included. This
-/// counts twice at most what the agent served between the totals that it holds and the newest
-/// totals that any agent holds: one report interval plus the lost ones. Service of an agent's
-/// earlier runs stays in the position; what a run did not report before its end is missed.
+/// one. A home that has not heard an agent's run for 2 s (it is new, restarted, was cut off or
+/// replaced another) takes the larger of its own and the agent's known position, then adds what
+/// that agent says is not included. This counts twice at most what the agent served between the
+/// totals that it holds and the newest totals that any agent holds, and misses at most what other
+/// agents reported before the largest known position arrived: one report interval each, plus the
+/// lost ones. Service of an agent's earlier runs stays in the position; what a run did not report
+/// before its end is missed.
 ///
 /// Virtual time is kept per service, since positions of different services do not compare. An
 /// agent takes the lowest virtual time of the homes that answered it in the last 2 s, which is the
