--- a/src/fairness/AccountLedger.cpp
+++ b/src/fairness/AccountLedger.cpp
@@ -14,7 +14,7 @@
 /// A flow without backlog for this long starts anew, as at the homes.
 constexpr seconds idleAfter{2};
 /// Flows without service, backlog and reports for this long are forgotten. A flow that returns
-/// counts from 0, so the homes must have forgotten its old count: they do after 300 s.
+/// counts from 0, so the homes must have forgotten its old count: they do after 2 s.
 constexpr seconds forgetAfter{600};
 /// Totals with a lower virtual time than some heard this recently were overtaken on their way.
 constexpr seconds reorderTime{1};
@@ -46,6 +46,13 @@
     flow.lastActive = now;
 }
 
+void AccountLedger::hold(const FlowId &id, Share share, Work change, TimePoint now)
+{
+    Flow &flow = flowOf(id, share);
+    flow.held += change;
+    flow.lastActive = now;
+}
+
 void AccountLedger::setBacklogged(const FlowId &id, Share share, bool backlogged, TimePoint now)
 {
     Flow &flow = flowOf(id, share);
@@ -66,7 +73,7 @@
     // After a restart, flows whose home has not answered yet would be far behind the others.
     const Position base = flow.isConfirmed ? flow.knownPosition
                                            : std::max(flow.knownPosition, virtualTime(id.service));
-    return base + (flow.cumulative - flow.included) / flow.share;
+    return base + (flow.cumulative + flow.held - flow.included) / flow.share;
 }
 
 Position AccountLedger::position(const FlowId &id, Share share) const
