--- a/src/configuration/NoteParser.cpp
+++ b/src/configuration/NoteParser.cpp
@@ -43,6 +43,7 @@
 std::vector<Id> toIds(std::vector<std::string> texts)
 {
     std::vector<Id> ids;
+    ids.reserve(texts.size());
     for (std::string &text : texts)
         ids.emplace_back(std::move(text));
     return ids;
@@ -242,10 +243,14 @@
 
     std::vector<std::string> readWithdrawnNames(NoteTable &table, const std::string &kind)
     {
-        const auto names =
+        auto names =
                 table.texts(kind, nameRule, Need::Optional).value_or(std::vector<std::string>());
-        for (const std::string &name : names)
-            requireFirstUse(kind, name, table.source(), table.item() + '.' + kind + '.' + name);
+        const std::string prefix = table.item() + '.' + kind + '.';
+        for (const std::string &name : names) {
+            std::string item = prefix;
+            item += name;
+            requireFirstUse(kind, name, table.source(), item);
+        }
         return names;
     }
 
--- a/src/configuration/ReleaseNote.cpp
+++ b/src/configuration/ReleaseNote.cpp
@@ -4,7 +4,7 @@
 
 std::string toString(const NoteFault &fault)
 {
-    const std::string text = fault.item + ": expected " + fault.expected;
+    std::string text = fault.item + ": expected " + fault.expected;
     if (fault.line == 0)
         return text;
     return std::to_string(fault.line) + ':' + std::to_string(fault.column) + ": " + text;
