Check only what a note touches; read too long batches one record at a time

Cause: with 26,000 accounts and 2,000 servers, folding a note blocked the event loop for 38 ms. Change: paths, keys and servers are checked only when the note touches them. A read whose answer is too long is repeated with one record, and the bound falls from 64 to 16 MiB.

--- a/src/configuration/NoteCheck.cpp
+++ b/src/configuration/NoteCheck.cpp
@@ -36,9 +36,14 @@
     {
         applyItems();
         applyOrders(fencing);
-        checkPaths();
-        checkKeys();
-        checkServers();
+        // The state before the note is free of faults, so only what the note touches can have
+        // some. A whole check took 38 ms of the event loop with 26,000 accounts.
+        if (!note_.addedServices.empty())
+            checkPaths();
+        if (touchesKeys())
+            checkKeys();
+        if (touchesServers())
+            checkServers();
     }
 
     std::vector<NoteFault> takeFaults() { return std::move(faults_); }
@@ -113,6 +118,21 @@
         state_.orders.push_back(newer);
     }
 
+    bool touchesKeys() const
+    {
+        const auto &changed = note_.changedAccounts;
+        return !note_.addedAccounts.empty()
+               || std::any_of(changed.begin(), changed.end(), [](const AccountChange &change) {
+                      return change.keyDigests.has_value();
+                  });
+    }
+
+    bool touchesServers() const
+    {
+        return !note_.addedServers.empty() || !note_.changedServers.empty()
+               || !note_.withdrawnServices.empty();
+    }
+
     void checkPaths()
     {
         std::map<std::string, ServiceId> owners;
--- a/src/platform/LogClient.cpp
+++ b/src/platform/LogClient.cpp
@@ -12,15 +12,19 @@
 
 using nlohmann::json;
 
-// Bounds the memory of one answer.
-constexpr std::size_t maxAnswerBytes = 64U << 20U;
-// A batch stays small next to a daemon's memory, and catching up takes few round trips.
+// Bounds the memory of one answer; a snapshot at the target size has about 4 MB.
+constexpr std::size_t maxAnswerBytes = 16U << 20U;
+// Catching up takes few round trips.
 constexpr int maxRecordsPerRead = 256;
 // Time for an answer on top of the wait that was asked for.
 constexpr milliseconds answerTimeout{5000};
 
+/// The answer is longer than the bound, so its content was dropped.
+struct AnswerTooLong
+{};
+
 /// Whole answer, or why there is none.
-using Answer = std::variant<std::string, PlatformFailure>;
+using Answer = std::variant<std::string, PlatformFailure, AnswerTooLong>;
 
 struct PendingAnswer
 {
@@ -47,7 +51,7 @@
     if (pending.status != 200 && pending.status != 201)
         return failureOfStatus(pending.status);
     if (pending.isTooLong)
-        return PlatformFailure(PlatformAnswerMalformed{});
+        return AnswerTooLong{};
     return std::move(pending.body);
 }
 
@@ -136,8 +140,10 @@
     return [parse, onDone = std::move(onDone)](const Answer &answer) {
         if (const auto *failure = std::get_if<PlatformFailure>(&answer))
             onDone(*failure);
+        else if (const auto *body = std::get_if<std::string>(&answer))
+            onDone(parse(*body));
         else
-            onDone(parse(std::get<std::string>(answer)));
+            onDone(PlatformFailure(PlatformAnswerMalformed{}));
     };
 }
 
@@ -167,12 +173,22 @@
 void LogClient::read(const std::string &stream, LogOffset from, milliseconds wait,
                      std::function<void(const ReadResult &)> onDone)
 {
-    HttpRequest get;
-    get.url = baseUrl_ + "/streams/" + stream + "/records?from=" + std::to_string(from.value)
-              + "&wait_ms=" + std::to_string(wait.count())
-              + "&max=" + std::to_string(maxRecordsPerRead);
-    get.totalTimeout = wait + answerTimeout;
-    request(http_, get, parseInto(&parseBatch, std::move(onDone)));
+    const auto get = [this, stream, from, wait](int maxRecords) {
+        HttpRequest request;
+        request.url =
+                baseUrl_ + "/streams/" + stream + "/records?from=" + std::to_string(from.value)
+                + "&wait_ms=" + std::to_string(wait.count()) + "&max=" + std::to_string(maxRecords);
+        request.totalTimeout = wait + answerTimeout;
+        return request;
+    };
+    const auto onAnswer = parseInto(&parseBatch, std::move(onDone));
+    request(http_, get(maxRecordsPerRead), [this, get, onAnswer](const Answer &answer) {
+        // Several snapshots in one batch may be too much; one record at a time always fits.
+        if (std::holds_alternative<AnswerTooLong>(answer))
+            request(http_, get(1), onAnswer);
+        else
+            onAnswer(answer);
+    });
 }
 
 void LogClient::listHosts(std::function<void(const HostListResult &)> onDone)
--- a/tests/platform/LogFollowerTest.cpp
+++ b/tests/platform/LogFollowerTest.cpp
@@ -205,3 +205,19 @@
     CHECK(std::holds_alternative<PlatformUnavailable>(
             std::get<PlatformFailure>(append(seconds(2)))));
 }
+
+// Guards against a follower that is stuck at a batch that holds too many large snapshots.
+TEST_CASE_METHOD(LogFollowerFixture, "log client, batch too long, reads one record at a time")
+{
+    platform.prepare(200, std::string(17U << 20U, ' '));
+    platform.prepare(200, batch(0, 0, 1));
+    ReadResult result;
+    client.read("s", LogOffset(0), milliseconds(0), [&](const ReadResult &arrived) {
+        result = arrived;
+        loop.stop();
+    });
+    runLoop();
+    REQUIRE(std::holds_alternative<LogBatch>(result));
+    CHECK(std::get<LogBatch>(result).records.size() == 1);
+    CHECK(platform.froms() == std::vector<std::string>{"0", "0"});
+}
