--- /dev/null
+++ b/tests/routing/SuspectListTest.cpp
@@ -0,0 +1,87 @@
+#include "routing/SuspectList.h"
+#include "wire/Codec.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace lovagecourse;
+
+namespace {
+
+struct SuspectListFixture
+{
+    SuspectList list;
+    TimePoint now{std::chrono::hours(1)};
+    Fingerprint request{11};
+};
+
+} // namespace
+
+// Guards against a request that crashes server after server, and against repeated notices of one
+// crash that count as two.
+TEST_CASE_METHOD(SuspectListFixture, "suspect list, crashes of a request, alone and then refused")
+{
+    CHECK(list.verdict(request, now) == SuspectVerdict::Clear);
+    list.onCrash({request}, 1, now);
+    list.onCrash({request}, 1, now);
+    CHECK(list.verdict(request, now) == SuspectVerdict::RunAlone);
+    list.onCompleted(request, now);
+    CHECK(list.verdict(request, now) == SuspectVerdict::Clear);
+    list.onCrash({request}, 2, now);
+    list.onCompleted(request, now);
+    CHECK(list.verdict(request, now) == SuspectVerdict::Refuse);
+}
+
+// Guards against entries that daemons keep alive by sending them back and forth.
+TEST_CASE_METHOD(SuspectListFixture, "suspect list, notices with a delay both ways, still expires")
+{
+    SuspectList peer;
+    list.onCrash({request}, 1, now);
+    const TimePoint end = now + std::chrono::minutes(10);
+    for (; now < end; now += seconds(1)) {
+        const auto there = list.recent(now, 10);
+        const auto back = peer.recent(now, 10);
+        peer.merge(there, now + seconds(1));
+        list.merge(back, now + seconds(1));
+    }
+    CHECK(list.verdict(request, now) == SuspectVerdict::Clear);
+    CHECK(peer.verdict(request, now) == SuspectVerdict::Clear);
+    list.expire(now);
+    CHECK(list.size() == 0);
+}
+
+// Guards against daemons that judge a request differently because notices came in another order.
+TEST_CASE_METHOD(SuspectListFixture, "suspect list, notices in any order and repeated, same result")
+{
+    std::mt19937_64 random(3);
+    for (int round = 0; round < 200; ++round) {
+        std::vector<Suspect> notices;
+        for (int i = 0; i < 8; ++i) {
+            const Fingerprint fingerprint(random() % 3);
+            const auto expires = static_cast<std::uint32_t>(random() % 700000);
+            notices.push_back(
+                    {fingerprint, {random() % 9, random() % 9}, random() % 2 == 0, expires});
+        }
+        SuspectList first;
+        SuspectList second;
+        first.merge(notices, now);
+        std::shuffle(notices.begin(), notices.end(), random);
+        second.merge(notices, now);
+        second.merge(notices, now);
+        CHECK(encodeMessages({SuspectNotice{first.recent(now, 10)}})
+              == encodeMessages({SuspectNotice{second.recent(now, 10)}}));
+    }
+}
+
+// Guards against notices that leave out the newest suspects.
+TEST_CASE_METHOD(SuspectListFixture, "suspect list, more entries than fit, newest change first")
+{
+    list.onCrash({Fingerprint(1)}, 1, now);
+    list.onCrash({Fingerprint(2)}, 1, now + seconds(1));
+    list.onCompleted(Fingerprint(1), now + seconds(2));
+    const auto recent = list.recent(now + seconds(3), 1);
+    REQUIRE(recent.size() == 1);
+    CHECK(recent.front().fingerprint == Fingerprint(1));
+}
