Add claim entries, claim fold and idempotency key check

Agents need the same view of each idempotency key from the log alone.

A record body is a JSON list of entries; bytes are mapped to characters of the same number, so that answers may hold any bytes. A claim id stands at most once, so that entries that are appended twice do no harm. An outcome without an answer makes a key unsettled. A claim carries the time that its request had left, so that the fold tells when a server may be asked for the truth.

--- /dev/null
+++ b/src/claims/ClaimEntry.cpp
@@ -0,0 +1,279 @@
+#include "claims/ClaimEntry.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace lovagecourse {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Longer times would overflow the clock; no deadline comes near a year.
+constexpr std::uint64_t maxValidMs = 365ULL * 24 * 3600 * 1000;
+
+// JSON strings must be UTF-8, while answers may hold any bytes. Each byte is written as the
+// character of the same number, which leaves ASCII readable.
+std::string toUtf8(std::string_view bytes)
+{
+    std::string text;
+    text.reserve(bytes.size());
+    for (const char byte : bytes) {
+        const auto code = static_cast<unsigned char>(byte);
+        if (code < 0x80U) {
+            text.push_back(byte);
+            continue;
+        }
+        text.push_back(static_cast<char>(0xC0U | (code >> 6U)));
+        text.push_back(static_cast<char>(0x80U | (code & 0x3FU)));
+    }
+    return text;
+}
+
+/// Empty when the text has characters that are not bytes.
+std::optional<std::string> fromUtf8(const std::string &text)
+{
+    std::string bytes;
+    bytes.reserve(text.size());
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const auto code = static_cast<unsigned char>(text[i]);
+        if (code < 0x80U) {
+            bytes.push_back(text[i]);
+            continue;
+        }
+        if ((code & 0xFCU) != 0xC0U || i + 1 == text.size())
+            return std::nullopt;
+        ++i;
+        const auto low = static_cast<unsigned char>(text[i]) & 0x3FU;
+        bytes.push_back(static_cast<char>(((code & 0x03U) << 6U) | low));
+    }
+    return bytes;
+}
+
+/// Reads the fields of one entry; one bad field makes the whole entry malformed.
+class FieldReader
+{
+public:
+    explicit FieldReader(const Json &object)
+        : object_(object)
+    {}
+
+    std::string text(const char *name)
+    {
+        const auto field = object_.find(name);
+        if (field == object_.end())
+            return fail();
+        return textOf(*field);
+    }
+    std::uint64_t number(const char *name)
+    {
+        const auto field = object_.find(name);
+        if (field == object_.end() || !field->is_number_unsigned()) {
+            good_ = false;
+            return 0;
+        }
+        return field->get<std::uint64_t>();
+    }
+    bool flag(const char *name)
+    {
+        const auto field = object_.find(name);
+        if (field == object_.end() || !field->is_boolean()) {
+            good_ = false;
+            return false;
+        }
+        return field->get<bool>();
+    }
+    AccountKey key()
+    {
+        const std::string account = text("account");
+        return {AccountId(account), IdempotencyKey(text("key"))};
+    }
+    HeaderList headers(const char *name)
+    {
+        HeaderList list;
+        const auto field = object_.find(name);
+        if (field == object_.end() || !field->is_array()) {
+            good_ = false;
+            return list;
+        }
+        for (const Json &pair : *field)
+            addHeader(list, pair);
+        return list;
+    }
+    bool has(const char *name) const { return object_.contains(name); }
+    bool good() const { return good_; }
+
+private:
+    std::string fail()
+    {
+        good_ = false;
+        return {};
+    }
+    std::string textOf(const Json &value)
+    {
+        if (!value.is_string())
+            return fail();
+        const auto bytes = fromUtf8(value.get_ref<const std::string &>());
+        return bytes ? *bytes : fail();
+    }
+    void addHeader(HeaderList &list, const Json &pair)
+    {
+        if (!pair.is_array() || pair.size() != 2) {
+            good_ = false;
+            return;
+        }
+        std::string name = textOf(pair[0]);
+        list.emplace_back(std::move(name), textOf(pair[1]));
+    }
+
+    const Json &object_;
+    bool good_ = true;
+};
+
+Json keyed(const char *type, const AccountKey &key)
+{
+    return {{"type", type}, {"account", toUtf8(key.account.value)}, {"key", toUtf8(key.key.value)}};
+}
+
+Json toJson(const AgentStart &start)
+{
+    return {{"type", "start"},
+            {"server", toUtf8(start.server.value)},
+            {"agent", toUtf8(start.agent.value)},
+            {"incarnation", start.incarnation.value}};
+}
+
+Json toJson(const ClaimRequested &claim)
+{
+    Json object = keyed("claim", claim.key);
+    object["claim"] = toUtf8(claim.claim.value);
+    object["digest"] = toUtf8(claim.requestDigest);
+    object["server"] = toUtf8(claim.server.value);
+    object["incarnation"] = claim.incarnation.value;
+    object["fencing"] = claim.fencing.value;
+    object["validMs"] = static_cast<std::uint64_t>(claim.valid.count());
+    return object;
+}
+
+Json toJson(const ClaimVoid &entry)
+{
+    Json object = keyed("void", entry.key);
+    object["claim"] = toUtf8(entry.claim.value);
+    return object;
+}
+
+Json toJson(const ClaimOutcome &outcome)
+{
+    Json object = keyed("outcome", outcome.key);
+    object["claim"] = toUtf8(outcome.claim.value);
+    if (!outcome.answer)
+        return object;
+    object["status"] = outcome.answer->status;
+    object["body"] = toUtf8(outcome.answer->body);
+    Json &headers = object["headers"] = Json::array();
+    for (const auto &[name, value] : outcome.answer->headers)
+        headers.push_back(Json::array({toUtf8(name), toUtf8(value)}));
+    return object;
+}
+
+Json toJson(const ClaimSettlement &settlement)
+{
+    Json object = keyed("settlement", settlement.key);
+    object["ran"] = settlement.ran;
+    if (!settlement.claim.value.empty())
+        object["claim"] = toUtf8(settlement.claim.value);
+    return object;
+}
+
+AgentStart readStart(FieldReader &fields)
+{
+    AgentStart start;
+    start.server = ServerId(fields.text("server"));
+    start.agent = DaemonId(fields.text("agent"));
+    start.incarnation = Incarnation(fields.number("incarnation"));
+    return start;
+}
+
+ClaimRequested readClaim(FieldReader &fields)
+{
+    ClaimRequested claim;
+    claim.key = fields.key();
+    claim.claim = ClaimId(fields.text("claim"));
+    claim.requestDigest = fields.text("digest");
+    claim.server = ServerId(fields.text("server"));
+    claim.incarnation = Incarnation(fields.number("incarnation"));
+    claim.fencing = FencingNumber(fields.number("fencing"));
+    claim.valid = milliseconds(std::min(fields.number("validMs"), maxValidMs));
+    return claim;
+}
+
+ClaimOutcome readOutcome(FieldReader &fields)
+{
+    ClaimOutcome outcome;
+    outcome.key = fields.key();
+    outcome.claim = ClaimId(fields.text("claim"));
+    if (!fields.has("status"))
+        return outcome;
+    RecordedAnswer answer;
+    answer.status = static_cast<std::uint16_t>(fields.number("status"));
+    answer.headers = fields.headers("headers");
+    answer.body = fields.text("body");
+    outcome.answer = std::move(answer);
+    return outcome;
+}
+
+std::optional<ClaimEntry> readEntry(FieldReader &fields)
+{
+    const std::string type = fields.text("type");
+    if (type == "start")
+        return readStart(fields);
+    if (type == "claim")
+        return readClaim(fields);
+    if (type == "void") {
+        const AccountKey key = fields.key();
+        return ClaimVoid{key, ClaimId(fields.text("claim"))};
+    }
+    if (type == "outcome")
+        return readOutcome(fields);
+    if (type == "settlement") {
+        ClaimSettlement settlement{fields.key(), fields.flag("ran"), {}};
+        if (fields.has("claim"))
+            settlement.claim = ClaimId(fields.text("claim"));
+        return settlement;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string encodeClaimEntries(const std::vector<ClaimEntry> &entries)
+{
+    Json list = Json::array();
+    for (const ClaimEntry &entry : entries)
+        list.push_back(std::visit([](const auto &value) { return toJson(value); }, entry));
+    return list.dump();
+}
+
+DecodedClaimEntries decodeClaimEntries(std::string_view body)
+{
+    DecodedClaimEntries decoded;
+    const Json list = Json::parse(body, nullptr, false);
+    if (!list.is_array()) {
+        decoded.malformed = 1;
+        return decoded;
+    }
+    for (const Json &object : list) {
+        FieldReader fields(object);
+        std::optional<ClaimEntry> entry;
+        if (object.is_object())
+            entry = readEntry(fields);
+        if (entry && fields.good())
+            decoded.entries.push_back(std::move(*entry));
+        else
+            ++decoded.malformed;
+    }
+    return decoded;
+}
+
+} // namespace lovagecourse
--- /dev/null
+++ b/src/claims/ClaimFold.cpp
@@ -0,0 +1,224 @@
+#include "claims/ClaimFold.h"
+
+#include "claims/ClaimEntry.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace lovagecourse {
+
+namespace {
+
+/// Newest start of a server's agent.
+struct ServerStart
+{
+    FencingNumber fencing;
+    Incarnation incarnation;
+};
+
+/// What the log says of one key.
+struct KeyEntry
+{
+    /// The phase is as of the key's own records; newer starts are looked up when it is read.
+    KeyState state;
+    FencingNumber fencing;
+    /// Claims that ended without a run; none of them may stand again.
+    std::set<ClaimId> ended;
+    WallTime lastRecord;
+};
+
+} // namespace
+
+struct ClaimFold::Impl
+{
+    std::map<AccountKey, KeyEntry> keys;
+    std::unordered_map<ServerId, ServerStart> starts;
+    std::optional<LogOffset> lastOffset;
+    std::uint64_t malformed = 0;
+
+    KeyPhase phase(const KeyEntry &entry) const;
+    KeyEntry &touch(const AccountKey &key, const LogRecord &record);
+    void noteStart(const ServerId &server, FencingNumber fencing, Incarnation incarnation);
+    void apply(const AgentStart &start, const LogRecord &record);
+    void apply(const ClaimRequested &claim, const LogRecord &record);
+    void apply(const ClaimVoid &entry, const LogRecord &record);
+    void apply(const ClaimOutcome &outcome, const LogRecord &record);
+    void apply(const ClaimSettlement &settlement, const LogRecord &record);
+};
+
+KeyPhase ClaimFold::Impl::phase(const KeyEntry &entry) const
+{
+    if (entry.state.phase != KeyPhase::Claimed)
+        return entry.state.phase;
+    const auto start = starts.find(entry.state.server);
+    const bool newest = start == starts.end() || start->second.fencing <= entry.fencing;
+    return newest ? KeyPhase::Claimed : KeyPhase::Unsettled;
+}
+
+KeyEntry &ClaimFold::Impl::touch(const AccountKey &key, const LogRecord &record)
+{
+    KeyEntry &entry = keys[key];
+    entry.lastRecord = std::max(entry.lastRecord, record.time);
+    return entry;
+}
+
+void ClaimFold::Impl::noteStart(const ServerId &server, FencingNumber fencing,
+                                Incarnation incarnation)
+{
+    const auto [start, added] = starts.try_emplace(server, ServerStart{fencing, incarnation});
+    // A repeated start of the same run must not fence off the run's own claims.
+    if (added || start->second.incarnation == incarnation || fencing <= start->second.fencing)
+        return;
+    start->second = ServerStart{fencing, incarnation};
+}
+
+void ClaimFold::Impl::apply(const AgentStart &start, const LogRecord &record)
+{
+    noteStart(start.server, FencingNumber(record.offset.value), start.incarnation);
+}
+
+void ClaimFold::Impl::apply(const ClaimRequested &claim, const LogRecord &record)
+{
+    // The start's own record may have expired from the log before this daemon began to read.
+    noteStart(claim.server, claim.fencing, claim.incarnation);
+    KeyEntry &entry = touch(claim.key, record);
+    const bool outdated = claim.fencing < starts.at(claim.server).fencing;
+    const bool known = claim.claim == entry.state.claim || entry.ended.contains(claim.claim);
+    if (outdated || known || phase(entry) != KeyPhase::Free)
+        return;
+    if (!entry.state.claim.value.empty())
+        entry.ended.insert(entry.state.claim);
+    entry.state = KeyState{};
+    entry.state.phase = KeyPhase::Claimed;
+    entry.state.claim = claim.claim;
+    entry.state.server = claim.server;
+    entry.state.incarnation = claim.incarnation;
+    entry.state.requestDigest = claim.requestDigest;
+    entry.state.claimedAt = record.time;
+    entry.state.mayRunUntil = record.time + claim.valid;
+    entry.fencing = claim.fencing;
+}
+
+void ClaimFold::Impl::apply(const ClaimVoid &entry, const LogRecord &record)
+{
+    KeyEntry &stored = touch(entry.key, record);
+    const KeyPhase before = phase(stored);
+    const bool stands = before == KeyPhase::Claimed || before == KeyPhase::Unsettled;
+    if (stands && stored.state.claim == entry.claim)
+        stored.state = KeyState{};
+    if (stored.state.claim != entry.claim)
+        stored.ended.insert(entry.claim);
+}
+
+void ClaimFold::Impl::apply(const ClaimOutcome &outcome, const LogRecord &record)
+{
+    KeyEntry &entry = touch(outcome.key, record);
+    if (outcome.claim != entry.state.claim)
+        return;
+    if (outcome.answer && entry.state.phase != KeyPhase::Done) {
+        // Taken after a settlement too: the agent has the answer, so the request ran.
+        entry.state.phase = KeyPhase::Done;
+        entry.state.answer = *outcome.answer;
+        return;
+    }
+    if (entry.state.phase == KeyPhase::Claimed)
+        entry.state.phase = KeyPhase::Unsettled;
+}
+
+void ClaimFold::Impl::apply(const ClaimSettlement &settlement, const LogRecord &record)
+{
+    KeyEntry &entry = touch(settlement.key, record);
+    const bool named = !settlement.claim.value.empty();
+    if (named && settlement.claim != entry.state.claim)
+        return;
+    const KeyPhase before = phase(entry);
+    if (settlement.ran && before != KeyPhase::Done)
+        entry.state.phase = KeyPhase::SettledRan;
+    if (!settlement.ran && before == KeyPhase::Unsettled)
+        entry.state.phase = KeyPhase::Free;
+}
+
+ClaimFold::ClaimFold()
+    : impl_(std::make_unique<Impl>())
+{}
+
+ClaimFold::~ClaimFold() = default;
+
+void ClaimFold::apply(const LogRecord &record)
+{
+    // A follower that starts over reads records again.
+    if (impl_->lastOffset && record.offset <= *impl_->lastOffset)
+        return;
+    impl_->lastOffset = record.offset;
+    const DecodedClaimEntries decoded = decodeClaimEntries(record.body);
+    impl_->malformed += decoded.malformed;
+    for (const ClaimEntry &entry : decoded.entries)
+        std::visit([&](const auto &value) { impl_->apply(value, record); }, entry);
+}
+
+KeyState ClaimFold::state(const AccountKey &key) const
+{
+    const auto found = impl_->keys.find(key);
+    if (found == impl_->keys.end())
+        return {};
+    const KeyPhase phase = impl_->phase(found->second);
+    if (phase == KeyPhase::Free)
+        return {};
+    KeyState state = found->second.state;
+    state.phase = phase;
+    return state;
+}
+
+FencingNumber ClaimFold::newestStart(const ServerId &server) const
+{
+    const auto start = impl_->starts.find(server);
+    return start == impl_->starts.end() ? FencingNumber(0) : start->second.fencing;
+}
+
+std::optional<Incarnation> ClaimFold::newestIncarnation(const ServerId &server) const
+{
+    const auto start = impl_->starts.find(server);
+    if (start == impl_->starts.end())
+        return std::nullopt;
+    return start->second.incarnation;
+}
+
+std::vector<UnsettledKey> ClaimFold::unsettledKeys() const
+{
+    std::vector<UnsettledKey> keys;
+    for (const auto &[key, entry] : impl_->keys) {
+        if (impl_->phase(entry) == KeyPhase::Unsettled)
+            keys.push_back({key, state(key)});
+    }
+    return keys;
+}
+
+void ClaimFold::expire(WallTime olderThan)
+{
+    std::erase_if(impl_->keys,
+                  [&](const auto &item) { return item.second.lastRecord < olderThan; });
+}
+
+std::size_t ClaimFold::size() const
+{
+    return impl_->keys.size();
+}
+
+std::uint64_t ClaimFold::malformedEntries() const
+{
+    return impl_->malformed;
+}
+
+std::string settlementRecordBody(const AccountKey &key, bool ran)
+{
+    return settlementRecordBody(key, ClaimId(), ran);
+}
+
+std::string settlementRecordBody(const AccountKey &key, const ClaimId &claim, bool ran)
+{
+    return encodeClaimEntries({ClaimSettlement{key, ran, claim}});
+}
+
+} // namespace lovagecourse
--- a/src/claims/ClaimFold.h
+++ b/src/claims/ClaimFold.h
@@ -55,6 +55,10 @@
     RecordedAnswer answer;
     /// When the standing claim was stored, by the platform's clock.
     WallTime claimedAt;
+    /// The claim's deadline is over by then, by the platform's clock. Until then an agent that does
+    /// not read the log may still run the request, so a server that is asked whether it ran must
+    /// be asked later.
+    WallTime mayRunUntil;
 };
 
 /// Key that an operator may have to settle.
@@ -92,4 +96,11 @@
     std::unique_ptr<Impl> impl_;
 };
 
+/// Body of a record by which an operator settles a key. A settlement of not-run frees the key only
+/// if it is Unsettled at that point of the log.
+std::string settlementRecordBody(const AccountKey &key, bool ran);
+/// The same for one claim of the key: changes nothing once another claim stands, so that an answer
+/// of the server about an earlier claim is not taken for a later one.
+std::string settlementRecordBody(const AccountKey &key, const ClaimId &claim, bool ran);
+
 } // namespace lovagecourse
--- /dev/null
+++ b/src/claims/IdempotencyKeyCheck.cpp
@@ -0,0 +1,77 @@
+#include "claims/IdempotencyKeyCheck.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace lovagecourse {
+
+namespace {
+
+constexpr std::size_t uuidLength = 36;
+constexpr std::size_t versionPosition = 14;
+constexpr std::size_t variantPosition = 19;
+// The timestamp is the first 48 bits: 12 digits around the first dash.
+constexpr std::size_t timestampEnd = 13;
+constexpr seconds maxFuture{60};
+
+bool isDashPosition(std::size_t position)
+{
+    return position == 8 || position == 13 || position == 18 || position == 23;
+}
+
+std::optional<unsigned> hexDigit(char digit)
+{
+    if (digit >= '0' && digit <= '9')
+        return digit - '0';
+    if (digit >= 'a' && digit <= 'f')
+        return digit - 'a' + 10;
+    if (digit >= 'A' && digit <= 'F')
+        return digit - 'A' + 10;
+    return std::nullopt;
+}
+
+bool isUuidVersion7(std::string_view text)
+{
+    if (text.size() != uuidLength)
+        return false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const bool good = isDashPosition(i) ? text[i] == '-' : hexDigit(text[i]).has_value();
+        if (!good)
+            return false;
+    }
+    const unsigned variant = *hexDigit(text[variantPosition]);
+    return text[versionPosition] == '7' && (variant & 0xCU) == 0x8U;
+}
+
+} // namespace
+
+std::optional<WallTime> uuidVersion7Time(std::string_view text)
+{
+    if (!isUuidVersion7(text))
+        return std::nullopt;
+    std::uint64_t stamp = 0;
+    for (std::size_t i = 0; i < timestampEnd; ++i) {
+        if (!isDashPosition(i))
+            stamp = stamp << 4U | *hexDigit(text[i]);
+    }
+    // 48 bits of milliseconds reach beyond what the clock's nanoseconds can hold.
+    constexpr auto limit = std::chrono::floor<milliseconds>(WallTime::max().time_since_epoch());
+    if (stamp > static_cast<std::uint64_t>(limit.count()))
+        return WallTime::max();
+    return WallTime(milliseconds(stamp));
+}
+
+std::optional<RefusalReason> checkIdempotencyKey(const IdempotencyKey &key, WallTime now,
+                                                 seconds window)
+{
+    if (key.value.empty())
+        return RefusalReason::KeyMissing;
+    const std::optional<WallTime> time = uuidVersion7Time(key.value);
+    if (!time || *time > now + maxFuture)
+        return RefusalReason::KeyMalformed;
+    if (*time < now - window)
+        return RefusalReason::KeyTooOld;
+    return std::nullopt;
+}
+
+} // namespace lovagecourse
--- /dev/null
+++ b/tests/claims/ClaimFoldTest.cpp
@@ -0,0 +1,111 @@
+#include "claims/ClaimEntry.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lovagecourse;
+
+namespace {
+
+struct ClaimFoldFixture
+{
+    ClaimFold fold;
+    std::uint64_t offset = 0;
+    AccountKey key{AccountId("a"), IdempotencyKey("k")};
+    ServerId desk{"desk"};
+
+    void add(const std::vector<ClaimEntry> &entries) { addBody(encodeClaimEntries(entries)); }
+    void addBody(const std::string &body)
+    {
+        ++offset;
+        fold.apply({LogOffset(offset), "r", WallTime(seconds(offset)), body});
+    }
+    AgentStart start(std::uint64_t incarnation) const
+    {
+        return {desk, DaemonId("agent"), Incarnation(incarnation)};
+    }
+    ClaimRequested claim(const std::string &id, std::uint64_t incarnation,
+                         std::uint64_t fencing) const
+    {
+        return {key, ClaimId(id), "d", desk, Incarnation(incarnation), FencingNumber(fencing)};
+    }
+    KeyPhase phase() const { return fold.state(key).phase; }
+};
+
+} // namespace
+
+// Guards against a second claim that takes over a key, and against a key of another account.
+TEST_CASE_METHOD(ClaimFoldFixture, "claim fold, two claims of a key, first one stands")
+{
+    add({start(1)});
+    add({claim("c1", 1, 1), claim("c2", 1, 1)});
+    CHECK(fold.state(key).claim == ClaimId("c1"));
+    CHECK(fold.state({AccountId("b"), key.key}).phase == KeyPhase::Free);
+    add({ClaimVoid{key, ClaimId("c2")}});
+    CHECK(phase() == KeyPhase::Claimed);
+    add({ClaimVoid{key, ClaimId("c1")}, claim("c1", 1, 1)});
+    CHECK(phase() == KeyPhase::Free);
+    add({ClaimVoid{key, ClaimId("c3")}, claim("c3", 1, 1)});
+    CHECK(phase() == KeyPhase::Free);
+}
+
+// Guards against a claim of an ended run that turns up late and takes the key.
+TEST_CASE_METHOD(ClaimFoldFixture, "claim fold, claim of an older run, loses")
+{
+    add({start(1)});
+    add({start(2)});
+    add({claim("late", 1, 1)});
+    CHECK(phase() == KeyPhase::Free);
+    add({claim("c", 2, 2), start(2)});
+    CHECK(phase() == KeyPhase::Claimed);
+    CHECK(fold.newestStart(desk) == FencingNumber(2));
+    CHECK(fold.newestIncarnation(desk) == Incarnation(2));
+}
+
+// Guards against a settlement that frees a claim which may still run, and against one that is
+// meant for an earlier claim.
+TEST_CASE_METHOD(ClaimFoldFixture, "claim fold, settlement of not-run, frees only unsettled keys")
+{
+    add({start(1)});
+    add({claim("c1", 1, 1)});
+    addBody(settlementRecordBody(key, false));
+    CHECK(phase() == KeyPhase::Claimed);
+    add({start(2)});
+    CHECK(phase() == KeyPhase::Unsettled);
+    CHECK(fold.unsettledKeys().size() == 1);
+    addBody(settlementRecordBody(key, ClaimId("c0"), false));
+    CHECK(phase() == KeyPhase::Unsettled);
+
+    SECTION("not run")
+    {
+        addBody(settlementRecordBody(key, false));
+        CHECK(phase() == KeyPhase::Free);
+        add({claim("c1", 2, 4)});
+        CHECK(phase() == KeyPhase::Free);
+    }
+    SECTION("ran, and its answer turns up")
+    {
+        addBody(settlementRecordBody(key, true));
+        CHECK(phase() == KeyPhase::SettledRan);
+        add({ClaimOutcome{key, ClaimId("c1"), RecordedAnswer{200, {}, "x"}}});
+        CHECK(fold.state(key).answer.body == "x");
+    }
+}
+
+// Guards against damaged records that stop the fold or change a key, and against records that
+// count twice when a follower starts over.
+TEST_CASE_METHOD(ClaimFoldFixture, "claim fold, malformed or repeated records, changes nothing")
+{
+    for (const char *body : {"", "{}", "[1]", R"([{"type":"claim"}])", R"([{"type":"x"}])"})
+        addBody(body);
+    CHECK(fold.malformedEntries() == 5);
+    addBody(R"([{"type":"start","server":"desk","agent":"\u1234","incarnation":1}])");
+    addBody(R"([{"type":"start","server":"desk","agent":"a","incarnation":-1}])");
+    CHECK(fold.malformedEntries() == 7);
+    CHECK(fold.newestStart(desk) == FencingNumber(0));
+    add({claim("c1", 1, 1)});
+    --offset;
+    add({ClaimVoid{key, ClaimId("c1")}});
+    CHECK(phase() == KeyPhase::Claimed);
+    fold.expire(WallTime(seconds(offset + 1)));
+    CHECK(fold.size() == 0);
+}
