--- /dev/null
+++ b/src/claims/ClaimCoordinator.cpp
@@ -0,0 +1,393 @@
+#include "claims/ClaimCoordinator.h"
+
+#include "claims/ClaimAppendQueue.h"
+
+#include <algorithm>
+#include <list>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace lovagecourse {
+
+namespace {
+
+/// Where a claim of this run stands, from its queueing to its last record.
+enum class ClaimStage : std::uint8_t {
+    /// Queued, under way or not yet decided; its request waits.
+    Pending,
+    /// Its request may run.
+    Won,
+    /// Its request never runs; the void may not be in the log yet.
+    Abandoned,
+    /// Its request was sent, and what is known of it was queued.
+    Sent
+};
+
+struct OwnClaim
+{
+    AccountKey key;
+    TimePoint deadline;
+    ClaimStage stage = ClaimStage::Pending;
+    /// The claim's record was read.
+    bool readBack = false;
+    /// Known before the log has it, for repeats at this agent.
+    std::optional<RecordedAnswer> answer;
+};
+
+struct WaitingRequest
+{
+    ClaimRequest request;
+    ClaimCoordinator::DecisionHandler onDecision;
+    /// The request's own claim; empty while it waits for another's.
+    std::optional<ClaimId> claim;
+};
+
+ClaimDecision refuse(RefusalReason reason, Ran ran)
+{
+    return ClaimRefused{Refusal{reason, ran}};
+}
+
+std::string runPrefix(const ClaimOwner &owner)
+{
+    return owner.agent.value + "-" + std::to_string(owner.incarnation.value) + "-";
+}
+
+} // namespace
+
+struct ClaimCoordinator::Impl
+{
+    ClaimOwner owner;
+    ClaimFold fold;
+    ClaimAppendQueue queue;
+    std::list<WaitingRequest> waiting;
+    std::map<ClaimId, OwnClaim> claims;
+    std::uint64_t claimCount = 0;
+    std::optional<FencingNumber> fencing;
+    std::optional<LogOffset> next;
+    bool caughtUp = false;
+    bool recordsMissed = false;
+
+    explicit Impl(ClaimOwner initialOwner);
+    bool isFenced() const;
+    bool isAbandoned(const ClaimId &claim) const;
+    bool hasOtherLiveClaim(const WaitingRequest &item) const;
+    void advance(TimePoint now);
+    std::optional<ClaimDecision> decide(WaitingRequest &item, TimePoint now);
+    std::optional<ClaimDecision> decideByLog(const WaitingRequest &item,
+                                             const KeyState &state) const;
+    std::optional<ClaimDecision> decideByOwnRun(const ClaimId &claim) const;
+    ClaimDecision refuseUndecided(const WaitingRequest &item, const KeyState &state) const;
+    std::optional<ClaimDecision> decideOwnClaim(const WaitingRequest &item, const KeyState &state);
+    void queueClaim(WaitingRequest &item, TimePoint now);
+    void release(const WaitingRequest &item);
+    void abandon(const ClaimId &claim);
+    void finish(const ClaimId &claim, std::optional<RecordedAnswer> answer);
+    void onOwnEntry(const AgentStart &start, const LogRecord &record);
+    void onOwnEntry(const ClaimRequested &claim, const LogRecord &record);
+    void onOwnEntry(const ClaimVoid &entry, const LogRecord &record);
+    void onOwnEntry(const ClaimOutcome &outcome, const LogRecord &record);
+    void onOwnEntry(const ClaimSettlement &settlement, const LogRecord &record);
+    void apply(const LogRecord &record);
+};
+
+ClaimCoordinator::Impl::Impl(ClaimOwner initialOwner)
+    : owner(std::move(initialOwner))
+    , queue(runPrefix(owner) + "r")
+{
+    queue.push(AgentStart{owner.server, owner.agent, owner.incarnation});
+}
+
+bool ClaimCoordinator::Impl::isFenced() const
+{
+    return recordsMissed || (fencing && fold.newestStart(owner.server) > *fencing);
+}
+
+bool ClaimCoordinator::Impl::isAbandoned(const ClaimId &claim) const
+{
+    const auto own = claims.find(claim);
+    return own != claims.end() && own->second.stage == ClaimStage::Abandoned;
+}
+
+bool ClaimCoordinator::Impl::hasOtherLiveClaim(const WaitingRequest &item) const
+{
+    return std::any_of(claims.begin(), claims.end(), [&](const auto &entry) {
+        const auto &[id, own] = entry;
+        const bool live = own.stage != ClaimStage::Abandoned;
+        return live && own.key == item.request.key && id != item.claim;
+    });
+}
+
+void ClaimCoordinator::Impl::advance(TimePoint now)
+{
+    // Handlers may call back, so they run after the list is settled.
+    std::vector<std::pair<DecisionHandler, ClaimDecision>> decided;
+    for (auto item = waiting.begin(); item != waiting.end();) {
+        std::optional<ClaimDecision> decision = decide(*item, now);
+        if (!decision) {
+            ++item;
+            continue;
+        }
+        if (!std::holds_alternative<ClaimWon>(*decision))
+            release(*item);
+        decided.emplace_back(std::move(item->onDecision), std::move(*decision));
+        item = waiting.erase(item);
+    }
+    for (const auto &[onDecision, decision] : decided)
+        onDecision(decision);
+}
+
+std::optional<ClaimDecision> ClaimCoordinator::Impl::decide(WaitingRequest &item, TimePoint now)
+{
+    const KeyState state = fold.state(item.request.key);
+    if (auto decision = decideByLog(item, state))
+        return decision;
+    if (now >= item.request.deadline || isFenced())
+        return refuseUndecided(item, state);
+    if (item.claim)
+        return decideOwnClaim(item, state);
+    const bool free = state.phase == KeyPhase::Free || isAbandoned(state.claim);
+    if (free && fencing && !hasOtherLiveClaim(item))
+        queueClaim(item, now);
+    return std::nullopt;
+}
+
+/// Decides what the standing claim of the key already settles; empty when nothing is.
+std::optional<ClaimDecision> ClaimCoordinator::Impl::decideByLog(const WaitingRequest &item,
+                                                                 const KeyState &state) const
+{
+    const bool open = state.phase == KeyPhase::Claimed || state.phase == KeyPhase::Unsettled;
+    const bool own = item.claim && state.claim == *item.claim;
+    if (state.phase == KeyPhase::Free || (open && (own || isAbandoned(state.claim))))
+        return std::nullopt;
+    // An operator may settle a key whose claim, and digest, are not in the log.
+    const bool digestKnown = !state.requestDigest.empty();
+    if (digestKnown && state.requestDigest != item.request.requestDigest)
+        return refuse(RefusalReason::KeyConflict, Ran::No);
+    switch (state.phase) {
+    case KeyPhase::Done:
+        return ClaimReplay{state.answer};
+    case KeyPhase::SettledRan:
+        return refuse(RefusalReason::KeyUnsettled, Ran::Yes);
+    case KeyPhase::Unsettled:
+        return refuse(RefusalReason::KeyUnsettled, Ran::Unknown);
+    case KeyPhase::Claimed:
+    case KeyPhase::Free:
+        break;
+    }
+    return decideByOwnRun(state.claim);
+}
+
+/// Decides a repeat of a request that this agent sent, before the log has its outcome.
+std::optional<ClaimDecision> ClaimCoordinator::Impl::decideByOwnRun(const ClaimId &claim) const
+{
+    const auto own = claims.find(claim);
+    if (own == claims.end() || own->second.stage != ClaimStage::Sent)
+        return std::nullopt;
+    if (own->second.answer)
+        return ClaimReplay{*own->second.answer};
+    return refuse(RefusalReason::KeyUnsettled, Ran::Unknown);
+}
+
+ClaimDecision ClaimCoordinator::Impl::refuseUndecided(const WaitingRequest &item,
+                                                      const KeyState &state) const
+{
+    const bool own = item.claim && state.claim == *item.claim;
+    const bool others = state.phase == KeyPhase::Claimed && !own && !isAbandoned(state.claim);
+    if (others || hasOtherLiveClaim(item))
+        return refuse(RefusalReason::KeyInProgress, Ran::Unknown);
+    return refuse(RefusalReason::ClaimUnavailable, Ran::No);
+}
+
+std::optional<ClaimDecision> ClaimCoordinator::Impl::decideOwnClaim(const WaitingRequest &item,
+                                                                    const KeyState &state)
+{
+    OwnClaim &own = claims.at(*item.claim);
+    const bool stands = state.phase == KeyPhase::Claimed && state.claim == *item.claim;
+    // Records that are not read yet may hold a newer start of the server's agent.
+    if (!own.readBack || !stands || !caughtUp)
+        return std::nullopt;
+    own.stage = ClaimStage::Won;
+    return ClaimWon{*item.claim};
+}
+
+void ClaimCoordinator::Impl::queueClaim(WaitingRequest &item, TimePoint now)
+{
+    const ClaimId claim(runPrefix(owner) + "c" + std::to_string(++claimCount));
+    claims[claim] = OwnClaim{item.request.key, item.request.deadline};
+    item.claim = claim;
+    const auto valid = std::chrono::ceil<milliseconds>(item.request.deadline - now);
+    queue.push(ClaimRequested{item.request.key, claim, item.request.requestDigest, owner.server,
+                              owner.incarnation, *fencing, valid});
+}
+
+void ClaimCoordinator::Impl::release(const WaitingRequest &item)
+{
+    if (!item.claim)
+        return;
+    if (queue.dropClaim(*item.claim))
+        claims.erase(*item.claim);
+    else
+        abandon(*item.claim);
+}
+
+void ClaimCoordinator::Impl::abandon(const ClaimId &claim)
+{
+    const auto own = claims.find(claim);
+    if (own == claims.end())
+        return;
+    OwnClaim &entry = own->second;
+    if (entry.stage != ClaimStage::Pending && entry.stage != ClaimStage::Won)
+        return;
+    entry.stage = ClaimStage::Abandoned;
+    queue.push(ClaimVoid{entry.key, claim});
+}
+
+void ClaimCoordinator::Impl::finish(const ClaimId &claim, std::optional<RecordedAnswer> answer)
+{
+    const auto own = claims.find(claim);
+    if (own == claims.end() || own->second.stage != ClaimStage::Won)
+        return;
+    own->second.stage = ClaimStage::Sent;
+    own->second.answer = answer;
+    queue.push(ClaimOutcome{own->second.key, claim, std::move(answer)});
+}
+
+void ClaimCoordinator::Impl::onOwnEntry(const AgentStart & /*start*/, const LogRecord &record)
+{
+    if (!fencing)
+        fencing = FencingNumber(record.offset.value);
+}
+
+void ClaimCoordinator::Impl::onOwnEntry(const ClaimRequested &claim, const LogRecord & /*record*/)
+{
+    const auto own = claims.find(claim.claim);
+    if (own == claims.end())
+        return;
+    own->second.readBack = true;
+    if (fold.state(claim.key).claim == claim.claim)
+        return;
+    // Another claim stands, so this one never will; its request waits for the other.
+    claims.erase(own);
+    for (WaitingRequest &item : waiting) {
+        if (item.claim == claim.claim)
+            item.claim.reset();
+    }
+}
+
+void ClaimCoordinator::Impl::onOwnEntry(const ClaimVoid &entry, const LogRecord & /*record*/)
+{
+    claims.erase(entry.claim);
+}
+
+void ClaimCoordinator::Impl::onOwnEntry(const ClaimOutcome &outcome, const LogRecord & /*record*/)
+{
+    claims.erase(outcome.claim);
+}
+
+void ClaimCoordinator::Impl::onOwnEntry(const ClaimSettlement & /*settlement*/,
+                                        const LogRecord & /*record*/)
+{}
+
+void ClaimCoordinator::Impl::apply(const LogRecord &record)
+{
+    fold.apply(record);
+    for (const ClaimEntry &entry : queue.onRead(record.recordId))
+        std::visit([&](const auto &value) { onOwnEntry(value, record); }, entry);
+}
+
+ClaimCoordinator::ClaimCoordinator(ClaimOwner owner)
+    : impl_(std::make_unique<Impl>(std::move(owner)))
+{}
+
+ClaimCoordinator::~ClaimCoordinator() = default;
+
+void ClaimCoordinator::begin(const ClaimRequest &request, DecisionHandler onDecision, TimePoint now)
+{
+    impl_->waiting.push_back({request, std::move(onDecision), std::nullopt});
+    impl_->advance(now);
+}
+
+bool ClaimCoordinator::mayRun(const ClaimId &claim, TimePoint now) const
+{
+    const auto own = impl_->claims.find(claim);
+    if (own == impl_->claims.end() || own->second.stage != ClaimStage::Won)
+        return false;
+    if (now >= own->second.deadline || impl_->isFenced())
+        return false;
+    const KeyState state = impl_->fold.state(own->second.key);
+    return state.phase == KeyPhase::Claimed && state.claim == claim;
+}
+
+void ClaimCoordinator::giveUp(const ClaimId &claim)
+{
+    impl_->abandon(claim);
+}
+
+void ClaimCoordinator::recordOutcome(const ClaimId &claim, const RecordedAnswer &answer)
+{
+    impl_->finish(claim, answer);
+}
+
+void ClaimCoordinator::recordUnknown(const ClaimId &claim)
+{
+    impl_->finish(claim, std::nullopt);
+}
+
+std::optional<ClaimAppend> ClaimCoordinator::appendDue(TimePoint now)
+{
+    return impl_->queue.due(now);
+}
+
+void ClaimCoordinator::onAppendResult(const std::string &recordId, const AppendResult &result,
+                                      TimePoint now)
+{
+    for (const ClaimId &claim : impl_->queue.onResult(recordId, result, now)) {
+        const auto item = std::find_if(impl_->waiting.begin(), impl_->waiting.end(),
+                                       [&](const auto &entry) { return entry.claim == claim; });
+        impl_->abandon(claim);
+        if (item == impl_->waiting.end())
+            continue;
+        const DecisionHandler onDecision = std::move(item->onDecision);
+        impl_->waiting.erase(item);
+        onDecision(refuse(RefusalReason::ClaimUnavailable, Ran::No));
+    }
+}
+
+void ClaimCoordinator::onBatch(const LogBatch &batch, bool caughtUp, TimePoint now)
+{
+    if (impl_->next && batch.oldest > *impl_->next)
+        impl_->recordsMissed = true;
+    impl_->next = batch.next;
+    impl_->caughtUp = caughtUp;
+    for (const LogRecord &record : batch.records)
+        impl_->apply(record);
+    impl_->advance(now);
+}
+
+void ClaimCoordinator::onTick(TimePoint now)
+{
+    impl_->advance(now);
+}
+
+const ClaimFold &ClaimCoordinator::fold() const
+{
+    return impl_->fold;
+}
+
+void ClaimCoordinator::expire(WallTime olderThan)
+{
+    impl_->fold.expire(olderThan);
+}
+
+bool ClaimCoordinator::isFenced() const
+{
+    return impl_->isFenced();
+}
+
+std::size_t ClaimCoordinator::pendingEntries() const
+{
+    return impl_->queue.pending();
+}
+
+} // namespace lovagecourse
--- a/src/claims/ClaimCoordinator.h
+++ b/src/claims/ClaimCoordinator.h
@@ -90,6 +90,11 @@
     void onTick(TimePoint now);
 
     const ClaimFold &fold() const;
+    /// Forgets keys whose last record is older than the given time.
+    void expire(WallTime olderThan);
+    /// A newer run of the server's agent started, or records expired before they were read. No
+    /// claim is won any more; the agent needs a new incarnation.
+    bool isFenced() const;
     /// Claims, voids and outcomes that are not yet in the log.
     std::size_t pendingEntries() const;
 
