Judge silence per flow at the homes

Cause: an agent that alone used another home for 2 s lost the service that it reported there, since the home it returned to trusted the agent's word instead of its own sum. Change: a home starts a flow's sum anew only when no agent reported the flow for 2 s.

--- a/src/fairness/FairnessHome.cpp
+++ b/src/fairness/FairnessHome.cpp
@@ -13,10 +13,9 @@
 constexpr seconds backlogTimeout{2};
 /// Capacity of an agent that reports nothing for this long is not counted.
 constexpr seconds capacityTimeout{10};
-/// An agent that was not heard for this long may have reported to another home meanwhile, whose
-/// position already includes service of others that this home has not heard of. What the agent
-/// says is included then counts, not what this home remembers.
-constexpr seconds contributionTimeout{2};
+/// A flow that no agent reported here for this long may have had another home meanwhile. What the
+/// agents say is included then counts, not what this home remembers.
+constexpr seconds flowTimeout{2};
 /// Contributions are kept for this long, so that late reports of an earlier run are recognised.
 constexpr seconds contributionForgetAfter{30};
 /// Flows are forgotten after this time; agents that use them later report the known position.
@@ -35,11 +34,6 @@
     : self_(std::move(self))
 {}
 
-bool FairnessHome::isStale(const Contribution &contribution, TimePoint now)
-{
-    return now - contribution.lastHeard >= contributionTimeout;
-}
-
 bool FairnessHome::isBacklogged(const Flow &flow, TimePoint now)
 {
     return std::any_of(flow.agents.begin(), flow.agents.end(), [now](const auto &item) {
@@ -66,7 +60,7 @@
 }
 
 FairnessHome::Contribution *FairnessHome::contact(Flow &flow, const ServiceReport &report,
-                                                  const ServiceReportEntry &entry, TimePoint now)
+                                                  const ServiceReportEntry &entry)
 {
     const auto [found, isNew] = flow.agents.try_emplace(report.agent);
     Contribution &agent = found->second;
@@ -74,7 +68,7 @@
     if (isOldRun)
         return nullptr;
     const bool isFirstContact =
-            isNew || report.incarnation != agent.incarnation || isStale(agent, now);
+            isNew || report.incarnation != agent.incarnation || agent.lastHeard < flow.heardSince;
     if (isFirstContact) {
         flow.position = std::max(flow.position, entry.knownPosition);
         agent.incarnation = report.incarnation;
@@ -116,7 +110,9 @@
         Flow &flow = found->second;
         const bool isKnownElsewhere = isNew && entry.knownPosition > Position(0);
         const bool wasBacklogged = isBacklogged(flow, now);
-        Contribution *agent = contact(flow, report, entry, now);
+        if (now - flow.lastHeard >= flowTimeout)
+            flow.heardSince = now;
+        Contribution *agent = contact(flow, report, entry);
         if (!agent)
             continue;
         flow.lastHeard = now;
--- a/src/fairness/FairnessHome.h
+++ b/src/fairness/FairnessHome.h
@@ -19,13 +19,16 @@
 /// (AccountLedger::hold) and measured service in the reports.
 ///
 /// Reports are cumulative: lost, repeated and reordered ones change the sum only until the next
-/// one. A home that has not heard an agent's run for 2 s (it is new, restarted, was cut off or
-/// replaced another) takes the larger of its own and the agent's known position, then adds what
-/// that agent says is not included. This counts twice at most what the agent served between the
-/// totals that it holds and the newest totals that any agent holds, and misses at most what other
-/// agents reported before the largest known position arrived: one report interval each, plus the
-/// lost ones. Service of an agent's earlier runs stays in the position; what a run did not report
-/// before its end is missed.
+/// one. A home that has not heard of a flow for 2 s (it is new, restarted, was cut off or replaced
+/// another), or meets a new run of an agent, takes the larger of its own and the agent's known
+/// position, then adds what that agent says is not included. This counts twice at most what the
+/// agent served between the totals that it holds and the newest totals that any agent holds, and
+/// misses at most what other agents reported before the largest known position arrived: one report
+/// interval each, plus the lost ones. Service of an agent's earlier runs stays in the position;
+/// what a run did not report before its end is missed.
+///
+/// Agents must stop reporting to a dead home within 0.6 s and agree on homes within that time: no
+/// totals for 5 s, as when only gossip tells of the death, break the bound.
 ///
 /// Virtual time is kept per service, since positions of different services do not compare. An
 /// agent takes the lowest virtual time of the homes that answered it in the last 2 s, which is the
@@ -88,15 +91,16 @@
         TimePoint lastBacklogged;
         bool everBacklogged = false;
         TimePoint lastHeard;
+        /// Start of the time in which agents reported the flow here without a long pause.
+        TimePoint heardSince;
     };
 
     /// Null when a newer report of the agent was already heard.
     ServiceState *hear(const ServiceReport &report, const ServiceId &service, TimePoint now);
-    static bool isStale(const Contribution &contribution, TimePoint now);
     static bool isBacklogged(const Flow &flow, TimePoint now);
     /// The agent's contribution; null for a report of an earlier run.
     static Contribution *contact(Flow &flow, const ServiceReport &report,
-                                 const ServiceReportEntry &entry, TimePoint now);
+                                 const ServiceReportEntry &entry);
     static void clampStart(Flow &flow, const ServiceState &service, TimePoint now);
     void advanceVirtualTime(const ServiceId &id, ServiceState &service, TimePoint now);
 
