--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,4 +8,5 @@
     echo "Known failing tests, which are not run (see KNOWN-RED.txt):"
     cat KNOWN-RED.txt
 fi
-ctest --test-dir build --output-on-failure --no-tests=error
+# Each integration entry starts a fleet of its own; more at once would disturb their timing.
+ctest --test-dir build --output-on-failure --no-tests=error -j 3
--- a/src/agent/AgentNode.cpp
+++ b/src/agent/AgentNode.cpp
@@ -101,7 +101,7 @@
     std::unique_ptr<OrderSender> orders;
     std::unique_ptr<ConcurrencyLimit> limit;
     std::unique_ptr<OfferQueue> queue;
-    AccountLedger ledger;
+    std::unique_ptr<AccountLedger> ledger;
     /// This agent's server as the configuration has it; empty before it is added.
     std::optional<BackendServer> server;
     std::map<GrantId, std::unique_ptr<RequestRun>> runs;
@@ -133,7 +133,8 @@
         broadcastState();
         pumpGrants();
     });
-    reporter = std::make_unique<ServiceReporter>(*daemon, ledger);
+    ledger = std::make_unique<AccountLedger>(daemon->incarnation());
+    reporter = std::make_unique<ServiceReporter>(*daemon, *ledger);
     links = std::make_unique<EntryLinks>(*daemon, linkHandlers());
     if (const auto failure = links->listen())
         return failure;
@@ -317,11 +318,14 @@
 
 void AgentNode::Impl::pumpGrants()
 {
+    for (const QueuedOffer &expired : queue->takeExpired(now()))
+        links->send(expired.key.link,
+                    OfferRefused{expired.offer.offer, RefusalReason::DeadlineExpired});
     const bool mayGrant = server && limit && monitor->isUp() && !leaving;
     if (!mayGrant)
         return;
     const auto position = [this](const FlowId &flow) {
-        return ledger.position(flow, shareOf(flow));
+        return ledger->position(flow, shareOf(flow));
     };
     while (const auto next = queue->takeNext(now(), slotState(), position))
         grant(*next);
@@ -334,10 +338,10 @@
     const std::vector<FlowId> waiting = queue->waitingFlows();
     std::set<FlowId> current(waiting.begin(), waiting.end());
     for (const FlowId &flow : current)
-        ledger.setBacklogged(flow, shareOf(flow), true, now());
+        ledger->setBacklogged(flow, shareOf(flow), true, now());
     for (const FlowId &flow : backlogged) {
         if (!current.contains(flow))
-            ledger.setBacklogged(flow, shareOf(flow), false, now());
+            ledger->setBacklogged(flow, shareOf(flow), false, now());
     }
     backlogged = std::move(current);
 }
@@ -350,9 +354,9 @@
     run->offer = queued.offer;
     run->costClass = queued.offer.costClass;
     run->grantedAt = now();
-    run->charged = queued.offer.expected;
-    // Service units of a grant count at once, so that the next grant goes to another flow.
-    ledger.charge(queued.offer.flow, shareOf(queued.offer.flow), run->charged, now());
+    run->held = queued.offer.expected;
+    // The estimate counts at once, so that the next grant goes to another flow.
+    ledger->hold(queued.offer.flow, shareOf(queued.offer.flow), run->held, now());
     links->send(run->link, Grant{run->grant, queued.offer.offer});
     daemon->metrics().count("lovagecourse_grants_total");
     runs.emplace(run->grant, std::move(run));
@@ -525,10 +529,11 @@
     const Service *service = findService(run.offer.flow.service);
     if (service && run.consumed > service->longAbove)
         run.costClass = CostClass::Long;
-    if (run.consumed <= run.charged)
-        return;
-    ledger.charge(run.offer.flow, shareOf(run.offer.flow), run.consumed - run.charged, now());
-    run.charged = run.consumed;
+    const Share share = shareOf(run.offer.flow);
+    ledger->charge(run.offer.flow, share, work, now());
+    const Work released = std::min(work, run.held);
+    run.held -= released;
+    ledger->hold(run.offer.flow, share, Work() - released, now());
 }
 
 void AgentNode::Impl::onBackendEnd(GrantId grant, BackendOutcome outcome)
@@ -598,7 +603,7 @@
     const std::unique_ptr<RequestRun> run = std::move(found->second);
     runs.erase(found);
     // An estimate that was too high is given back.
-    ledger.charge(run->offer.flow, shareOf(run->offer.flow), run->consumed - run->charged, now());
+    ledger->hold(run->offer.flow, shareOf(run->offer.flow), Work() - run->held, now());
     if (!run->abandoned)
         links->send(run->link, AnswerEnd{grant, complete, refusal, run->consumed});
     if (!complete)
@@ -621,10 +626,11 @@
         runs.at(grant)->abandoned = true;
         finish(grant, false, Refusal{RefusalReason::NoServer, Ran::No});
     }
-    queue->takeExpired(now());
     if (limit)
         limit->onTick(now(), static_cast<int>(runs.size()), queue->size() > 0);
     pumpGrants();
+    if (journal && journal->coordinator().isFenced())
+        beginLeaving("a newer run of its server's agent started");
     if (now() - lastState >= stateInterval)
         broadcastState();
     exitWhenDrained();
@@ -666,7 +672,7 @@
     page["limit"] = limit ? limit->limit() : 0;
     page["in_flight"] = runs.size();
     page["queued_offers"] = queue->size();
-    page["virtual_time"] = ledger.virtualTime().value;
+    page["virtual_time"] = ledger->virtualTime().value;
     page["accounts"] = nlohmann::json::array();
     for (const auto &[account, details] : daemon->configuration().state().accounts) {
         for (const ServiceId &service : server ? server->services : std::vector<ServiceId>{}) {
@@ -674,7 +680,7 @@
             page["accounts"].push_back({{"name", account.value},
                                         {"service", service.value},
                                         {"share", details.share.value},
-                                        {"position", ledger.position(flow, details.share).value},
+                                        {"position", ledger->position(flow, details.share).value},
                                         {"backlogged", backlogged.contains(flow)}});
         }
     }
--- a/src/agent/RequestRun.h
+++ b/src/agent/RequestRun.h
@@ -39,8 +39,8 @@
     /// By when the entry wants an answer.
     TimePoint deadline;
     GrantAccept request;
-    /// Service charged so far, from the estimate at the grant on.
-    Work charged;
+    /// Part of the estimate that is still held against the flow.
+    Work held;
     /// Service consumed so far.
     Work consumed;
     bool sawFirstPart = false;
--- a/src/agent/ServiceReporter.cpp
+++ b/src/agent/ServiceReporter.cpp
@@ -74,7 +74,9 @@
     std::vector<DaemonId> live;
     for (const auto &[entry, endpoint] : homes_)
         live.push_back(entry);
-    std::map<DaemonId, ServiceReport> reports;
+    // Positions of different services do not compare, so each report is of one service.
+    using ReportKey = std::pair<DaemonId, ServiceId>;
+    std::map<ReportKey, ServiceReport> reports;
     const auto send = [this](const DaemonId &home, ServiceReport &report) {
         byteBudget_ -= datagramBytes + entryBytes * static_cast<double>(report.entries.size());
         daemon_.datagrams().send(daemon_.route(homes_.at(home)), report);
@@ -83,18 +85,18 @@
     for (const ServiceReportEntry &entry :
          ledger_.reportsDue(daemon_.now(), static_cast<std::size_t>(affordable))) {
         const DaemonId home = *chooseHome(entry.flow, live);
-        ServiceReport &report = reports[home];
+        ServiceReport &report = reports[ReportKey(home, entry.flow.service)];
         report.agent = daemon_.settings().name;
         report.incarnation = daemon_.incarnation();
-        report.virtualTime = ledger_.virtualTime();
+        report.virtualTime = ledger_.virtualTime(entry.flow.service);
         report.capacityPerSecond = capacityPerSecond_;
         report.entries.push_back(entry);
         if (report.entries.size() == entriesPerDatagram)
             send(home, report);
     }
-    for (auto &[home, report] : reports) {
+    for (auto &[key, report] : reports) {
         if (!report.entries.empty())
-            send(home, report);
+            send(key.first, report);
     }
 }
 
--- a/src/entry/RequestIntake.cpp
+++ b/src/entry/RequestIntake.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::string_view bearerPrefix = "Bearer ";
 constexpr std::size_t prefixBytes = 256;
-constexpr std::int64_t maxDeadlineMs = 3600 * 1000;
+constexpr std::int64_t maxDeadlineMs = 3'600'000;
 // No request names more work than this; larger hints are input errors.
 constexpr std::int64_t maxHint = 100'000'000;
 
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -229,8 +229,8 @@
     transfer->body = request.body;
     transfer->handlers = std::move(handlers);
     for (const auto &[name, value] : request.headers)
-        transfer->headerLines =
-                curl_slist_append(transfer->headerLines, (name + ": " + value).c_str());
+        transfer->headerLines = curl_slist_append(
+                transfer->headerLines, std::string(name).append(": ").append(value).c_str());
     // Without this, libcurl waits for "100 Continue" before larger bodies.
     transfer->headerLines = curl_slist_append(transfer->headerLines, "Expect:");
 
--- a/tests/integration/HttpCall.cpp
+++ b/tests/integration/HttpCall.cpp
@@ -56,7 +56,7 @@
     CURL *easy = curl_easy_init();
     curl_slist *lines = curl_slist_append(nullptr, "Expect:");
     for (const auto &[name, value] : headers)
-        lines = curl_slist_append(lines, (name + ": " + value).c_str());
+        lines = curl_slist_append(lines, std::string(name).append(": ").append(value).c_str());
     curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
--- a/tests/integration/Process.cpp
+++ b/tests/integration/Process.cpp
@@ -27,6 +27,7 @@
 Process::Process(const std::vector<std::string> &command, const std::string &logFile)
 {
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string &argument : command)
         arguments.push_back(const_cast<char *>(argument.c_str()));
     arguments.push_back(nullptr);
--- a/tests/integration/RequestPathTest.cpp
+++ b/tests/integration/RequestPathTest.cpp
@@ -23,7 +23,8 @@
 } // namespace
 
 // Guards against a break anywhere on the path from a caller to a server and back.
-TEST_CASE_METHOD(RequestPathFixture, "request path, two entries and three servers, answers whole")
+TEST_CASE_METHOD(RequestPathFixture, "request path, two entries and three servers, answers whole",
+                 "[path]")
 {
     const HttpOutcome stream = fleet.chat(1, "a", "hello", 5, true);
     CHECK(stream.isWhole());
