Add operator commands that list and settle unsettled keys

Cause: a claim whose agent died stays "may have run" until an operator settles it, and there was no command for that.

"lovagecourse keys unsettled" lists such keys; "keys settle ACCOUNT KEY ran|not-run" appends a settlement for the listed claim and reads the result back. It refuses before the claim's deadline. The fold checks the same with the record's time, so that the command's clock does not decide: a settlement of "not run" that is stored before mayRunUntil changes nothing. NoteLog takes the stream's name and shares its failure texts with the new command.

Ruled out: a check in the command alone, since hosts' clocks differ.

--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -1,6 +1,7 @@
 #include "app/CommandLine.h"
 
 #include "agent/AgentNode.h"
+#include "app/KeyCommands.h"
 #include "app/NoteCommands.h"
 #include "app/StatusCommand.h"
 #include "core/Log.h"
@@ -26,6 +27,8 @@
   agent  --settings FILE [--check]   run the process beside a backend server
   note   submit FILE | list | show N | state | history
                                      drive the system by release notes
+  keys   unsettled | settle ACCOUNT KEY ran|not-run
+                                     settle requests that may have run
   status --admin ADDRESS [--json]    show a running process
 )";
 
@@ -96,6 +99,8 @@
         return runDaemon(DaemonRole::Agent, argc - 1, argv + 1);
     if (command == "note")
         return runNoteCommand(argc - 1, argv + 1);
+    if (command == "keys")
+        return runKeyCommand(argc - 1, argv + 1);
     if (command == "status")
         return runStatusCommand(argc - 1, argv + 1);
     const bool wantsHelp = command == "--help" || command == "help";
--- /dev/null
+++ b/src/app/KeyCommands.cpp
@@ -0,0 +1,208 @@
+#include "app/KeyCommands.h"
+
+#include "app/CommandLine.h"
+#include "app/NoteCommands.h"
+#include "app/NoteLog.h"
+#include "claims/ClaimFold.h"
+
+#include <cxxopts.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <ctime>
+#include <iomanip>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+namespace lovagecourse {
+
+namespace {
+
+constexpr double longestTimeoutSeconds = 3600;
+
+struct KeyOptions
+{
+    std::string command;
+    std::vector<std::string> arguments;
+    std::string platformUrl;
+    bool isJson = false;
+    bool isHelp = false;
+    milliseconds timeout{10000};
+};
+
+cxxopts::Options commandOptions()
+{
+    cxxopts::Options options("lovagecourse keys", "Idempotency keys whose requests may have run");
+    options.positional_help("unsettled | settle ACCOUNT KEY ran|not-run");
+    options.add_options()("platform", "URL of the platform, else from LOVAGECOURSE_PLATFORM",
+                          cxxopts::value<std::string>());
+    options.add_options()("json", "print JSON");
+    options.add_options()("timeout", "seconds before a read or an append gives up",
+                          cxxopts::value<double>()->default_value("10"));
+    options.add_options()("help", "print this text");
+    options.add_options("hidden")("command", "", cxxopts::value<std::string>());
+    options.add_options("hidden")("arguments", "", cxxopts::value<std::vector<std::string>>());
+    options.parse_positional({"command", "arguments"});
+    return options;
+}
+
+std::optional<KeyOptions> usageFault(const std::string &fault)
+{
+    std::cerr << "lovagecourse keys: " << fault << '\n' << commandOptions().help({""});
+    return std::nullopt;
+}
+
+std::optional<KeyOptions> checkOptions(const cxxopts::ParseResult &parsed)
+{
+    KeyOptions options;
+    options.isHelp = parsed.count("help") > 0;
+    if (options.isHelp)
+        return options;
+    if (parsed.count("command") > 0)
+        options.command = parsed["command"].as<std::string>();
+    if (parsed.count("arguments") > 0)
+        options.arguments = parsed["arguments"].as<std::vector<std::string>>();
+    const char *url = std::getenv("LOVAGECOURSE_PLATFORM");
+    options.platformUrl = url == nullptr ? "" : url;
+    if (parsed.count("platform") > 0)
+        options.platformUrl = parsed["platform"].as<std::string>();
+    options.isJson = parsed.count("json") > 0;
+    const double timeout = parsed["timeout"].as<double>();
+    if (!(timeout > 0 && timeout <= longestTimeoutSeconds))
+        return usageFault("--timeout: expected seconds above 0, at most 3600");
+    options.timeout = milliseconds(static_cast<std::int64_t>(timeout * 1000) + 1);
+    const bool isSettle = options.command == "settle";
+    if (!isSettle && options.command != "unsettled")
+        return usageFault("expected unsettled or settle");
+    if (options.arguments.size() != (isSettle ? 3U : 0U))
+        return usageFault(options.command + ": expected "
+                          + (isSettle ? "ACCOUNT KEY ran|not-run" : "no argument"));
+    if (isSettle && options.arguments[2] != "ran" && options.arguments[2] != "not-run")
+        return usageFault("settle: expected ran or not-run");
+    if (options.platformUrl.empty())
+        return usageFault("--platform: expected the URL of the platform");
+    return options;
+}
+
+std::optional<KeyOptions> parseOptions(int argc, char **argv)
+{
+    try {
+        return checkOptions(commandOptions().parse(argc, argv));
+    } catch (const cxxopts::exceptions::exception &fault) {
+        return usageFault(fault.what());
+    }
+}
+
+/// Reads and folds the whole stream; prints why it can't.
+bool readClaims(NoteLog &log, ClaimFold &fold)
+{
+    const ReadResult result = log.readAll(LogOffset(0));
+    if (const auto *failure = std::get_if<PlatformFailure>(&result)) {
+        std::cerr << "the platform can't be reached: " << toString(*failure) << '\n';
+        return false;
+    }
+    for (const LogRecord &record : std::get<LogBatch>(result).records)
+        fold.apply(record);
+    return true;
+}
+
+/// UTC, such as 2026-03-14T09:26:53Z.
+std::string formatTime(WallTime time)
+{
+    const std::time_t count = std::chrono::system_clock::to_time_t(time);
+    std::tm parts{};
+    gmtime_r(&count, &parts);
+    std::ostringstream text;
+    text << std::put_time(&parts, "%Y-%m-%dT%H:%M:%SZ");
+    return text.str();
+}
+
+int printUnsettled(const KeyOptions &options, const ClaimFold &fold)
+{
+    nlohmann::json rows = nlohmann::json::array();
+    for (const auto &[key, state] : fold.unsettledKeys()) {
+        if (!options.isJson) {
+            std::cout << "account " << key.account << ", key " << key.key << ", server "
+                      << state.server << ", claimed " << formatTime(state.claimedAt)
+                      << ", may run until " << formatTime(state.mayRunUntil) << '\n';
+            continue;
+        }
+        rows.push_back({{"account", key.account.value},
+                        {"key", key.key.value},
+                        {"server", state.server.value},
+                        {"claim", state.claim.value},
+                        {"claimed_at_ms", toEpochMilliseconds(state.claimedAt)},
+                        {"may_run_until_ms", toEpochMilliseconds(state.mayRunUntil)}});
+    }
+    if (options.isJson)
+        std::cout << rows.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) << '\n';
+    return 0;
+}
+
+/// Settles one key, from the check of its state to the state that the log then gives it.
+int settle(const KeyOptions &options, NoteLog &log, const ClaimFold &before)
+{
+    const AccountKey key{AccountId(options.arguments[0]), IdempotencyKey(options.arguments[1])};
+    const bool ran = options.arguments[2] == "ran";
+    const KeyState state = before.state(key);
+    if (state.phase != KeyPhase::Unsettled) {
+        std::cerr << "the key is not unsettled; nothing was settled\n";
+        return exitKeyNotUnsettled;
+    }
+    if (SystemClock().wallNow() < state.mayRunUntil) {
+        std::cerr << "the request may still run until " << formatTime(state.mayRunUntil)
+                  << "; ask the server after that time; nothing was settled\n";
+        return exitKeyMayRun;
+    }
+    const std::string recordId = randomRecordId("settlement-");
+    const auto appended = log.append(recordId, settlementRecordBody(key, state.claim, ran));
+    if (const auto *failure = std::get_if<NoteAppendFailure>(&appended)) {
+        std::cerr << "the platform can't be reached: " << toString(failure->failure) << "; "
+                  << (failure->mayBeStored ? "the settlement may have been stored"
+                                           : "nothing was settled")
+                  << '\n';
+        return exitPlatform;
+    }
+    ClaimFold after;
+    if (!readClaims(log, after))
+        return exitPlatform;
+    const KeyState settled = after.state(key);
+    // A claim of a later call may stand already after a settlement of not-run.
+    const bool isOpen = settled.phase == KeyPhase::Unsettled && settled.claim == state.claim;
+    if (isOpen) {
+        std::cerr << "by the platform's clock the request may still run; nothing was settled\n";
+        return exitKeyMayRun;
+    }
+    const bool isKnownToRun = settled.claim == state.claim;
+    if (isKnownToRun != ran) {
+        std::cerr << "the log settled the key otherwise before\n";
+        return exitKeyNotUnsettled;
+    }
+    if (options.isJson)
+        std::cout << nlohmann::json{{"settled", options.arguments[2]}} << '\n';
+    else
+        std::cout << "the key is settled as " << options.arguments[2] << '\n';
+    return 0;
+}
+
+} // namespace
+
+int runKeyCommand(int argc, char **argv)
+{
+    const auto options = parseOptions(argc, argv);
+    if (!options)
+        return exitUsage;
+    if (options->isHelp) {
+        std::cout << commandOptions().help({""});
+        return 0;
+    }
+    NoteLog log(options->platformUrl, options->timeout, "claims");
+    ClaimFold fold;
+    if (!readClaims(log, fold))
+        return exitPlatform;
+    return options->command == "settle" ? settle(*options, log, fold)
+                                        : printUnsettled(*options, fold);
+}
+
+} // namespace lovagecourse
--- a/src/app/NoteCommands.cpp
+++ b/src/app/NoteCommands.cpp
@@ -11,12 +11,9 @@
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
-#include <iomanip>
 #include <iostream>
 #include <iterator>
 #include <optional>
-#include <random>
-#include <sstream>
 
 namespace lovagecourse {
 
@@ -123,30 +120,6 @@
         std::cerr << file << ':' << (fault.line == 0 ? " " : "") << toString(fault) << '\n';
 }
 
-std::string toString(const PlatformFailure &failure)
-{
-    if (std::holds_alternative<PlatformAnswerMalformed>(failure))
-        return "its answer has another form than expected";
-    if (const auto *rejected = std::get_if<PlatformRejected>(&failure))
-        return "it rejected the request with status " + std::to_string(rejected->httpStatus);
-    const auto &unavailable = std::get<PlatformUnavailable>(failure);
-    if (unavailable.httpStatus != 0)
-        return "it answered with status " + std::to_string(unavailable.httpStatus);
-    if (unavailable.curlCode != 0)
-        return "transfer failure " + std::to_string(unavailable.curlCode) + " of libcurl";
-    return "no answer came in time";
-}
-
-std::string randomRecordId()
-{
-    std::random_device random;
-    std::ostringstream id;
-    id << "note-" << std::hex;
-    for (int word = 0; word < 4; ++word)
-        id << std::setw(8) << std::setfill('0') << random();
-    return id.str();
-}
-
 /// Reads and folds the whole log; prints why it can't.
 std::optional<NoteHistory> readHistory(NoteLog &log)
 {
@@ -228,7 +201,7 @@
 
     int append(const std::string &text)
     {
-        const std::string recordId = randomRecordId();
+        const std::string recordId = randomRecordId("note-");
         const auto appended = log_.append(recordId, noteRecordBody(text));
         if (const auto *offset = std::get_if<LogOffset>(&appended))
             return readVerdict(*offset);
--- a/src/app/NoteLog.cpp
+++ b/src/app/NoteLog.cpp
@@ -1,15 +1,16 @@
 #include "app/NoteLog.h"
 
 #include <algorithm>
+#include <iomanip>
 #include <memory>
 #include <random>
+#include <sstream>
 #include <utility>
 
 namespace lovagecourse {
 
 namespace {
 
-const std::string streamName = "configuration";
 // An answer later than this is treated as lost and the append is repeated.
 constexpr milliseconds attemptTimeout{2000};
 constexpr milliseconds firstPause{100};
@@ -36,9 +37,34 @@
 
 } // namespace
 
-NoteLog::NoteLog(const std::string &platformUrl, milliseconds timeout)
+std::string toString(const PlatformFailure &failure)
+{
+    if (std::holds_alternative<PlatformAnswerMalformed>(failure))
+        return "its answer has another form than expected";
+    if (const auto *rejected = std::get_if<PlatformRejected>(&failure))
+        return "it rejected the request with status " + std::to_string(rejected->httpStatus);
+    const auto &unavailable = std::get<PlatformUnavailable>(failure);
+    if (unavailable.httpStatus != 0)
+        return "it answered with status " + std::to_string(unavailable.httpStatus);
+    if (unavailable.curlCode != 0)
+        return "transfer failure " + std::to_string(unavailable.curlCode) + " of libcurl";
+    return "no answer came in time";
+}
+
+std::string randomRecordId(const std::string &prefix)
+{
+    std::random_device random;
+    std::ostringstream id;
+    id << prefix << std::hex;
+    for (int word = 0; word < 4; ++word)
+        id << std::setw(8) << std::setfill('0') << random();
+    return id.str();
+}
+
+NoteLog::NoteLog(const std::string &platformUrl, milliseconds timeout, std::string stream)
     : http_(loop_)
     , client_(http_, platformUrl)
+    , stream_(std::move(stream))
     , timeout_(timeout)
 {}
 
@@ -82,7 +108,7 @@
     for (;;) {
         const ReadResult result =
                 await<ReadResult>(deadline, [&](std::function<void(const ReadResult &)> onDone) {
-                    client_.read(streamName, all.next, milliseconds(0), std::move(onDone));
+                    client_.read(stream_, all.next, milliseconds(0), std::move(onDone));
                 });
         const auto *batch = std::get_if<LogBatch>(&result);
         if (batch == nullptr) {
@@ -111,7 +137,7 @@
                 deadline, [&](std::function<void(const AppendResult &)> onDone) {
                     const milliseconds limit =
                             std::min(attemptTimeout, remaining(clock_, deadline));
-                    client_.append(streamName, recordId, body, limit, std::move(onDone));
+                    client_.append(stream_, recordId, body, limit, std::move(onDone));
                 });
         if (const auto *offset = std::get_if<LogOffset>(&result))
             return *offset;
--- a/src/app/NoteLog.h
+++ b/src/app/NoteLog.h
@@ -19,12 +19,18 @@
     PlatformFailure failure;
 };
 
-/// Blocking access of the note commands to stream "configuration".
+/// What went wrong, as the end of a sentence about the platform.
+std::string toString(const PlatformFailure &failure);
+/// Fresh record id that begins with the prefix.
+std::string randomRecordId(const std::string &prefix);
+
+/// Blocking access of the operators' commands to one stream of the log.
 class NoteLog
 {
 public:
     /// Each call gives up after the timeout.
-    NoteLog(const std::string &platformUrl, milliseconds timeout);
+    NoteLog(const std::string &platformUrl, milliseconds timeout,
+            std::string stream = "configuration");
 
     /// Reads all records that are there from the offset on; retries while the platform is down.
     ReadResult readAll(LogOffset from);
@@ -43,6 +49,7 @@
     EventLoop loop_;
     HttpClient http_;
     LogClient client_;
+    std::string stream_;
     milliseconds timeout_;
     SystemClock clock_;
 };
--- a/src/claims/ClaimFold.cpp
+++ b/src/claims/ClaimFold.cpp
@@ -136,7 +136,9 @@
     const KeyPhase before = phase(entry);
     if (settlement.ran && before != KeyPhase::Done)
         entry.state.phase = KeyPhase::SettledRan;
-    if (!settlement.ran && before == KeyPhase::Unsettled)
+    // Earlier, an agent that does not read the log may still run the request.
+    const bool isOver = record.time >= entry.state.mayRunUntil;
+    if (!settlement.ran && before == KeyPhase::Unsettled && isOver)
         entry.state.phase = KeyPhase::Free;
 }
 
--- a/src/claims/ClaimFold.h
+++ b/src/claims/ClaimFold.h
@@ -97,7 +97,7 @@
 };
 
 /// Body of a record by which an operator settles a key. A settlement of not-run frees the key only
-/// if it is Unsettled at that point of the log.
+/// if it is Unsettled at that point of the log and the record's time is not before mayRunUntil.
 std::string settlementRecordBody(const AccountKey &key, bool ran);
 /// The same for one claim of the key: changes nothing once another claim stands, so that an answer
 /// of the server about an earlier claim is not taken for a later one.
--- a/tests/claims/ClaimFoldTest.cpp
+++ b/tests/claims/ClaimFoldTest.cpp
@@ -66,7 +66,9 @@
 TEST_CASE_METHOD(ClaimFoldFixture, "claim fold, settlement of not-run, frees only unsettled keys")
 {
     add({start(1)});
-    add({claim("c1", 1, 1)});
+    ClaimRequested first = claim("c1", 1, 1);
+    first.valid = seconds(5);
+    add({first});
     addBody(settlementRecordBody(key, false));
     CHECK(phase() == KeyPhase::Claimed);
     add({start(2)});
@@ -74,6 +76,9 @@
     CHECK(fold.unsettledKeys().size() == 1);
     addBody(settlementRecordBody(key, ClaimId("c0"), false));
     CHECK(phase() == KeyPhase::Unsettled);
+    // An agent that does not read the log may run the claim until 5 s after it was stored.
+    addBody(settlementRecordBody(key, false));
+    CHECK(phase() == KeyPhase::Unsettled);
 
     SECTION("not run")
     {
