--- a/src/agent/AgentNode.cpp
+++ b/src/agent/AgentNode.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
 #include <map>
 
 namespace lovagecourse {
@@ -376,10 +377,15 @@
     RequestRun &run = *found->second;
     run.request = std::move(accept);
     run.deadline = now() + milliseconds(run.request.deadlineMs);
-    if (run.request.idempotencyKey.value.empty())
-        send(run);
-    else
+    const Service *service = findService(run.offer.flow.service);
+    const bool needsClaim = service && !service->repeatable;
+    const bool hasKey = !run.request.idempotencyKey.value.empty();
+    if (hasKey)
         claim(run);
+    else if (needsClaim) // The entry has an older configuration, in which it was repeatable.
+        finish(run.grant, false, Refusal{RefusalReason::ClaimUnavailable, Ran::No});
+    else
+        send(run);
 }
 
 void AgentNode::Impl::onCancel(std::uint64_t link, GrantId grant)
@@ -392,7 +398,10 @@
     // A claimed request that the server has runs to its outcome, which later calls get.
     const bool runsOn = run.claim && run.phase != RunPhase::Claiming;
     if (!runsOn)
-        finish(grant, false, Refusal{RefusalReason::CallerLeft, Ran::Unknown});
+        return finish(grant, false, Refusal{RefusalReason::CallerLeft, Ran::Unknown});
+    // Nobody gives credit any more, but the whole answer must be recorded.
+    if (run.backend)
+        run.backend->addCredit(std::numeric_limits<std::uint32_t>::max());
 }
 
 void AgentNode::Impl::onLinkDown(std::uint64_t link)
@@ -418,11 +427,9 @@
     request.requestDigest = digestOf(run.offer, run.request);
     request.deadline = run.deadline;
     const GrantId grant = run.grant;
-    journal->coordinator().begin(
-            request,
-            [this, grant](const ClaimDecision &decision) { onClaimDecision(grant, decision); },
-            now());
-    journal->pump();
+    journal->begin(request, [this, grant](const ClaimDecision &decision) {
+        onClaimDecision(grant, decision);
+    });
 }
 
 void AgentNode::Impl::onClaimDecision(GrantId grant, const ClaimDecision &decision)
@@ -471,6 +478,10 @@
     if (run.claim) {
         request.headers.emplace_back("idempotency-key", run.request.idempotencyKey.value);
         request.totalTimeout += claimedGrace;
+        // A request that the agent could not send by its deadline, such as after a pause of the
+        // process, must not be sent: operators settle keys after that time.
+        const auto left = std::chrono::ceil<milliseconds>(run.deadline - now());
+        request.connectTimeout = std::clamp(left, milliseconds(1), request.connectTimeout);
         request.freshConnection = true;
     }
     if (run.request.resumeFromEvent > 0)
--- a/src/agent/ClaimJournal.cpp
+++ b/src/agent/ClaimJournal.cpp
@@ -1,6 +1,6 @@
 #include "agent/ClaimJournal.h"
 
-#include "core/Log.h"
+#include "claims/IdempotencyKeyCheck.h"
 
 namespace lovagecourse {
 
@@ -10,6 +10,11 @@
 constexpr milliseconds tickInterval{20};
 // Longer than a slow append takes; after it, the same record is appended again.
 constexpr milliseconds appendTimeout{1000};
+constexpr seconds expireInterval{10};
+// The log keeps claims for 120 s more than the window: 60 s for keys from hosts whose clocks are
+// ahead, 30 s for requests that wait between the entry's check and the claim, 30 s for reading.
+constexpr seconds waitAllowance{30};
+constexpr seconds retentionBeyondWindow{120};
 
 } // namespace
 
@@ -38,6 +43,21 @@
     {
         coordinator.onTick(daemon.now());
         pump();
+        if (daemon.now() - lastExpiry < expireInterval)
+            return;
+        lastExpiry = daemon.now();
+        coordinator.expire(daemon.clock().wallNow() - daemon.settings().keyWindow
+                           - retentionBeyondWindow);
+    }
+
+    void begin(const ClaimRequest &request, ClaimCoordinator::DecisionHandler onDecision)
+    {
+        const auto reason = checkIdempotencyKey(request.key.key, daemon.clock().wallNow(),
+                                                daemon.settings().keyWindow + waitAllowance);
+        if (reason)
+            return onDecision(ClaimRefused{Refusal{*reason, Ran::Unknown}});
+        coordinator.begin(request, std::move(onDecision), daemon.now());
+        pump();
     }
 
     void pump()
@@ -60,6 +80,7 @@
     ServerId server;
     ClaimCoordinator coordinator;
     LogFollower follower;
+    TimePoint lastExpiry;
     Timer tick;
 };
 
@@ -74,6 +95,11 @@
     return impl_->coordinator;
 }
 
+void ClaimJournal::begin(const ClaimRequest &request, ClaimCoordinator::DecisionHandler onDecision)
+{
+    impl_->begin(request, std::move(onDecision));
+}
+
 void ClaimJournal::pump()
 {
     impl_->pump();
--- a/src/agent/ClaimJournal.h
+++ b/src/agent/ClaimJournal.h
@@ -19,6 +19,9 @@
     ClaimJournal &operator=(const ClaimJournal &) = delete;
 
     ClaimCoordinator &coordinator();
+    /// Asks for a claim, as ClaimCoordinator::begin() does. Refuses a key that is so old that an
+    /// earlier claim of it may have expired from the log, for example after a long wait.
+    void begin(const ClaimRequest &request, ClaimCoordinator::DecisionHandler onDecision);
     /// Appends what became due; call after each use of the coordinator.
     void pump();
     /// True when the agent's own start is the newest of its server that the log has.
--- a/src/entry/RequestIntake.cpp
+++ b/src/entry/RequestIntake.cpp
@@ -167,8 +167,11 @@
     if (key.empty())
         return Refusal{RefusalReason::KeyMissing, Ran::No};
     details.idempotencyKey = IdempotencyKey(std::string(key));
-    if (const auto reason = checkIdempotencyKey(details.idempotencyKey, now, window_))
-        return Refusal{*reason, Ran::No};
+    if (const auto reason = checkIdempotencyKey(details.idempotencyKey, now, window_)) {
+        // An old key was most likely used before, and nothing is known of that any more.
+        const Ran ran = *reason == RefusalReason::KeyTooOld ? Ran::Unknown : Ran::No;
+        return Refusal{*reason, ran};
+    }
     return std::nullopt;
 }
 
--- a/src/entry/RequestIntake.h
+++ b/src/entry/RequestIntake.h
@@ -37,7 +37,7 @@
     explicit RequestIntake(seconds window);
 
     void onConfiguration(const ConfigurationState &state);
-    /// Checks a caller's request; a refusal here means that nothing ran.
+    /// Checks a caller's request; a refusal here means that this call runs nothing.
     IntakeResult take(const CallerRequest &request, WallTime now) const;
 
 private:
