--- a/src/settings/DaemonSettings.cpp
+++ b/src/settings/DaemonSettings.cpp
@@ -238,6 +238,8 @@
         addresses.push_back({"links", &settings.links, SOCK_STREAM});
     addresses.push_back({"admin", &settings.admin, SOCK_STREAM});
     addresses.push_back({"datagrams", &settings.datagrams, SOCK_DGRAM});
+    // Peers fetch the configuration over TCP from the same address.
+    addresses.push_back({"datagrams", &settings.datagrams, SOCK_STREAM});
     return addresses;
 }
 
