--- a/standins/LoadStatistics.cpp
+++ b/standins/LoadStatistics.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr double slotsPerSecond = 10;
+
 json percentiles(std::vector<double> seconds)
 {
     std::sort(seconds.begin(), seconds.end());
@@ -47,6 +49,15 @@
     work.tokensWithinSendingTime += tokens;
 }
 
+void LoadStatistics::countAt(const std::string &account, std::uint64_t tokens, double second)
+{
+    const auto slot = static_cast<std::size_t>(std::max(0., second) * slotsPerSecond);
+    std::vector<std::uint64_t> &slots = timeline_[account];
+    if (slots.size() <= slot)
+        slots.resize(slot + 1);
+    slots[slot] += tokens;
+}
+
 void LoadStatistics::add(const LoadResult &result)
 {
     ++outcomes_[result.outcome];
@@ -94,6 +105,8 @@
             {"tokens", tokens_},
             {"tokens_per_second", perSecond(tokensWithinSendingTime_)},
             {"events_per_second", perSecond(eventsWithinSendingTime_)},
+            {"largest_cost", largestCost_},
+            {"timeline_100ms", timeline_},
             {"latency_ms", percentiles(latencies_)},
             {"first_token_ms", percentiles(firstTokens_)},
             {"accounts", accounts}};
--- a/standins/LoadStatistics.h
+++ b/standins/LoadStatistics.h
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -35,6 +36,10 @@
     void countTokens(const std::string &account, std::uint64_t tokens, bool withinSendingTime);
     /// Counts server-sent events that arrive within the sending time.
     void countEvents(std::uint64_t events) { eventsWithinSendingTime_ += events; }
+    /// Adds tokens to the account's timeline; second counts from the start of the run.
+    void countAt(const std::string &account, std::uint64_t tokens, double second);
+    /// Notes the cost of a sent request.
+    void countCost(std::uint64_t tokens) { largestCost_ = std::max(largestCost_, tokens); }
     void add(const LoadResult &result);
 
     /// The report; seconds is the sending time.
@@ -59,6 +64,9 @@
     std::uint64_t tokens_ = 0;
     std::uint64_t tokensWithinSendingTime_ = 0;
     std::uint64_t eventsWithinSendingTime_ = 0;
+    std::uint64_t largestCost_ = 0;
+    /// Tokens per 100 ms of the run, per account.
+    std::map<std::string, std::vector<std::uint64_t>> timeline_;
     std::vector<double> latencies_;
     std::vector<double> firstTokens_;
 };
--- a/standins/LoadTool.cpp
+++ b/standins/LoadTool.cpp
@@ -93,6 +93,7 @@
     transfer->easy = easy;
     setRequest(easy, *transfer);
     statistics_.countSent(accountOf(*transfer));
+    statistics_.countCost(transfer->request.tokens);
     transfers_[easy] = std::move(transfer);
     multi_.add(easy);
 }
@@ -158,6 +159,8 @@
     if (transfer.firstToken == TimePoint())
         transfer.firstToken = std::chrono::steady_clock::now();
     statistics_.countTokens(accountOf(transfer), tokens, isSending());
+    const auto now = std::chrono::steady_clock::now();
+    statistics_.countAt(accountOf(transfer), tokens, secondsBetween(start_, now));
 }
 
 void LoadTool::onDone(CURL *easy, CURLcode code)
--- /dev/null
+++ b/standins/Measure.cpp
@@ -0,0 +1,462 @@
+#include "Measure.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <memory>
+#include <thread>
+
+namespace lovagecourse {
+
+using nlohmann::json;
+
+namespace {
+
+// Engines of a measurement, scaled down: 8 streams at 40 ms per token give 200 tokens/s each.
+constexpr double knee = 8;
+constexpr double baseGapMs = 40;
+// Short compared with a request, so that capacity hardly depends on the number of requests.
+constexpr double prefillMs = 20;
+constexpr double tokensPerSecondAndEngine = knee * 1000 / baseGapMs;
+constexpr double slotsPerSecond = 10;
+// Limits start at half their bound and settle within this time.
+constexpr double warmUpSeconds = 3;
+
+/// One baseline: its name and its [policy] lines.
+struct Policy
+{
+    const char *name;
+    const char *lines;
+};
+
+using Arguments = std::vector<std::string>;
+
+std::string text(double value)
+{
+    return json(value).dump();
+}
+
+double capacityOf(const MeasureOptions &options)
+{
+    return tokensPerSecondAndEngine * options.fleet.engines;
+}
+
+/// Starts a fleet with the policy; empty when it does not come up.
+std::unique_ptr<MeasureFleet> startFleet(const MeasureOptions &options, const Policy &policy)
+{
+    MeasureFleetOptions fleet = options.fleet;
+    fleet.policy = policy.lines;
+    fleet.engineOptions = {"--base-gap-ms", text(baseGapMs), "--knee",        text(knee),
+                           "--prefill-ms",  text(prefillMs), "--load-lag-ms", "2000"};
+    auto started = std::make_unique<MeasureFleet>(std::move(fleet));
+    if (!started->start())
+        return nullptr;
+    return started;
+}
+
+/// Options of a load tool against one entry.
+Arguments loadArguments(const MeasureFleet &fleet, const MeasureOptions &options, int entry,
+                        double rate)
+{
+    return {"--target",
+            fleet.entryUrl(entry),
+            "--stream",
+            "--rate",
+            text(rate),
+            "--seconds",
+            text(options.seconds),
+            "--drain-seconds",
+            "3",
+            "--seed",
+            std::to_string(options.seed * 100 + static_cast<std::uint64_t>(entry))};
+}
+
+void addAccount(Arguments &arguments, int account, double weight)
+{
+    const std::string name = "a" + std::to_string(account);
+    arguments.insert(arguments.end(), {"--account", name + '=' + name + "-key@" + text(weight)});
+}
+
+void add(Arguments &arguments, const Arguments &more)
+{
+    arguments.insert(arguments.end(), more.begin(), more.end());
+}
+
+/// Heavy-tailed costs: a twentieth is long, and few requests cost 20 times as much. The mean is
+/// given by mixMean.
+const Arguments mixArguments{"--max-tokens", "24", "--mix", "0.05:160", "--straggler", "0.003"};
+constexpr double mixMean = (0.95 * 24 + 0.05 * 160) * (1 + 0.003 * 19);
+
+/// Loads every entry unevenly with all accounts; factor is the demand relative to capacity.
+void startMixedLoad(MeasureFleet &fleet, const MeasureOptions &options, double factor, bool swings)
+{
+    const double rate = factor * capacityOf(options) / mixMean;
+    double shares = 0;
+    for (int entry = 1; entry <= options.fleet.entries; ++entry)
+        shares += 1. / entry;
+    for (int entry = 1; entry <= options.fleet.entries; ++entry) {
+        Arguments arguments =
+                loadArguments(fleet, options, entry, rate / static_cast<double>(entry) / shares);
+        add(arguments, mixArguments);
+        if (swings)
+            arguments.emplace_back("--swing");
+        // Three large accounts; each entry sees its own third of the small ones.
+        for (int account = 1; account <= 15; ++account) {
+            const bool isLarge = account <= 3;
+            if (isLarge || account % options.fleet.entries == entry - 1)
+                addAccount(arguments, account, isLarge ? 4 : 1);
+        }
+        fleet.startLoad("load-" + std::to_string(entry), arguments);
+    }
+}
+
+std::vector<json> reportsOf(MeasureFleet &fleet, const MeasureOptions &options)
+{
+    std::vector<json> reports;
+    for (int entry = 1; entry <= options.fleet.entries; ++entry)
+        reports.push_back(fleet.report("load-" + std::to_string(entry)));
+    return reports;
+}
+
+double sumOf(const std::vector<json> &reports, const char *name)
+{
+    double sum = 0;
+    for (const json &report : reports)
+        sum += report.value(name, 0.);
+    return sum;
+}
+
+double refusedIn(const std::vector<json> &reports)
+{
+    double refused = 0;
+    for (const json &report : reports) {
+        for (const auto &[status, count] : report["refused"].items())
+            refused += count.get<double>();
+    }
+    return refused;
+}
+
+/// Tokens of all accounts between two moments.
+double tokensBetween(const std::vector<json> &reports, double from, double to)
+{
+    double tokens = 0;
+    for (const json &report : reports) {
+        for (const auto &[account, slots] : report["timeline_100ms"].items()) {
+            const auto last = static_cast<std::size_t>(to * slotsPerSecond);
+            for (auto i = static_cast<std::size_t>(from * slotsPerSecond); i < last; ++i)
+                tokens += i < slots.size() ? slots[i].get<double>() : 0;
+        }
+    }
+    return tokens;
+}
+
+/// Largest change of the difference in service between two accounts over any interval.
+double largestGap(const std::vector<json> &reports, const std::vector<std::string> &accounts,
+                  double from, double to)
+{
+    std::map<std::string, double> served;
+    std::map<std::pair<std::string, std::string>, std::pair<double, double>> range;
+    for (auto i = static_cast<std::size_t>(from * slotsPerSecond);
+         i < static_cast<std::size_t>(to * slotsPerSecond); ++i) {
+        for (const json &report : reports) {
+            for (const auto &[account, slots] : report["timeline_100ms"].items())
+                served[account] += i < slots.size() ? slots[i].get<double>() : 0;
+        }
+        for (const std::string &left : accounts) {
+            for (const std::string &right : accounts) {
+                auto &[low, high] = range[{left, right}];
+                low = std::min(low, served[left] - served[right]);
+                high = std::max(high, served[left] - served[right]);
+            }
+        }
+    }
+    double gap = 0;
+    for (const auto &[pair, lowHigh] : range)
+        gap = std::max(gap, lowHigh.second - lowHigh.first);
+    return gap;
+}
+
+json summaryOf(const std::vector<json> &reports)
+{
+    double late = 0;
+    double latency = 0;
+    for (const json &report : reports) {
+        late = std::max(late, report["first_token_ms"]["p99"].get<double>());
+        latency = std::max(latency, report["latency_ms"]["p99"].get<double>());
+    }
+    return {{"sent", sumOf(reports, "sent")},
+            {"ok", sumOf(reports, "ok")},
+            {"refused", refusedIn(reports)},
+            {"wrong", sumOf(reports, "wrong")},
+            {"truncated", sumOf(reports, "truncated")},
+            {"failed", sumOf(reports, "failed")},
+            {"unfinished", sumOf(reports, "unfinished")},
+            {"first_token_p99_ms", std::round(late)},
+            {"latency_p99_ms", std::round(latency)}};
+}
+
+/// Runs every policy on its own fleet; a policy whose fleet does not come up has no row.
+void runPolicies(MeasureTable &table, const MeasureOptions &options,
+                 const std::vector<Policy> &policies,
+                 const std::function<MeasureRow(MeasureFleet &)> &run)
+{
+    for (const Policy &policy : policies) {
+        const auto fleet = startFleet(options, policy);
+        if (!fleet)
+            continue;
+        MeasureRow row = run(*fleet);
+        row.policy = policy.name;
+        table.rows.push_back(std::move(row));
+    }
+}
+
+constexpr Policy ours{"offers, fleet fairness", ""};
+constexpr Policy pushRandom{"push-random", "routing = \"push-random\""};
+constexpr Policy pushTwoChoices{"push-two-choices", "routing = \"push-two-choices\""};
+constexpr Policy loadReport{"load-report", "routing = \"load-report\""};
+
+/// Accounts 1 and 2 ask for a model that half of the engines have, 3 to 5 for one that all have;
+/// fair service gives each a fifth.
+MeasureTable measureFairness(const MeasureOptions &options)
+{
+    MeasureTable table{"fairness-gap", "s of fleet capacity", 1, false, options.seed, {}};
+    const double capacity = capacityOf(options);
+    const double meanCost = 24 * 0.9 + 96 * 0.1;
+    const double largestCost = 96;
+    table.target = 1 + 2 * largestCost / capacity;
+    const std::vector<Policy> policies{ours,
+                                       {"per-agent", "fairness = \"per-agent\""},
+                                       {"first-come", "fairness = \"first-come\""}};
+    runPolicies(table, options, policies, [&](MeasureFleet &fleet) {
+        // Demands differ, but each exceeds a fair share.
+        const double demand[] = {0.35, 0.3, 0.5, 0.4, 0.3};
+        for (int account = 1; account <= 5; ++account) {
+            const int entry = 1 + account % options.fleet.entries;
+            const double rate = demand[account - 1] * capacity / meanCost;
+            Arguments arguments = loadArguments(fleet, options, entry, rate);
+            add(arguments,
+                {"--max-tokens", "24", "--mix", "0.1:96", "--model", account <= 2 ? "n" : "m"});
+            addAccount(arguments, account, 1);
+            fleet.startLoad("load-" + std::to_string(account), arguments);
+        }
+        std::vector<json> reports;
+        for (int account = 1; account <= 5; ++account)
+            reports.push_back(fleet.report("load-" + std::to_string(account)));
+        MeasureRow row;
+        row.value =
+                largestGap(reports, {"a1", "a2", "a3", "a4", "a5"}, warmUpSeconds, options.seconds)
+                / capacity;
+        row.details = summaryOf(reports);
+        row.details["utilisation"] = tokensBetween(reports, warmUpSeconds, options.seconds)
+                                     / capacity / (options.seconds - warmUpSeconds);
+        return row;
+    });
+    return table;
+}
+
+/// First-token times of quotes; a share of capacity is asked for by dossiers.
+json runQuotes(MeasureFleet &fleet, const MeasureOptions &options, double dossierShare)
+{
+    const double capacity = capacityOf(options);
+    Arguments quotes = loadArguments(fleet, options, 1, 0.15 * capacity / 8);
+    add(quotes, {"--max-tokens", "8"});
+    for (int account = 1; account <= 5; ++account)
+        addAccount(quotes, account, 1);
+    Arguments dossiers = loadArguments(fleet, options, 2, dossierShare * capacity / 200);
+    add(dossiers, {"--max-tokens", "200"});
+    for (int account = 6; account <= 10; ++account)
+        addAccount(dossiers, account, 1);
+    if (dossierShare > 0)
+        fleet.startLoad("dossiers", dossiers);
+    fleet.startLoad("quotes", quotes);
+    json report = fleet.report("quotes");
+    if (dossierShare > 0)
+        fleet.report("dossiers");
+    return report;
+}
+
+MeasureTable measureHeadOfLine(const MeasureOptions &options)
+{
+    MeasureTable table{
+            "head-of-line", "ratio of quotes' p99 first token", 2, false, options.seed, {}};
+    const std::vector<Policy> policies{{"offers, cost classes", ""},
+                                       {"one class", "cost_classes = false"}};
+    MeasureOptions each = options;
+    each.seconds = options.seconds * 0.75;
+    runPolicies(table, each, policies, [&](MeasureFleet &fleet) {
+        const json alone = runQuotes(fleet, each, 0);
+        const json beside = runQuotes(fleet, each, 1.2);
+        const double without = alone["first_token_ms"]["p99"].get<double>();
+        const double with = beside["first_token_ms"]["p99"].get<double>();
+        MeasureRow row;
+        row.value = with / without;
+        row.details = {{"p99_alone_ms", without},
+                       {"p99_beside_dossiers_ms", with},
+                       {"p50_alone_ms", alone["first_token_ms"]["p50"]},
+                       {"p50_beside_dossiers_ms", beside["first_token_ms"]["p50"]},
+                       {"quotes", beside["sent"]},
+                       {"ok", beside["ok"]}};
+        return row;
+    });
+    return table;
+}
+
+MeasureTable measureUtilisation(const MeasureOptions &options)
+{
+    MeasureTable table{"utilisation", "share of capacity", 0.95, true, options.seed, {}};
+    runPolicies(table, options, {ours, pushRandom, pushTwoChoices}, [&](MeasureFleet &fleet) {
+        startMixedLoad(fleet, options, 1.3, false);
+        const std::vector<json> reports = reportsOf(fleet, options);
+        MeasureRow row;
+        row.value = tokensBetween(reports, warmUpSeconds, options.seconds)
+                    / (capacityOf(options) * (options.seconds - warmUpSeconds));
+        row.details = summaryOf(reports);
+        return row;
+    });
+    return table;
+}
+
+MeasureTable measurePeak(const MeasureOptions &options)
+{
+    MeasureTable table{"peak-of-swing", "share of capacity", 0.95, true, options.seed, {}};
+    const std::vector<Policy> policies{{"offers, moving limit", ""},
+                                       {"fixed limit 4", "fixed_limit = 4"},
+                                       {"fixed limit 32", "fixed_limit = 32"}};
+    runPolicies(table, options, policies, [&](MeasureFleet &fleet) {
+        startMixedLoad(fleet, options, 0.45, true);
+        const std::vector<json> reports = reportsOf(fleet, options);
+        MeasureRow row;
+        // The peak lasts from 4 s to 6 s at 1.8 times the capacity; work waits a while after it.
+        row.value = tokensBetween(reports, 4.5, 6.5) / (capacityOf(options) * 2);
+        row.details = summaryOf(reports);
+        return row;
+    });
+    return table;
+}
+
+MeasureTable measureTail(const MeasureOptions &options)
+{
+    MeasureTable table{"tail-slow-servers", "ratio of p99 latency", 1.5, false, options.seed, {}};
+    const std::vector<Policy> policies{
+            {"offers, hedging", ""}, {"offers, no hedging", "hedging = false"}, loadReport};
+    MeasureOptions each = options;
+    each.seconds = options.seconds * 0.75;
+    const auto runOnce = [&](MeasureFleet &fleet) {
+        // Equal costs, so that the percentile shows servers and not request sizes.
+        const double rate = 0.6 * capacityOf(each) / 24;
+        Arguments arguments = loadArguments(fleet, each, 1, rate);
+        for (int entry = 2; entry <= each.fleet.entries; ++entry)
+            add(arguments, {"--target", fleet.entryUrl(entry)});
+        add(arguments, {"--max-tokens", "24"});
+        for (int account = 1; account <= 15; ++account)
+            addAccount(arguments, account, account <= 3 ? 4 : 1);
+        fleet.startLoad("load", arguments);
+        return fleet.report("load");
+    };
+    runPolicies(table, each, policies, [&](MeasureFleet &fleet) {
+        const json healthy = runOnce(fleet);
+        for (int engine = 1; engine <= 3; ++engine)
+            fleet.control(engine * 6, {{"slow_factor", 5}});
+        const json slowed = runOnce(fleet);
+        MeasureRow row;
+        row.value = slowed["latency_ms"]["p99"].get<double>()
+                    / healthy["latency_ms"]["p99"].get<double>();
+        row.details = {{"healthy_ms", healthy["latency_ms"]},
+                       {"slowed_ms", slowed["latency_ms"]},
+                       {"sent", slowed["sent"]},
+                       {"ok", slowed["ok"]},
+                       {"unfinished", slowed["unfinished"]}};
+        double hedges = 0;
+        for (const auto &[daemon, count] : fleet.metrics("lovagecourse_hedges_total"))
+            hedges += count;
+        row.details["hedges"] = hedges;
+        return row;
+    });
+    return table;
+}
+
+double largestOf(const std::map<std::string, double> &values)
+{
+    double largest = 0;
+    for (const auto &[daemon, value] : values)
+        largest = std::max(largest, value);
+    return largest;
+}
+
+std::map<std::string, double> rate(const std::map<std::string, double> &before,
+                                   const std::map<std::string, double> &after, double seconds)
+{
+    std::map<std::string, double> result;
+    for (const auto &[daemon, value] : after)
+        result[daemon] = (value - before.at(daemon)) / seconds;
+    return result;
+}
+
+/// Datagrams carry only control; the CPU figure of an idle fleet is control as well.
+MeasureTable measureControl(const MeasureOptions &options)
+{
+    MeasureTable table{
+            "control-traffic", "KB/s in datagrams, largest daemon", 8, false, options.seed, {}};
+    runPolicies(table, options, {ours}, [&](MeasureFleet &fleet) {
+        const auto idleStart = fleet.metrics("process_cpu_seconds_total");
+        constexpr double idleSeconds = 5;
+        std::this_thread::sleep_for(std::chrono::duration<double>(idleSeconds));
+        const auto idleEnd = fleet.metrics("process_cpu_seconds_total");
+        const auto sentBefore = fleet.metrics("lovagecourse_datagram_sent_bytes_total");
+        const auto linkBefore = fleet.metrics("lovagecourse_link_sent_bytes_total");
+        const auto start = std::chrono::steady_clock::now();
+        startMixedLoad(fleet, options, 1.1, false);
+        const std::vector<json> reports = reportsOf(fleet, options);
+        const std::chrono::duration<double> took = std::chrono::steady_clock::now() - start;
+        const auto sent = rate(sentBefore, fleet.metrics("lovagecourse_datagram_sent_bytes_total"),
+                               took.count());
+        const auto link =
+                rate(linkBefore, fleet.metrics("lovagecourse_link_sent_bytes_total"), took.count());
+        const auto cpu = rate(idleEnd, fleet.metrics("process_cpu_seconds_total"), took.count());
+        MeasureRow row;
+        row.value = largestOf(sent) / 1000;
+        row.details = {
+                {"idle_cpu_share", largestOf(rate(idleStart, idleEnd, idleSeconds))},
+                {"loaded_cpu_share", largestOf(cpu)},
+                {"peak_memory_mb", largestOf(fleet.metrics("process_peak_resident_bytes")) / 1e6},
+                {"link_kb_per_s_with_bodies", largestOf(link) / 1000},
+                {"tokens_per_s", sumOf(reports, "tokens_per_second")}};
+        return row;
+    });
+    return table;
+}
+
+using Measure = MeasureTable (*)(const MeasureOptions &);
+
+const std::vector<std::pair<std::string, Measure>> &allMeasures()
+{
+    static const std::vector<std::pair<std::string, Measure>> measures{
+            {"fairness", &measureFairness},
+            {"head-of-line", &measureHeadOfLine},
+            {"utilisation", &measureUtilisation},
+            {"peak", &measurePeak},
+            {"tail", &measureTail},
+            {"control", &measureControl}};
+    return measures;
+}
+
+} // namespace
+
+std::vector<std::string> measureNames()
+{
+    std::vector<std::string> names;
+    for (const auto &[name, measure] : allMeasures())
+        names.push_back(name);
+    return names;
+}
+
+MeasureTable runMeasureByName(const std::string &name, const MeasureOptions &options)
+{
+    for (const auto &[known, measure] : allMeasures()) {
+        if (known == name)
+            return measure(options);
+    }
+    return {};
+}
+
+} // namespace lovagecourse
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -1,6 +1,7 @@
 #include "Desk.h"
 #include "Engine.h"
 #include "LoadTool.h"
+#include "Measure.h"
 #include "Proxy.h"
 #if __has_include("Platform.h")
 #include "Platform.h"
@@ -16,7 +17,7 @@
 
 int printUsage()
 {
-    std::cerr << "usage: lovagecourse-standins platform|engine|desk|proxy|load [options]\n";
+    std::cerr << "usage: lovagecourse-standins platform|engine|desk|proxy|load|measure [options]\n";
     return 2;
 }
 
@@ -39,6 +40,8 @@
         return runDesk(argc - 1, argv + 1);
     if (command == "proxy")
         return runProxy(argc - 1, argv + 1);
+    if (command == "measure")
+        return runMeasure(argc - 1, argv + 1);
     if (command == "load")
         return runLoad(argc - 1, argv + 1);
     return printUsage();
