--- a/src/agent/AgentNode.cpp
+++ b/src/agent/AgentNode.cpp
@@ -108,6 +108,8 @@
     std::set<FlowId> backlogged;
     std::uint64_t lastGrant = 0;
     std::uint64_t lastCrash = 0;
+    /// The requests that ran when the server went down were marked as suspects.
+    bool crashMarked = false;
     double serviceTimeMs = 0;
     bool leaving = false;
     bool terminating = false;
@@ -129,7 +131,8 @@
     if (settings.fairness == FairnessPolicy::FirstComeFirstServed)
         options.order = OfferOrder::FirstComeFirstServed;
     queue = std::make_unique<OfferQueue>(options);
-    monitor = std::make_unique<ServerMonitor>(*daemon, [this](bool) {
+    monitor = std::make_unique<ServerMonitor>(*daemon, [this](bool isUp) {
+        crashMarked = crashMarked && !isUp;
         broadcastState();
         pumpGrants();
     });
@@ -581,6 +584,9 @@
 
 void AgentNode::Impl::markCrash()
 {
+    // Every broken connection reports the same death; a second mark would count it twice.
+    if (crashMarked)
+        return;
     std::vector<Fingerprint> running;
     for (const auto &[grant, run] : runs) {
         const bool wasRunning = run->phase == RunPhase::Running || run->phase == RunPhase::Probing;
@@ -589,6 +595,7 @@
     }
     if (running.empty())
         return;
+    crashMarked = true;
     const std::uint64_t crashId = daemon->incarnation().value * 1000 + ++lastCrash;
     logWarning(LogPart::Agent, "server died while running ", running.size(), " requests");
     daemon->metrics().count("lovagecourse_server_crashes_total");
--- a/src/agent/OrderSender.cpp
+++ b/src/agent/OrderSender.cpp
@@ -10,6 +10,10 @@
 
 constexpr milliseconds retryInterval{300};
 constexpr milliseconds orderTimeout{5000};
+// While an announcement is on its way through the log.
+constexpr milliseconds announcePoll{20};
+// Shorter than any retention of the log.
+constexpr milliseconds refreshInterval{3600000};
 constexpr int statusConflict = 409;
 
 } // namespace
@@ -18,8 +22,11 @@
     : daemon_(daemon)
     , journal_(journal)
     , server_(std::move(server))
+    , refresh_(daemon.loop(), [this] { refresh(); })
     , retry_(daemon.loop(), [this] { sendDue(); })
-{}
+{
+    refresh_.startRepeating(refreshInterval);
+}
 
 void OrderSender::onConfiguration(const ConfigurationState &)
 {
@@ -37,7 +44,9 @@
     for (const ServerOrder &order : state.orders) {
         const auto settled = settled_.find(order.action);
         const bool isNew = settled == settled_.end() || settled->second < order.fencing;
-        const bool isDue = order.server == server_ && isNew;
+        // A former run of this agent gave the order, or a newer one took its place.
+        const bool isOutdated = order.fencing < journal_.coordinator().fold().newestOrder(server_);
+        const bool isDue = order.server == server_ && isNew && !isOutdated;
         if (!isDue)
             continue;
         sendOrder(order, server->second.address);
@@ -45,13 +54,38 @@
     }
 }
 
-void OrderSender::sendOrder(const ServerOrder &order, const Endpoint &address)
+bool OrderSender::mayGive(const ServerOrder &order)
 {
-    // A run that a newer one replaced must not give orders, since some servers check no numbers.
-    if (!journal_.isNewestRun()) {
+    // Some servers check no numbers, so the log must show that no newer run of this agent started
+    // and that none gave a newer order.
+    const ClaimCoordinator &coordinator = journal_.coordinator();
+    if (coordinator.isFenced()) {
         retry_.startOnce(retryInterval);
-        return;
+        return false;
     }
+    if (coordinator.mayGiveOrder(order.fencing, daemon_.now()))
+        return true;
+    if (!coordinator.isAnnounced(order.fencing, daemon_.now())) {
+        announced_ = order.fencing;
+        journal_.coordinator().announceOrder(order.fencing, daemon_.now());
+        journal_.pump();
+    }
+    retry_.startOnce(announcePoll);
+    return false;
+}
+
+void OrderSender::refresh()
+{
+    if (sending_ || announced_ == FencingNumber(0) || !journal_.isNewestRun())
+        return;
+    journal_.coordinator().announceOrder(announced_, daemon_.now());
+    journal_.pump();
+}
+
+void OrderSender::sendOrder(const ServerOrder &order, const Endpoint &address)
+{
+    if (!mayGive(order))
+        return;
     sending_ = true;
     HttpRequest request;
     request.method = "POST";
--- a/src/agent/OrderSender.h
+++ b/src/agent/OrderSender.h
@@ -18,6 +18,9 @@
 
 private:
     void sendDue();
+    /// True when the order may be sent now; announces it otherwise.
+    bool mayGive(const ServerOrder &order);
+    void refresh();
     void sendOrder(const ServerOrder &order, const Endpoint &address);
 
     Daemon &daemon_;
@@ -25,7 +28,11 @@
     ServerId server_;
     /// Newest fencing number that the server took or refused, per action.
     std::map<std::string, FencingNumber> settled_;
+    /// Order that was announced last.
+    FencingNumber announced_;
     bool sending_ = false;
+    /// Announces the last order again before its record expires from the log.
+    Timer refresh_;
     Timer retry_;
 };
 
--- a/src/claims/ClaimCoordinator.cpp
+++ b/src/claims/ClaimCoordinator.cpp
@@ -12,6 +12,19 @@
 
 namespace {
 
+/// An announced order is sent within this time, or announced again: a paused agent finds it over.
+constexpr milliseconds orderValidity{2000};
+/// A new run gives its first order after this time, when announcements of the former run are over.
+constexpr milliseconds orderTakeover{3000};
+
+/// Order that this run announced last.
+struct AnnouncedOrder
+{
+    FencingNumber order;
+    TimePoint at;
+    bool readBack = false;
+};
+
 /// Where a claim of this run stands, from its queueing to its last record.
 enum class ClaimStage : std::uint8_t {
     /// Queued, under way or not yet decided; its request waits.
@@ -64,6 +77,9 @@
     std::map<ClaimId, OwnClaim> claims;
     std::uint64_t claimCount = 0;
     std::optional<FencingNumber> fencing;
+    std::optional<AnnouncedOrder> announced;
+    /// When this run's start was read and orders of a former run may still have been under way.
+    std::optional<TimePoint> tookOverAt;
     std::optional<LogOffset> next;
     bool caughtUp = false;
     bool recordsMissed = false;
@@ -88,6 +104,7 @@
     void onOwnEntry(const ClaimVoid &entry, const LogRecord &record);
     void onOwnEntry(const ClaimOutcome &outcome, const LogRecord &record);
     void onOwnEntry(const ClaimSettlement &settlement, const LogRecord &record);
+    void onOwnEntry(const OrderIntent &intent, const LogRecord &record);
     void apply(const LogRecord &record);
 };
 
@@ -289,6 +306,12 @@
                                         const LogRecord & /*record*/)
 {}
 
+void ClaimCoordinator::Impl::onOwnEntry(const OrderIntent &intent, const LogRecord & /*record*/)
+{
+    if (announced && announced->order == intent.order)
+        announced->readBack = true;
+}
+
 void ClaimCoordinator::Impl::apply(const LogRecord &record)
 {
     fold.apply(record);
@@ -360,11 +383,35 @@
         impl_->recordsMissed = true;
     impl_->next = batch.next;
     impl_->caughtUp = caughtUp;
+    const bool wasStarted = impl_->fencing.has_value();
     for (const LogRecord &record : batch.records)
         impl_->apply(record);
+    const bool hasStarted = !wasStarted && impl_->fencing;
+    if (hasStarted && impl_->fold.startCount(impl_->owner.server) > 1)
+        impl_->tookOverAt = now;
     impl_->advance(now);
 }
 
+void ClaimCoordinator::announceOrder(FencingNumber order, TimePoint now)
+{
+    impl_->announced = AnnouncedOrder{order, now};
+    impl_->queue.push(OrderIntent{impl_->owner.server, impl_->owner.incarnation, order});
+}
+
+bool ClaimCoordinator::mayGiveOrder(FencingNumber order, TimePoint now) const
+{
+    const bool tookOver = impl_->tookOverAt && now - *impl_->tookOverAt < orderTakeover;
+    return isAnnounced(order, now) && impl_->announced->readBack && impl_->caughtUp
+           && impl_->fencing && !impl_->isFenced() && !tookOver
+           && impl_->fold.newestOrder(impl_->owner.server) <= order;
+}
+
+bool ClaimCoordinator::isAnnounced(FencingNumber order, TimePoint now) const
+{
+    return impl_->announced && impl_->announced->order == order
+           && now - impl_->announced->at <= orderValidity;
+}
+
 void ClaimCoordinator::onTick(TimePoint now)
 {
     impl_->advance(now);
--- a/src/claims/ClaimCoordinator.h
+++ b/src/claims/ClaimCoordinator.h
@@ -80,6 +80,16 @@
     /// The request was sent and nothing more will be known of it.
     void recordUnknown(const ClaimId &claim);
 
+    /// Appends that the orders of a note are about to be given to the server.
+    void announceOrder(FencingNumber order, TimePoint now);
+    /// True when the announcement was appended at most 2 s ago and read back, no newer run of the
+    /// agent started before it and no agent gave a newer order. Must be asked directly before the
+    /// order is sent. After another run of the agent it is false until that run's last announcement
+    /// can't be used any more.
+    bool mayGiveOrder(FencingNumber order, TimePoint now) const;
+    /// True while an announcement of the order may still become usable.
+    bool isAnnounced(FencingNumber order, TimePoint now) const;
+
     /// Next record to append; empty while one is under way or nothing is due. A lost answer makes
     /// the same record due again.
     std::optional<ClaimAppend> appendDue(TimePoint now);
--- a/src/claims/ClaimEntry.cpp
+++ b/src/claims/ClaimEntry.cpp
@@ -186,6 +186,23 @@
     return object;
 }
 
+Json toJson(const OrderIntent &intent)
+{
+    return {{"type", "order"},
+            {"server", toUtf8(intent.server.value)},
+            {"incarnation", intent.incarnation.value},
+            {"order", intent.order.value}};
+}
+
+OrderIntent readOrderIntent(FieldReader &fields)
+{
+    OrderIntent intent;
+    intent.server = ServerId(fields.text("server"));
+    intent.incarnation = Incarnation(fields.number("incarnation"));
+    intent.order = FencingNumber(fields.number("order"));
+    return intent;
+}
+
 AgentStart readStart(FieldReader &fields)
 {
     AgentStart start;
@@ -242,6 +259,8 @@
             settlement.claim = ClaimId(fields.text("claim"));
         return settlement;
     }
+    if (type == "order")
+        return readOrderIntent(fields);
     return std::nullopt;
 }
 
--- a/src/claims/ClaimEntry.h
+++ b/src/claims/ClaimEntry.h
@@ -57,8 +57,17 @@
     ClaimId claim;
 };
 
-using ClaimEntry =
-        std::variant<AgentStart, ClaimRequested, ClaimVoid, ClaimOutcome, ClaimSettlement>;
+/// An agent is about to give its server the orders of a note. Stored before they are sent, so that
+/// later runs of the agent do not give older ones.
+struct OrderIntent
+{
+    ServerId server;
+    Incarnation incarnation;
+    FencingNumber order;
+};
+
+using ClaimEntry = std::variant<AgentStart, ClaimRequested, ClaimVoid, ClaimOutcome,
+                                ClaimSettlement, OrderIntent>;
 
 /// Entries of one record of stream "claims".
 struct DecodedClaimEntries
--- a/src/claims/ClaimFold.cpp
+++ b/src/claims/ClaimFold.cpp
@@ -16,6 +16,7 @@
 {
     FencingNumber fencing;
     Incarnation incarnation;
+    std::size_t count = 1;
 };
 
 /// What the log says of one key.
@@ -35,6 +36,7 @@
 {
     std::map<AccountKey, KeyEntry> keys;
     std::unordered_map<ServerId, ServerStart> starts;
+    std::unordered_map<ServerId, FencingNumber> orders;
     std::optional<LogOffset> lastOffset;
     std::uint64_t malformed = 0;
 
@@ -46,6 +48,7 @@
     void apply(const ClaimVoid &entry, const LogRecord &record);
     void apply(const ClaimOutcome &outcome, const LogRecord &record);
     void apply(const ClaimSettlement &settlement, const LogRecord &record);
+    void apply(const OrderIntent &intent, const LogRecord &record);
 };
 
 KeyPhase ClaimFold::Impl::phase(const KeyEntry &entry) const
@@ -71,7 +74,7 @@
     // A repeated start of the same run must not fence off the run's own claims.
     if (added || start->second.incarnation == incarnation || fencing <= start->second.fencing)
         return;
-    start->second = ServerStart{fencing, incarnation};
+    start->second = ServerStart{fencing, incarnation, start->second.count + 1};
 }
 
 void ClaimFold::Impl::apply(const AgentStart &start, const LogRecord &record)
@@ -140,6 +143,12 @@
         entry.state.phase = KeyPhase::Free;
 }
 
+void ClaimFold::Impl::apply(const OrderIntent &intent, const LogRecord & /*record*/)
+{
+    FencingNumber &newest = orders[intent.server];
+    newest = std::max(newest, intent.order);
+}
+
 ClaimFold::ClaimFold()
     : impl_(std::make_unique<Impl>())
 {}
@@ -185,6 +194,18 @@
     return start->second.incarnation;
 }
 
+FencingNumber ClaimFold::newestOrder(const ServerId &server) const
+{
+    const auto found = impl_->orders.find(server);
+    return found == impl_->orders.end() ? FencingNumber(0) : found->second;
+}
+
+std::size_t ClaimFold::startCount(const ServerId &server) const
+{
+    const auto start = impl_->starts.find(server);
+    return start == impl_->starts.end() ? 0 : start->second.count;
+}
+
 std::vector<UnsettledKey> ClaimFold::unsettledKeys() const
 {
     std::vector<UnsettledKey> keys;
--- a/src/claims/ClaimFold.h
+++ b/src/claims/ClaimFold.h
@@ -85,6 +85,10 @@
     FencingNumber newestStart(const ServerId &server) const;
     /// Incarnation of the newest start; empty when there was none.
     std::optional<Incarnation> newestIncarnation(const ServerId &server) const;
+    /// Highest order that an agent of the server was about to give; 0 when there was none.
+    FencingNumber newestOrder(const ServerId &server) const;
+    /// Starts of the server's agent that were read.
+    std::size_t startCount(const ServerId &server) const;
     std::vector<UnsettledKey> unsettledKeys() const;
     /// Forgets keys whose last record is older than the given time.
     void expire(WallTime olderThan);
--- a/src/entry/OfferBook.cpp
+++ b/src/entry/OfferBook.cpp
@@ -2,11 +2,11 @@
 
 namespace lovagecourse {
 
-OfferId OfferBook::add(const CallerId &caller, const ServerId &server, const AccountId &account)
+OfferId OfferBook::add(const Entry &entry)
 {
     const OfferId offer(++lastOffer_);
-    offers_.emplace(offer, Entry{caller, server, account});
-    ++counts_[{account, server}];
+    offers_.emplace(offer, entry);
+    ++counts_[{entry.account, entry.server}];
     return offer;
 }
 
--- a/src/entry/OfferBook.h
+++ b/src/entry/OfferBook.h
@@ -20,9 +20,11 @@
         CallerId caller;
         ServerId server;
         AccountId account;
+        /// The offer says that the request is a crash suspect.
+        bool suspect = false;
     };
 
-    OfferId add(const CallerId &caller, const ServerId &server, const AccountId &account);
+    OfferId add(const Entry &entry);
     /// Removes an offer and returns what it was for; empty when it is not known.
     std::optional<Entry> remove(OfferId offer);
     const Entry *find(OfferId offer) const;
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -61,6 +61,8 @@
     // Grants and attempts.
     void onGrant(const ServerId &server, const Grant &grant);
     void onOfferRefused(const OfferRefused &refused);
+    bool isStillWanted(PendingRequest &request, const ServerId &server, GrantId grant,
+                       bool offeredAsSuspect);
     void accept(PendingRequest &request, const ServerId &server, GrantId grant);
     void cancelAttempts(PendingRequest &request, std::optional<GrantId> except);
 
@@ -186,7 +188,9 @@
 {
     const RequestDetails &details = request.details;
     Offer offer;
-    offer.offer = offers.add(request.caller, server, details.flow.account);
+    offer.suspect =
+            daemon.suspects().verdict(details.fingerprint, now()) == SuspectVerdict::RunAlone;
+    offer.offer = offers.add({request.caller, server, details.flow.account, offer.suspect});
     offer.flow = details.flow;
     offer.model = details.model;
     offer.expected = request.estimate.expected;
@@ -197,8 +201,6 @@
     offer.waitedMs = static_cast<std::uint32_t>(waited.count());
     offer.fingerprint = details.fingerprint;
     offer.repeatable = details.service.repeatable;
-    offer.suspect =
-            daemon.suspects().verdict(details.fingerprint, now()) == SuspectVerdict::RunAlone;
     request.offers.emplace(server, offer.offer);
     daemon.metrics().count("lovagecourse_offers_total");
     links.send(server, std::move(offer));
@@ -239,9 +241,31 @@
     PendingRequest &request = *requests.at(entry->caller);
     request.offers.erase(server);
     assert(request.waiting || request.hedging);
+    if (!isStillWanted(request, server, grant.grant, entry->suspect))
+        return;
     accept(request, server, grant.grant);
 }
 
+/// A request that became a crash suspect after it was offered must run alone, or not at all.
+bool RequestRouter::Impl::isStillWanted(PendingRequest &request, const ServerId &server,
+                                        GrantId grant, bool offeredAsSuspect)
+{
+    const SuspectVerdict verdict = daemon.suspects().verdict(request.details.fingerprint, now());
+    const bool mayRunAlone = verdict == SuspectVerdict::RunAlone && offeredAsSuspect;
+    if (verdict == SuspectVerdict::Clear || mayRunAlone)
+        return true;
+    daemon.metrics().count("lovagecourse_grants_declined_total");
+    links.send(server, GrantDecline{grant});
+    withdrawOffers(request);
+    if (!request.waiting) // The first attempt of a hedged request goes on.
+        request.hedging = false;
+    else if (verdict == SuspectVerdict::Refuse)
+        refuse(request, Refusal{RefusalReason::CrashSuspect, request.ran});
+    else
+        offerMore(request);
+    return false;
+}
+
 void RequestRouter::Impl::accept(PendingRequest &request, const ServerId &server, GrantId grant)
 {
     if (request.waiting)
@@ -550,7 +574,10 @@
     const auto hedge = hedgeTime(request);
     if (hedge && now() >= *hedge) {
         request.hedged = true;
-        request.hedging = hedges.tryTake();
+        // A suspect runs alone, so it gets no second copy.
+        const SuspectVerdict verdict =
+                daemon.suspects().verdict(request.details.fingerprint, now());
+        request.hedging = verdict == SuspectVerdict::Clear && hedges.tryTake();
         daemon.metrics().count("lovagecourse_hedges_total",
                                request.hedging ? "late-first-byte" : "budget");
     }
--- a/src/routing/SuspectList.cpp
+++ b/src/routing/SuspectList.cpp
@@ -1,6 +1,7 @@
 #include "routing/SuspectList.h"
 
 #include <algorithm>
+#include <set>
 
 namespace lovagecourse {
 
@@ -35,10 +36,15 @@
 {
     const auto remaining = std::chrono::duration_cast<milliseconds>(lifetime);
     std::vector<Suspect> suspects;
-    suspects.reserve(running.size());
-    for (const Fingerprint fingerprint : running)
-        suspects.push_back(
-                {fingerprint, {crashId}, false, static_cast<std::uint32_t>(remaining.count())});
+    // Copies of one request are no company for each other.
+    const std::set<Fingerprint> fingerprints(running.begin(), running.end());
+    suspects.reserve(fingerprints.size());
+    for (const Fingerprint fingerprint : fingerprints)
+        suspects.push_back({fingerprint,
+                            {crashId},
+                            false,
+                            static_cast<std::uint32_t>(remaining.count()),
+                            fingerprints.size() == 1});
     merge(suspects, now);
 }
 
@@ -59,10 +65,12 @@
         Entry &entry = entries_[suspect.fingerprint];
         if (entry.expires <= now)
             entry = Entry{};
-        bool changed = suspect.cleared && !entry.cleared;
+        bool changed = (suspect.cleared && !entry.cleared)
+                       || (suspect.crashedAlone && !entry.crashedAlone);
         for (const std::uint64_t crashId : suspect.crashes)
             changed = addCrash(entry.crashes, crashId) || changed;
         entry.cleared = entry.cleared || suspect.cleared;
+        entry.crashedAlone = entry.crashedAlone || suspect.crashedAlone;
         const TimePoint limit = now + lifetime;
         const TimePoint expires = now + milliseconds(suspect.expiresInMs);
         entry.expires = std::max(entry.expires, std::min(limit, expires));
@@ -76,7 +84,8 @@
     const auto found = entries_.find(fingerprint);
     if (found == entries_.end() || found->second.expires <= now)
         return SuspectVerdict::Clear;
-    if (found->second.crashes.size() >= crashesToRefuse)
+    const bool isProven = found->second.crashedAlone;
+    if (isProven && found->second.crashes.size() >= crashesToRefuse)
         return SuspectVerdict::Refuse;
     return found->second.cleared ? SuspectVerdict::Clear : SuspectVerdict::RunAlone;
 }
@@ -99,8 +108,8 @@
         const auto &[fingerprint, entry] = *item;
         const auto left = entry.expires - now - transitAllowance;
         const auto leftMs = std::chrono::duration_cast<milliseconds>(left).count();
-        suspects.push_back(
-                {fingerprint, entry.crashes, entry.cleared, static_cast<std::uint32_t>(leftMs)});
+        suspects.push_back({fingerprint, entry.crashes, entry.cleared,
+                            static_cast<std::uint32_t>(leftMs), entry.crashedAlone});
     }
     return suspects;
 }
--- a/src/routing/SuspectList.h
+++ b/src/routing/SuspectList.h
@@ -12,7 +12,8 @@
 /// What is to be done with a request of a fingerprint.
 enum class SuspectVerdict : std::uint8_t { Clear, RunAlone, Refuse };
 
-/// Requests that were running when backend servers died.
+/// Requests that were running when backend servers died. A request is refused after two crashes,
+/// but only if it ran alone at one of them: copies of an innocent one may have run beside both.
 class SuspectList
 {
 public:
@@ -33,6 +34,7 @@
     {
         std::vector<std::uint64_t> crashes;
         bool cleared = false;
+        bool crashedAlone = false;
         TimePoint expires;
         TimePoint changed;
     };
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -239,11 +239,13 @@
     /// Set when it completed after the last crash.
     bool cleared = false;
     std::uint32_t expiresInMs = 0;
+    /// At one of the crashes nothing else was running.
+    bool crashedAlone = false;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(fingerprint, crashes, cleared, expiresInMs);
+        archive(fingerprint, crashes, cleared, expiresInMs, crashedAlone);
     }
 };
 
--- /dev/null
+++ b/tests/integration/CrashSuspectTest.cpp
@@ -0,0 +1,182 @@
+#include "integration/Fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <future>
+
+using namespace lovagecourse::test;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr int entryCount = 3;
+constexpr int engineCount = 4;
+constexpr int innocentTokens = 60;
+
+using Call = std::future<HttpOutcome>;
+
+FleetOptions suspectFleet()
+{
+    FleetOptions options;
+    options.entries = entryCount;
+    options.engines = engineCount;
+    options.desks = 0;
+    options.engineOptions = {"--base-gap-ms", "20", "--prefill-ms", "5"};
+    // Copies of hedges would count as further runs.
+    options.settings = "[policy]\nhedging = false\nfixed_limit = 8\n";
+    return options;
+}
+
+std::size_t countTokens(const std::string &stream)
+{
+    std::size_t count = 0;
+    for (std::size_t at = stream.find("\"delta\""); at != std::string::npos;
+         at = stream.find("\"delta\"", at + 1))
+        ++count;
+    return count;
+}
+
+struct CrashSuspectFixture
+{
+    static std::string engine(int i) { return "engine-" + std::to_string(i); }
+
+    int crashes() const
+    {
+        int sum = 0;
+        for (int i = 1; i <= engineCount; ++i) {
+            const nlohmann::json page = fleet.journal(engine(i));
+            // A crashed engine answers nothing until it is back.
+            sum += page.is_object() ? page["crashes"].get<int>() : 0;
+        }
+        return sum;
+    }
+
+    /// Crashes once all engines answer again.
+    int settledCrashes() const
+    {
+        REQUIRE(waitUntil(seconds(5), [this] {
+            for (int i = 1; i <= engineCount; ++i) {
+                if (!fleet.journal(engine(i)).is_object())
+                    return false;
+            }
+            return true;
+        }));
+        return crashes();
+    }
+
+    int runsOf(const std::string &requestId) const
+    {
+        int sum = 0;
+        for (int i = 1; i <= engineCount; ++i) {
+            const nlohmann::json page = fleet.journal(engine(i));
+            sum += page.is_object() ? page["requests"].value(requestId, 0) : 0;
+        }
+        return sum;
+    }
+
+    bool everyEngineRuns(int atLeast) const
+    {
+        for (int i = 1; i <= engineCount; ++i) {
+            const nlohmann::json page = fleet.status("agent-" + engine(i));
+            if (!page.is_object() || page["in_flight"].get<int>() < atLeast)
+                return false;
+        }
+        return true;
+    }
+
+    Call send(int entry, const std::string &account, const std::string &prompt,
+              const std::string &id) const
+    {
+        return std::async(std::launch::async, [=, this] {
+            return fleet.chat(entry, account, prompt, innocentTokens, true, id);
+        });
+    }
+
+    /// Sends innocent requests until every engine runs one.
+    std::vector<Call> fillEngines(bool sameBody) const
+    {
+        std::vector<Call> calls;
+        for (int i = 0; i < 24 && !everyEngineRuns(1); ++i) {
+            const std::string id = "innocent-" + std::to_string(i);
+            calls.push_back(send(1 + i % entryCount, "a", sameBody ? "popular" : id, id));
+            waitUntil(seconds(1), [&] { return runsOf(id) > 0; });
+        }
+        REQUIRE(everyEngineRuns(1));
+        return calls;
+    }
+
+    /// Checks that each was answered whole and ran at most once more than without a crash.
+    void checkInnocent(std::vector<Call> &calls) const
+    {
+        settledCrashes();
+        int runs = 0;
+        for (std::size_t i = 0; i < calls.size(); ++i) {
+            const HttpOutcome outcome = calls[i].get();
+            CAPTURE(i, outcome.status, outcome.curlCode, outcome.body.substr(0, 300));
+            CHECK(outcome.isWhole());
+            CHECK(outcome.status == 200);
+            CHECK(countTokens(outcome.body) == innocentTokens);
+            const int own = runsOf("innocent-" + std::to_string(i));
+            CHECK(own <= 2);
+            runs += own;
+        }
+        // Else no request ran beside a crash and the test shows nothing.
+        CHECK(runs > static_cast<int>(calls.size()));
+    }
+
+    Fleet fleet{suspectFleet()};
+};
+
+} // namespace
+
+// Guards against a request that takes down server after server as its caller repeats it, and
+// against answers that are lost because they shared a server with it.
+TEST_CASE_METHOD(CrashSuspectFixture,
+                 "crash suspect, caller repeats it at each entry, two crashes and then refused")
+{
+    std::vector<Call> innocent = fillEngines(false);
+    for (int entry = 1; entry <= entryCount; ++entry) {
+        const HttpOutcome outcome = fleet.chat(entry, "b", "crash-the-server", 5, true);
+        CAPTURE(entry, outcome.status, outcome.body);
+        CHECK(outcome.refusal() == "crash-suspect");
+        if (entry > 1)
+            CHECK(outcome.ran() == "no");
+    }
+    checkInnocent(innocent);
+    CHECK(settledCrashes() == 2);
+}
+
+// Guards against a refusal that comes too late when copies of the request run at the same time.
+TEST_CASE_METHOD(CrashSuspectFixture,
+                 "crash suspect, sent to all entries at once, crashes stay bounded")
+{
+    std::vector<Call> calls;
+    for (int entry = 1; entry <= entryCount; ++entry)
+        calls.push_back(send(entry, "b", "crash-the-server", "poison"));
+    for (Call &call : calls)
+        CHECK(call.get().refusal() == "crash-suspect");
+    // Two crashes, and the copies of the other two callers that may run at the second one.
+    CHECK(settledCrashes() <= 2 + (entryCount - 1));
+    for (int entry = 1; entry <= entryCount; ++entry)
+        CHECK(fleet.chat(entry, "b", "crash-the-server", innocentTokens, true).refusal()
+              == "crash-suspect");
+    CHECK(settledCrashes() <= 2 + (entryCount - 1));
+    CHECK(fleet.chat(1, "a", "hello", 5, true).status == 200);
+}
+
+// Guards against a refusal of an innocent request, such as a common question, whose copies ran
+// beside two requests that each crash a server.
+TEST_CASE_METHOD(CrashSuspectFixture,
+                 "crash suspect, copies of a request beside two crashes, is not refused")
+{
+    std::vector<Call> innocent = fillEngines(true);
+    Call first = send(1, "b", "crash-the-server one", "poison-1");
+    REQUIRE(waitUntil(seconds(5), [this] { return crashes() > 0; }));
+    Call second = send(2, "b", "crash-the-server two", "poison-2");
+    CHECK(first.get().refusal() == "crash-suspect");
+    CHECK(second.get().refusal() == "crash-suspect");
+    checkInnocent(innocent);
+    CHECK(settledCrashes() <= 4);
+    CHECK(fleet.chat(3, "a", "popular", innocentTokens, true).status == 200);
+}
--- /dev/null
+++ b/tests/integration/FairnessTest.cpp
@@ -0,0 +1,181 @@
+#include "integration/Fleet.h"
+#include "integration/ServiceMeter.h"
+
+#include "fairness/HomePlacement.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lovagecourse;
+using namespace lovagecourse::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr double largestCost = 100;
+// An agent gives up on a silent entry after 3 s and reports every 250 ms.
+constexpr double detectionSeconds = 3.25;
+constexpr milliseconds measuredTime{8000};
+constexpr unsigned fleetSeed = 11;
+
+FleetOptions smallFleet()
+{
+    FleetOptions options;
+    options.entries = 3;
+    options.engines = 4;
+    options.desks = 0;
+    options.proxied = true;
+    options.seed = fleetSeed;
+    options.maxLimit = 4;
+    options.accounts = {{"single", 1.5}, {"wide", 1}, {"flood", 1}};
+    options.engineOptions = {"--base-gap-ms", "5", "--prefill-ms", "5"};
+    return options;
+}
+
+/// Three accounts that stay backlogged: "single" at entry 1 only, "wide" at all entries but with a
+/// model that only two of the four engines have, "flood" with four times the callers.
+struct FairnessFixture
+{
+    FairnessFixture()
+    {
+        const std::string models = "models = [\"m\", \"n\"]\n";
+        const CommandResult changed =
+                fleet.submitNote("follows = 1\ntitle = \"second model\"\n"
+                                 "[[changed.servers]]\nname = \"engine-1\"\n"
+                                 + models + "[[changed.servers]]\nname = \"engine-2\"\n" + models);
+        REQUIRE(changed.exitCode == 0);
+    }
+
+    /// True when an entry sums the positions of at least one account.
+    static bool isHome(const std::string &entry)
+    {
+        const std::vector<DaemonId> entries{DaemonId("entry-1"), DaemonId("entry-2"),
+                                            DaemonId("entry-3")};
+        const auto isHomeOf = [&](const char *account) {
+            return chooseHome({AccountId(account), ServiceId("chat")}, entries) == DaemonId(entry);
+        };
+        return isHomeOf("single") || isHomeOf("wide") || isHomeOf("flood");
+    }
+
+    /// Starts the callers and waits until every account was served and has waiting requests.
+    void startCallers(const std::vector<int> &entries)
+    {
+        REQUIRE(isHome("entry-3"));
+        std::vector<std::string> urls;
+        for (const int entry : entries)
+            urls.push_back(fleet.entryUrl(entry));
+        meter.addAccount("single", 1.5, {urls.front()}, "m", 24);
+        meter.addAccount("wide", 1, urls, "n", 24);
+        meter.addAccount("flood", 1, urls, "m", 96);
+        REQUIRE(waitUntil(std::chrono::seconds(5), [this] {
+            return isBacklogged("single") && isBacklogged("wide") && isBacklogged("flood");
+        }));
+        meter.start();
+    }
+
+    bool isBacklogged(const std::string &account) const
+    {
+        for (int entry = 1; entry <= 3; ++entry) {
+            const nlohmann::json page = fleet.status("entry-" + std::to_string(entry));
+            if (!page.is_object())
+                continue;
+            for (const auto &row : page["backlogs"]) {
+                if (row["account"] == account)
+                    return meter.tokens(account) > 0;
+            }
+        }
+        return false;
+    }
+
+    /// Checks the gap over [from, to] against the bound of the design page plus detection time.
+    void checkGap(double from, double to, double detection) const
+    {
+        const double capacity = meter.capacity();
+        const double gap = meter.largestGap(from, to);
+        const double bound = capacity * (1 + detection) + 2 * largestCost;
+        CAPTURE(fleetSeed, from, to, capacity, gap, bound);
+        WARN("gap " << gap << " of at most " << bound << ", capacity " << capacity << " tokens/s, "
+                    << meter.describe());
+        CHECK(capacity > 500);
+        CHECK(gap <= bound);
+    }
+
+    /// An account that is ahead by the whole bound waits until the others have caught up, and the
+    /// server may be busy with one request of the largest cost.
+    void checkServed(double detection) const
+    {
+        const double capacity = meter.capacity();
+        const double shares = 3.5;
+        const double limit = (capacity * (1 + detection) + 3 * largestCost) * shares / capacity;
+        for (const std::string account : {"single", "wide", "flood"}) {
+            CAPTURE(account, capacity, limit);
+            CHECK(meter.longestWait(account) <= limit);
+        }
+    }
+
+    /// Cuts entry 3 off from agents, peers and the platform, or ends that.
+    void setCut(bool cut) const
+    {
+        REQUIRE(fleet.setFaults("entry-3>", {{"cut", cut}}));
+        for (const std::string &daemon : fleet.daemons()) {
+            if (daemon != "entry-3")
+                REQUIRE(fleet.setFaults(daemon + ">entry-3", {{"cut", cut}}));
+        }
+    }
+
+    Fleet fleet{smallFleet()};
+    ServiceMeter meter{fleetSeed};
+};
+
+} // namespace
+
+// Guards against an account that gets more because it has more callers, more entries or more
+// servers to choose from (G1), and against one that starves beside a flood (G2).
+TEST_CASE_METHOD(FairnessFixture, "fairness, three backlogged accounts and a flood, gap is bounded")
+{
+    startCallers({1, 2, 3});
+    meter.sampleFor(measuredTime);
+    checkGap(0, meter.elapsed(), 0);
+    checkServed(0);
+}
+
+// Guards against positions that are lost or start anew with the entry that summed them.
+TEST_CASE_METHOD(FairnessFixture, "fairness, entry that is only a home killed, gap is bounded")
+{
+    startCallers({1, 2});
+    meter.sampleFor(milliseconds(3000));
+    fleet.process("entry-3").kill();
+    meter.sampleFor(milliseconds(5000));
+    checkGap(0, meter.elapsed(), 0);
+    checkServed(0);
+}
+
+// Guards against an entry that comes back empty and answers as a home with positions of 0.
+TEST_CASE_METHOD(FairnessFixture, "fairness, entry restarts empty, gap is bounded")
+{
+    startCallers({1, 2, 3});
+    meter.sampleFor(milliseconds(2500));
+    fleet.restart("entry-3");
+    meter.sampleFor(milliseconds(6000));
+    CHECK(fleet.isUsable(3, "engine-1"));
+    checkGap(0, meter.elapsed(), 0);
+    checkServed(0);
+}
+
+// Guards against agents that keep the positions of a home that they can't reach any more, and
+// against an entry that comes back with old ones.
+TEST_CASE_METHOD(FairnessFixture, "fairness, entry cut off and back, gap is bounded and closes")
+{
+    startCallers({1, 2, 3});
+    meter.sampleFor(milliseconds(2000));
+    const double cutAt = meter.elapsed();
+    setCut(true);
+    meter.sampleFor(milliseconds(4000));
+    setCut(false);
+    const double healedAt = meter.elapsed();
+    meter.sampleFor(milliseconds(4000));
+    checkGap(0, cutAt, 0);
+    // While the cut is not noticed, agents go on with the last totals plus their own service.
+    checkGap(0, meter.elapsed(), detectionSeconds);
+    checkGap(healedAt, meter.elapsed(), 0);
+    checkServed(detectionSeconds);
+}
--- a/tests/integration/Fleet.cpp
+++ b/tests/integration/Fleet.cpp
@@ -344,6 +344,16 @@
     return getJson("http://" + endpoints_.at(server) + "/journal");
 }
 
+nlohmann::json Fleet::takenOrders(const std::string &engine) const
+{
+    return getJson("http://" + endpoints_.at(engine) + "/orders");
+}
+
+std::string Fleet::freeEndpoint()
+{
+    return takeEndpoint();
+}
+
 bool Fleet::control(const std::string &standin, const nlohmann::json &command) const
 {
     return postJson("http://" + endpoints_.at(standin) + "/control", command);
--- a/tests/integration/Fleet.h
+++ b/tests/integration/Fleet.h
@@ -58,6 +58,9 @@
     void startCopy(const std::string &name, const std::string &copyName,
                    const std::map<std::string, std::string> &replacedSettings);
 
+    /// Free address, for the settings of a copy.
+    static std::string freeEndpoint();
+
     // State.
     std::string entryUrl(int entry) const;
     nlohmann::json status(const std::string &daemon) const;
@@ -67,6 +70,8 @@
     bool waitUsable(std::chrono::milliseconds limit) const;
     bool waitUsable(int entry, const std::string &server, std::chrono::milliseconds limit) const;
     nlohmann::json journal(const std::string &server) const;
+    /// Orders that an engine acted on, in order.
+    nlohmann::json takenOrders(const std::string &engine) const;
     bool control(const std::string &standin, const nlohmann::json &command) const;
     bool setHostState(const std::string &host, const std::string &state) const;
 
--- a/tests/routing/SuspectListTest.cpp
+++ b/tests/routing/SuspectListTest.cpp
@@ -34,6 +34,26 @@
     CHECK(list.verdict(request, now) == SuspectVerdict::Refuse);
 }
 
+// Guards against a refusal of an innocent request whose copies ran beside two requests that crash
+// servers, and against one that crashes servers and hides among others.
+TEST_CASE_METHOD(SuspectListFixture,
+                 "suspect list, two crashes in company, refused after one alone")
+{
+    const Fingerprint other(12);
+    list.onCrash({request, other}, 1, now);
+    list.onCrash({request, Fingerprint(13)}, 2, now);
+    CHECK(list.verdict(request, now) == SuspectVerdict::RunAlone);
+    SuspectList peer;
+    peer.merge(list.recent(now, 10), now);
+    list.onCompleted(request, now);
+    CHECK(list.verdict(request, now) == SuspectVerdict::Clear);
+    peer.onCrash({request, request}, 3, now);
+    CHECK(peer.verdict(request, now) == SuspectVerdict::Refuse);
+    list.merge(peer.recent(now, 10), now);
+    CHECK(list.verdict(request, now) == SuspectVerdict::Refuse);
+    CHECK(list.verdict(other, now) == SuspectVerdict::RunAlone);
+}
+
 // Guards against entries that daemons keep alive by sending them back and forth.
 TEST_CASE_METHOD(SuspectListFixture, "suspect list, notices with a delay both ways, still expires")
 {
@@ -61,8 +81,11 @@
         for (int i = 0; i < 8; ++i) {
             const Fingerprint fingerprint(random() % 3);
             const auto expires = static_cast<std::uint32_t>(random() % 700000);
-            notices.push_back(
-                    {fingerprint, {random() % 9, random() % 9}, random() % 2 == 0, expires});
+            notices.push_back({fingerprint,
+                               {random() % 9, random() % 9},
+                               random() % 2 == 0,
+                               expires,
+                               random() % 4 == 0});
         }
         SuspectList first;
         SuspectList second;
