--- a/standins/Measure.cpp
+++ b/standins/Measure.cpp
@@ -21,6 +21,8 @@
 constexpr double slotsPerSecond = 10;
 // Limits start at half their bound and settle within this time.
 constexpr double warmUpSeconds = 3;
+// Dossiers fill all slots within this time, before quotes come.
+constexpr double fillSeconds = 5;
 
 /// One baseline: its name and its [policy] lines.
 struct Policy
@@ -56,11 +58,13 @@
 
 /// Options of a load tool against one entry.
 Arguments loadArguments(const MeasureFleet &fleet, const MeasureOptions &options, int entry,
-                        double rate)
+                        double rate, const std::string &model = "m")
 {
     return {"--target",
             fleet.entryUrl(entry),
             "--stream",
+            "--model",
+            model,
             "--rate",
             text(rate),
             "--seconds",
@@ -195,6 +199,24 @@
             {"latency_p99_ms", std::round(latency)}};
 }
 
+/// What went wrong or was done twice in the fleet, per counter and reason.
+json countersOf(const MeasureFleet &fleet)
+{
+    json counters = json::object();
+    for (const char *name : {"lovagecourse_streams_aborted_total", "lovagecourse_answer_gaps_total",
+                             "lovagecourse_retries_total", "lovagecourse_hedges_total",
+                             "lovagecourse_grants_declined_total", "lovagecourse_grants_total",
+                             "lovagecourse_runs_failed_total", "lovagecourse_offers_refused_total",
+                             "lovagecourse_agent_silences_total"}) {
+        double sum = 0;
+        for (const auto &[daemon, value] : fleet.metrics(name))
+            sum += value;
+        if (sum > 0)
+            counters[name] = sum;
+    }
+    return counters;
+}
+
 /// Runs every policy on its own fleet; a policy whose fleet does not come up has no row.
 void runPolicies(MeasureTable &table, const MeasureOptions &options,
                  const std::vector<Policy> &policies,
@@ -206,6 +228,7 @@
             continue;
         MeasureRow row = run(*fleet);
         row.policy = policy.name;
+        row.details["counters"] = countersOf(*fleet);
         table.rows.push_back(std::move(row));
     }
 }
@@ -233,9 +256,11 @@
         for (int account = 1; account <= 5; ++account) {
             const int entry = 1 + account % options.fleet.entries;
             const double rate = demand[account - 1] * capacity / meanCost;
-            Arguments arguments = loadArguments(fleet, options, entry, rate);
-            add(arguments,
-                {"--max-tokens", "24", "--mix", "0.1:96", "--model", account <= 2 ? "n" : "m"});
+            const std::string model = account <= 2 ? "n" : "m";
+            Arguments arguments = loadArguments(fleet, options, entry, rate, model);
+            // Clients of one entry must not draw the same arrivals.
+            arguments.back() += std::to_string(account);
+            add(arguments, {"--max-tokens", "24", "--mix", "0.1:96"});
             addAccount(arguments, account, 1);
             fleet.startLoad("load-" + std::to_string(account), arguments);
         }
@@ -262,12 +287,16 @@
     add(quotes, {"--max-tokens", "8"});
     for (int account = 1; account <= 5; ++account)
         addAccount(quotes, account, 1);
-    Arguments dossiers = loadArguments(fleet, options, 2, dossierShare * capacity / 200);
-    add(dossiers, {"--max-tokens", "200"});
+    MeasureOptions longer = options;
+    longer.seconds += fillSeconds;
+    Arguments dossiers = loadArguments(fleet, longer, 2, dossierShare * capacity / 100);
+    add(dossiers, {"--max-tokens", "100"});
     for (int account = 6; account <= 10; ++account)
         addAccount(dossiers, account, 1);
-    if (dossierShare > 0)
+    if (dossierShare > 0) {
         fleet.startLoad("dossiers", dossiers);
+        std::this_thread::sleep_for(std::chrono::duration<double>(fillSeconds));
+    }
     fleet.startLoad("quotes", quotes);
     json report = fleet.report("quotes");
     if (dossierShare > 0)
@@ -285,7 +314,7 @@
     each.seconds = options.seconds * 0.75;
     runPolicies(table, each, policies, [&](MeasureFleet &fleet) {
         const json alone = runQuotes(fleet, each, 0);
-        const json beside = runQuotes(fleet, each, 1.2);
+        const json beside = runQuotes(fleet, each, 1.5);
         const double without = alone["first_token_ms"]["p99"].get<double>();
         const double with = beside["first_token_ms"]["p99"].get<double>();
         MeasureRow row;
@@ -326,8 +355,9 @@
         startMixedLoad(fleet, options, 0.45, true);
         const std::vector<json> reports = reportsOf(fleet, options);
         MeasureRow row;
-        // The peak lasts from 4 s to 6 s at 1.8 times the capacity; work waits a while after it.
-        row.value = tokensBetween(reports, 4.5, 6.5) / (capacityOf(options) * 2);
+        // The peak lasts from 4 s to 6 s at 1.8 times the capacity. It takes a second until
+        // requests fill the batches; the surplus keeps work waiting past 7 s.
+        row.value = tokensBetween(reports, 5, 7) / (capacityOf(options) * 2);
         row.details = summaryOf(reports);
         return row;
     });
@@ -348,6 +378,8 @@
         for (int entry = 2; entry <= each.fleet.entries; ++entry)
             add(arguments, {"--target", fleet.entryUrl(entry)});
         add(arguments, {"--max-tokens", "24"});
+        // The slowest answers count, so all are waited for.
+        *(std::find(arguments.begin(), arguments.end(), "--drain-seconds") + 1) = "12";
         for (int account = 1; account <= 15; ++account)
             addAccount(arguments, account, account <= 3 ? 4 : 1);
         fleet.startLoad("load", arguments);
@@ -399,10 +431,12 @@
             "control-traffic", "KB/s in datagrams, largest daemon", 8, false, options.seed, {}};
     runPolicies(table, options, {ours}, [&](MeasureFleet &fleet) {
         const auto idleStart = fleet.metrics("process_cpu_seconds_total");
+        const auto idleSentStart = fleet.metrics("lovagecourse_datagram_sent_bytes_total");
         constexpr double idleSeconds = 5;
         std::this_thread::sleep_for(std::chrono::duration<double>(idleSeconds));
         const auto idleEnd = fleet.metrics("process_cpu_seconds_total");
         const auto sentBefore = fleet.metrics("lovagecourse_datagram_sent_bytes_total");
+        const auto idleSent = rate(idleSentStart, sentBefore, idleSeconds);
         const auto linkBefore = fleet.metrics("lovagecourse_link_sent_bytes_total");
         const auto start = std::chrono::steady_clock::now();
         startMixedLoad(fleet, options, 1.1, false);
@@ -416,6 +450,8 @@
         MeasureRow row;
         row.value = largestOf(sent) / 1000;
         row.details = {
+                {"datagram_bytes_per_s", sent},
+                {"idle_datagram_bytes_per_s", idleSent},
                 {"idle_cpu_share", largestOf(rate(idleStart, idleEnd, idleSeconds))},
                 {"loaded_cpu_share", largestOf(cpu)},
                 {"peak_memory_mb", largestOf(fleet.metrics("process_peak_resident_bytes")) / 1e6},
