--- a/src/agent/AgentNode.cpp
+++ b/src/agent/AgentNode.cpp
@@ -24,9 +24,11 @@
 namespace {
 
 constexpr milliseconds tickInterval{50};
-constexpr milliseconds stateInterval{500};
-// Idle slots are told at most this often.
-constexpr milliseconds idleStateInterval{10};
+// Entries take an agent as gone after 3 s of silence, so two of three heartbeats may be late.
+constexpr milliseconds stateInterval{1000};
+// Entries offer to all agents of a small site within 50 ms anyway; a notice more often than this
+// would cost more than 8 KB/s near saturation.
+constexpr milliseconds idleStateInterval{100};
 constexpr milliseconds grantTimeout{250};
 // Longest run of a claimed request after its deadline; then its outcome is unknown.
 constexpr milliseconds claimedGrace{60000};
@@ -109,12 +111,16 @@
     std::set<FlowId> backlogged;
     std::uint64_t lastGrant = 0;
     std::uint64_t lastCrash = 0;
+    /// The requests that ran when the server went down were marked as suspects.
+    bool crashMarked = false;
     double serviceTimeMs = 0;
     bool leaving = false;
     bool terminating = false;
     TimePoint terminateStarted;
     TimePoint lastState;
     TimePoint lastIdleState;
+    /// Offers waited or no slot was free since idle slots were last told.
+    bool wasSaturated = false;
     std::unique_ptr<Timer> tick;
 };
 
@@ -130,7 +136,8 @@
     if (settings.fairness == FairnessPolicy::FirstComeFirstServed)
         options.order = OfferOrder::FirstComeFirstServed;
     queue = std::make_unique<OfferQueue>(options);
-    monitor = std::make_unique<ServerMonitor>(*daemon, [this](bool) {
+    monitor = std::make_unique<ServerMonitor>(*daemon, [this](bool isUp) {
+        crashMarked = crashMarked && !isUp;
         broadcastState();
         pumpGrants();
     });
@@ -592,6 +599,9 @@
 
 void AgentNode::Impl::markCrash()
 {
+    // Every broken connection reports the same death; a second mark would count it twice.
+    if (crashMarked)
+        return;
     std::vector<Fingerprint> running;
     for (const auto &[grant, run] : runs) {
         const bool wasRunning = run->phase == RunPhase::Running || run->phase == RunPhase::Probing;
@@ -600,6 +610,7 @@
     }
     if (running.empty())
         return;
+    crashMarked = true;
     const std::uint64_t crashId = daemon->incarnation().value * 1000 + ++lastCrash;
     logWarning(LogPart::Agent, "server died while running ", running.size(), " requests");
     daemon->metrics().count("lovagecourse_server_crashes_total");
@@ -670,8 +681,13 @@
 void AgentNode::Impl::tellIdleSlots()
 {
     const bool hasIdleSlot = queue->size() == 0 && static_cast<int>(runs.size()) < limit->limit();
-    if (!hasIdleSlot || now() - lastIdleState < idleStateInterval)
+    if (!hasIdleSlot) {
+        wasSaturated = true;
+        return;
+    }
+    if (!wasSaturated || now() - lastIdleState < idleStateInterval)
         return;
+    wasSaturated = false;
     lastIdleState = now();
     broadcastState();
 }
--- a/tests/integration/Fleet.cpp
+++ b/tests/integration/Fleet.cpp
@@ -18,7 +18,7 @@
 
 // Below the range that the system uses for outgoing connections.
 constexpr int firstPort = 10000;
-constexpr int lastPort = 20000;
+constexpr int lastPort = 17900;
 constexpr std::chrono::seconds startLimit{20};
 
 bool isFree(int port, int type)
@@ -349,6 +349,16 @@
     return getJson("http://" + endpoints_.at(server) + "/journal");
 }
 
+nlohmann::json Fleet::takenOrders(const std::string &engine) const
+{
+    return getJson("http://" + endpoints_.at(engine) + "/orders");
+}
+
+std::string Fleet::freeEndpoint()
+{
+    return takeEndpoint();
+}
+
 bool Fleet::control(const std::string &standin, const nlohmann::json &command) const
 {
     return postJson("http://" + endpoints_.at(standin) + "/control", command);
