Count one crash of a server once, however many requests it broke

Cause: when a server dies, each broken request asks for a probe, and each failed probe marked all running requests again under a new crash id. One crash with several requests in flight thus counted as two, and innocent requests were refused as crash suspects fleet-wide. Conclusion: the crash number changes only when the server answers again.

--- a/src/agent/AgentNode.cpp
+++ b/src/agent/AgentNode.cpp
@@ -108,7 +108,10 @@
     std::map<GrantId, std::unique_ptr<RequestRun>> runs;
     std::set<FlowId> backlogged;
     std::uint64_t lastGrant = 0;
-    std::uint64_t lastCrash = 0;
+    /// Number of the next crash; the requests that one outage breaks share it.
+    std::uint64_t nextCrash = 1;
+    /// Last crash whose running requests were marked.
+    std::uint64_t markedCrash = 0;
     double serviceTimeMs = 0;
     bool leaving = false;
     bool terminating = false;
@@ -132,7 +135,8 @@
     if (settings.fairness == FairnessPolicy::FirstComeFirstServed)
         options.order = OfferOrder::FirstComeFirstServed;
     queue = std::make_unique<OfferQueue>(options);
-    monitor = std::make_unique<ServerMonitor>(*daemon, [this](bool) {
+    monitor = std::make_unique<ServerMonitor>(*daemon, [this](bool up) {
+        nextCrash += up ? 1 : 0;
         broadcastState();
         pumpGrants();
     });
@@ -590,9 +594,12 @@
         if (wasRunning)
             running.push_back(run->offer.fingerprint);
     }
-    if (running.empty())
+    // Each broken request is probed for; counted each time, one crash would make suspects that no
+    // server runs any more.
+    if (running.empty() || markedCrash == nextCrash)
         return;
-    const std::uint64_t crashId = daemon->incarnation().value * 1000 + ++lastCrash;
+    const std::uint64_t crashId = daemon->incarnation().value * 1000 + nextCrash;
+    markedCrash = nextCrash;
     logWarning(LogPart::Agent, "server died while running ", running.size(), " requests");
     daemon->metrics().count("lovagecourse_server_crashes_total");
     daemon->suspects().onCrash(running, crashId, now());
