Tell attempts apart by server and grant; bound credit on resume

Cause: each agent numbers its grants by itself, so the two attempts of a hedged request could have the same grant number. The entry compared only the number: it kept both attempts and passed on events of the loser, which it then took for a gap and broke the stream. Found by reading, and fixed with it: a stream that broke after its [DONE] event was resumed and could repeat that event; a resume that another server answers with an error page went into the stream; credit was lost or given twice around a resume. Ruled out: the response head as first byte; only data makes a winner. Conclusion: an attempt is named by its server and its grant.

--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -24,7 +24,9 @@
 constexpr std::size_t offersPerAccountAndServer = 4;
 // Waiting requests of a flow that are looked at when offers become free.
 constexpr std::size_t waitingScan = 24;
+// Bytes of one answer that may be between its server and its caller.
 constexpr std::uint32_t answerCredit = 256U << 10;
+constexpr std::string_view doneEvent = "data: [DONE]\n\n";
 // A longer answer than this is passed on before it is whole.
 constexpr std::size_t maxBufferedBytes = 1U << 20;
 // The agent decides on a claimed request at its deadline; the entry waits this much longer.
@@ -62,7 +64,7 @@
     void onGrant(const ServerId &server, const Grant &grant);
     void onOfferRefused(const OfferRefused &refused);
     void accept(PendingRequest &request, const ServerId &server, GrantId grant);
-    void cancelAttempts(PendingRequest &request, std::optional<GrantId> except);
+    void cancelAttempts(PendingRequest &request, const std::optional<AttemptId> &except);
 
     // Answers.
     void onHead(const ServerId &server, AnswerHead &&head);
@@ -85,14 +87,14 @@
 
     PendingRequest *findByGrant(const ServerId &server, GrantId grant);
     PendingRequest *find(CallerId caller);
-    static Attempt &attemptOf(PendingRequest &request, GrantId grant);
+    static Attempt &attemptOf(PendingRequest &request, const AttemptId &id);
     TimePoint now() const { return daemon.now(); }
 
     Daemon &daemon;
     AgentLinks &links;
     AnswerSink sink;
     std::unordered_map<CallerId, std::unique_ptr<PendingRequest>> requests;
-    std::map<std::pair<ServerId, GrantId>, CallerId> grants;
+    std::map<AttemptId, CallerId> grants;
     WaitingRequests waiting;
     OfferBook offers;
     CostEstimator estimator;
@@ -273,7 +275,8 @@
     message.resumeFromEvent = request.deliveredEvents;
     const auto left = std::chrono::duration_cast<milliseconds>(request.deadline - now());
     message.deadlineMs = static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 1));
-    message.credit = answerCredit;
+    // What a former attempt delivered still fills this entry's memory.
+    message.credit = answerCredit - std::min<std::uint32_t>(answerCredit, request.unconsumed);
     links.send(server, std::move(message));
     daemon.metrics().latency("lovagecourse_wait_seconds", now() - request.arrived);
     scheduleWake(request);
@@ -291,16 +294,16 @@
         refuse(request, Refusal{RefusalReason::CrashSuspect, request.ran});
 }
 
-void RequestRouter::Impl::cancelAttempts(PendingRequest &request, std::optional<GrantId> except)
+void RequestRouter::Impl::cancelAttempts(PendingRequest &request,
+                                         const std::optional<AttemptId> &except)
 {
     for (const Attempt &attempt : request.attempts) {
-        if (attempt.grant == except)
+        if (attempt.id() == except)
             continue;
-        grants.erase({attempt.server, attempt.grant});
+        grants.erase(attempt.id());
         links.send(attempt.server, Cancel{attempt.grant});
     }
-    std::erase_if(request.attempts,
-                  [&](const Attempt &attempt) { return attempt.grant != except; });
+    std::erase_if(request.attempts, [&](const Attempt &attempt) { return attempt.id() != except; });
 }
 
 PendingRequest *RequestRouter::Impl::findByGrant(const ServerId &server, GrantId grant)
@@ -315,10 +318,10 @@
     return found == requests.end() ? nullptr : found->second.get();
 }
 
-Attempt &RequestRouter::Impl::attemptOf(PendingRequest &request, GrantId grant)
+Attempt &RequestRouter::Impl::attemptOf(PendingRequest &request, const AttemptId &id)
 {
     const auto found = std::find_if(request.attempts.begin(), request.attempts.end(),
-                                    [&](const Attempt &attempt) { return attempt.grant == grant; });
+                                    [&](const Attempt &attempt) { return attempt.id() == id; });
     assert(found != request.attempts.end());
     return *found;
 }
@@ -328,17 +331,17 @@
     PendingRequest *request = findByGrant(server, head.grant);
     if (!request)
         return;
-    Attempt &attempt = attemptOf(*request, head.grant);
+    Attempt &attempt = attemptOf(*request, {server, head.grant});
     attempt.status = head.status;
     attempt.headers = std::move(head.headers);
 }
 
 void RequestRouter::Impl::onFirstByte(PendingRequest &request, const Attempt &attempt)
 {
-    request.winner = attempt.grant;
+    request.winner = attempt.id();
     withdrawOffers(request);
     request.hedging = false;
-    cancelAttempts(request, attempt.grant);
+    cancelAttempts(request, attempt.id());
     if (request.firstByteSeen)
         return;
     request.firstByteSeen = true;
@@ -351,7 +354,7 @@
     PendingRequest *request = findByGrant(server, data.grant);
     if (!request)
         return;
-    const Attempt attempt = attemptOf(*request, data.grant);
+    const Attempt attempt = attemptOf(*request, {server, data.grant});
     if (!request->winner) {
         onFirstByte(*request, attempt);
         scheduleWake(*request);
@@ -362,14 +365,18 @@
 void RequestRouter::Impl::passOn(PendingRequest &request, const Attempt &attempt,
                                  const AnswerData &data)
 {
-    request.isEventStream =
+    const bool isEventStream =
             findHeader(attempt.headers, "content-type").starts_with("text/event-stream");
-    const bool isGap = request.isEventStream && data.firstEvent != request.deliveredEvents;
-    if (isGap) {
+    // A server that answers a resume with an error page does not go on with the stream.
+    const bool isOther = request.streamBegun && isEventStream != request.isEventStream;
+    request.isEventStream = isEventStream;
+    const bool isGap = isEventStream && data.firstEvent != request.deliveredEvents;
+    if (isOther || isGap) {
         daemon.metrics().count("lovagecourse_answer_gaps_total");
         return refuse(request, Refusal{RefusalReason::AnswerBroken, Ran::Unknown});
     }
     request.deliveredEvents += data.eventCount;
+    request.doneDelivered = isEventStream && data.bytes.ends_with(doneEvent);
     const bool mayWait = !request.isEventStream
                          && request.buffered.size() + data.bytes.size() <= maxBufferedBytes;
     if (mayWait && !request.streamBegun) {
@@ -381,9 +388,12 @@
     if (!request.streamBegun) {
         request.streamBegun = true;
         sink.beginStream(request.caller, attempt.status, attempt.headers);
+        request.creditedAhead = request.buffered.size();
+        request.unconsumed = request.buffered.size();
         if (!request.buffered.empty())
             sink.sendData(request.caller, std::exchange(request.buffered, {}));
     }
+    request.unconsumed += data.bytes.size();
     sink.sendData(request.caller, data.bytes);
 }
 
@@ -392,11 +402,11 @@
     PendingRequest *request = findByGrant(server, end.grant);
     if (!request)
         return;
-    const Attempt attempt = attemptOf(*request, end.grant);
+    const Attempt attempt = attemptOf(*request, {server, end.grant});
     if (!end.complete) {
         grants.erase({server, end.grant});
         std::erase_if(request->attempts,
-                      [&](const Attempt &item) { return item.grant == end.grant; });
+                      [&](const Attempt &item) { return item.id() == attempt.id(); });
         return onAttemptFailed(*request, server, end.refusal);
     }
     if (!request->winner)
@@ -450,6 +460,11 @@
     // The other attempt of a hedged request goes on.
     if (!request.attempts.empty())
         return;
+    // Only the word that the answer ended was lost; a resume would repeat its last event.
+    if (request.doneDelivered) {
+        sink.endStream(request.caller);
+        return remove(request);
+    }
     if (mayTryAgain(request, refusal)) {
         daemon.metrics().count("lovagecourse_retries_total", toString(refusal.reason));
         withdrawOffers(request);
@@ -481,7 +496,7 @@
 {
     const CallerId caller = request.caller;
     for (const Attempt &attempt : request.attempts)
-        grants.erase({attempt.server, attempt.grant});
+        grants.erase(attempt.id());
     const auto wakeup = wakeOf.find(caller);
     if (wakeup != wakeOf.end()) {
         wakeups.erase(wakeup->second);
@@ -592,11 +607,18 @@
 
 void RequestRouter::onConsumed(CallerId caller, std::size_t bytes)
 {
-    const PendingRequest *request = impl_->find(caller);
-    if (!request || !request->winner || request->attempts.empty())
+    PendingRequest *request = impl_->find(caller);
+    if (!request)
+        return;
+    request->unconsumed -= std::min(request->unconsumed, bytes);
+    const std::size_t credited = std::min(request->creditedAhead, bytes);
+    request->creditedAhead -= credited;
+    const auto credit = static_cast<std::uint32_t>(bytes - credited);
+    if (credit == 0)
         return;
-    const Attempt &attempt = request->attempts.front();
-    impl_->links.send(attempt.server, Credit{attempt.grant, static_cast<std::uint32_t>(bytes)});
+    // Without an attempt nothing is lost: the next one gets its credit by what is unconsumed.
+    for (const Attempt &attempt : request->attempts)
+        impl_->links.send(attempt.server, Credit{attempt.grant, credit});
 }
 
 void RequestRouter::onAgentState(const ServerId &server)
@@ -614,21 +636,19 @@
         impl_->requests.at(entry->caller)->offers.erase(server);
         impl_->scheduleRefill(impl_->requests.at(entry->caller)->details.flow);
     }
-    std::vector<std::pair<GrantId, CallerId>> lost;
-    for (const auto &[key, caller] : impl_->grants) {
-        if (key.first == server)
-            lost.emplace_back(key.second, caller);
+    std::vector<std::pair<AttemptId, CallerId>> lost;
+    for (const auto &[id, caller] : impl_->grants) {
+        if (id.first == server)
+            lost.emplace_back(id, caller);
     }
-    for (const auto &[grant, caller] : lost) {
-        const GrantId lostGrant = grant;
-        impl_->grants.erase({server, lostGrant});
+    for (const auto &[id, caller] : lost) {
+        const AttemptId &lostAttempt = id;
+        impl_->grants.erase(lostAttempt);
         PendingRequest *request = impl_->find(caller);
         if (!request)
             continue;
-        if (request->winner == lostGrant)
-            request->winner.reset();
         std::erase_if(request->attempts,
-                      [&](const Attempt &attempt) { return attempt.grant == lostGrant; });
+                      [&](const Attempt &attempt) { return attempt.id() == lostAttempt; });
         impl_->onAttemptFailed(*request, server, Refusal{RefusalReason::AgentLost, Ran::Unknown});
     }
 }
