--- a/src/agent/AgentNode.cpp
+++ b/src/agent/AgentNode.cpp
@@ -608,7 +608,9 @@
         if (wasRunning)
             running.push_back(run->offer.fingerprint);
     }
-    if (running.empty())
+    // Each broken request is probed for; counted each time, one crash would make suspects that no
+    // server runs any more.
+    if (running.empty() || crashMarked)
         return;
     crashMarked = true;
     const std::uint64_t crashId = daemon->incarnation().value * 1000 + ++lastCrash;
