Tell a hedged request's attempts apart by server and grant

Each agent numbers its own grants, so the two attempts of a hedged request could carry the same number. Then the loser was not cancelled, its data was taken for the winner's, and the stream was aborted as broken (counter lovagecourse_answer_gaps_total).

The stand-ins and the load tool were ruled out since the gap counter of the entries matched the truncated answers one by one.

--- a/src/entry/PendingRequest.h
+++ b/src/entry/PendingRequest.h
@@ -8,10 +8,14 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lovagecourse {
 
+/// Names a grant: every agent counts its own grants, so the number alone is not unique.
+using GrantKey = std::pair<ServerId, GrantId>;
+
 /// One grant that the entry accepted for a request.
 struct Attempt
 {
@@ -20,6 +24,8 @@
     TimePoint acceptedAt;
     int status = 0;
     HeaderList headers;
+
+    GrantKey key() const { return {server, grant}; }
 };
 
 /// A caller's request from its arrival to the end of its answer.
@@ -40,7 +46,7 @@
     std::map<ServerId, OfferId> offers;
     std::vector<Attempt> attempts;
     /// Grant whose answer is passed on.
-    std::optional<GrantId> winner;
+    std::optional<GrantKey> winner;
     /// Servers that failed it; they are offered to again only when no other is left.
     std::set<ServerId> failedAt;
     /// What is known after the attempts so far.
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -62,7 +62,7 @@
     void onGrant(const ServerId &server, const Grant &grant);
     void onOfferRefused(const OfferRefused &refused);
     void accept(PendingRequest &request, const ServerId &server, GrantId grant);
-    void cancelAttempts(PendingRequest &request, std::optional<GrantId> except);
+    void cancelAttempts(PendingRequest &request, const std::optional<GrantKey> &except);
 
     // Answers.
     void onHead(const ServerId &server, AnswerHead &&head);
@@ -85,14 +85,14 @@
 
     PendingRequest *findByGrant(const ServerId &server, GrantId grant);
     PendingRequest *find(CallerId caller);
-    static Attempt &attemptOf(PendingRequest &request, GrantId grant);
+    static Attempt &attemptOf(PendingRequest &request, const GrantKey &key);
     TimePoint now() const { return daemon.now(); }
 
     Daemon &daemon;
     AgentLinks &links;
     AnswerSink sink;
     std::unordered_map<CallerId, std::unique_ptr<PendingRequest>> requests;
-    std::map<std::pair<ServerId, GrantId>, CallerId> grants;
+    std::map<GrantKey, CallerId> grants;
     WaitingRequests waiting;
     OfferBook offers;
     CostEstimator estimator;
@@ -291,16 +291,17 @@
         refuse(request, Refusal{RefusalReason::CrashSuspect, request.ran});
 }
 
-void RequestRouter::Impl::cancelAttempts(PendingRequest &request, std::optional<GrantId> except)
+void RequestRouter::Impl::cancelAttempts(PendingRequest &request,
+                                         const std::optional<GrantKey> &except)
 {
     for (const Attempt &attempt : request.attempts) {
-        if (attempt.grant == except)
+        if (attempt.key() == except)
             continue;
         grants.erase({attempt.server, attempt.grant});
         links.send(attempt.server, Cancel{attempt.grant});
     }
     std::erase_if(request.attempts,
-                  [&](const Attempt &attempt) { return attempt.grant != except; });
+                  [&](const Attempt &attempt) { return attempt.key() != except; });
 }
 
 PendingRequest *RequestRouter::Impl::findByGrant(const ServerId &server, GrantId grant)
@@ -315,10 +316,10 @@
     return found == requests.end() ? nullptr : found->second.get();
 }
 
-Attempt &RequestRouter::Impl::attemptOf(PendingRequest &request, GrantId grant)
+Attempt &RequestRouter::Impl::attemptOf(PendingRequest &request, const GrantKey &key)
 {
     const auto found = std::find_if(request.attempts.begin(), request.attempts.end(),
-                                    [&](const Attempt &attempt) { return attempt.grant == grant; });
+                                    [&](const Attempt &attempt) { return attempt.key() == key; });
     assert(found != request.attempts.end());
     return *found;
 }
@@ -328,17 +329,17 @@
     PendingRequest *request = findByGrant(server, head.grant);
     if (!request)
         return;
-    Attempt &attempt = attemptOf(*request, head.grant);
+    Attempt &attempt = attemptOf(*request, {server, head.grant});
     attempt.status = head.status;
     attempt.headers = std::move(head.headers);
 }
 
 void RequestRouter::Impl::onFirstByte(PendingRequest &request, const Attempt &attempt)
 {
-    request.winner = attempt.grant;
+    request.winner = attempt.key();
     withdrawOffers(request);
     request.hedging = false;
-    cancelAttempts(request, attempt.grant);
+    cancelAttempts(request, attempt.key());
     if (request.firstByteSeen)
         return;
     request.firstByteSeen = true;
@@ -351,7 +352,7 @@
     PendingRequest *request = findByGrant(server, data.grant);
     if (!request)
         return;
-    const Attempt attempt = attemptOf(*request, data.grant);
+    const Attempt attempt = attemptOf(*request, {server, data.grant});
     if (!request->winner) {
         onFirstByte(*request, attempt);
         scheduleWake(*request);
@@ -392,11 +393,12 @@
     PendingRequest *request = findByGrant(server, end.grant);
     if (!request)
         return;
-    const Attempt attempt = attemptOf(*request, end.grant);
+    const Attempt attempt = attemptOf(*request, {server, end.grant});
     if (!end.complete) {
         grants.erase({server, end.grant});
-        std::erase_if(request->attempts,
-                      [&](const Attempt &item) { return item.grant == end.grant; });
+        std::erase_if(request->attempts, [&](const Attempt &item) {
+            return item.key() == GrantKey(server, end.grant);
+        });
         return onAttemptFailed(*request, server, end.refusal);
     }
     if (!request->winner)
@@ -620,15 +622,15 @@
             lost.emplace_back(key.second, caller);
     }
     for (const auto &[grant, caller] : lost) {
-        const GrantId lostGrant = grant;
-        impl_->grants.erase({server, lostGrant});
+        const GrantKey lostKey(server, grant);
+        impl_->grants.erase(lostKey);
         PendingRequest *request = impl_->find(caller);
         if (!request)
             continue;
-        if (request->winner == lostGrant)
+        if (request->winner == lostKey)
             request->winner.reset();
         std::erase_if(request->attempts,
-                      [&](const Attempt &attempt) { return attempt.grant == lostGrant; });
+                      [&](const Attempt &attempt) { return attempt.key() == lostKey; });
         impl_->onAttemptFailed(*request, server, Refusal{RefusalReason::AgentLost, Ran::Unknown});
     }
 }
