Halve the use of a server whose tokens come at over twice the aim

The limit fell by a tenth per window from half its bound, far above what was in flight, so a server slowed 5 times kept getting work for seconds.

--- a/src/scheduling/ConcurrencyLimit.cpp
+++ b/src/scheduling/ConcurrencyLimit.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds shortestWindow{200};
 /// A window with fewer samples stays open up to twice its length: one slow request is no trend.
 constexpr std::size_t fewSamples = 5;
+/// A percentile beyond this multiple of its aim shows a slowed server, not one request too many.
+constexpr int severeMiss = 2;
 /// Rise of a plain service's latency floor per window, about 1% per second.
 constexpr double floorRise = 1.005;
 
@@ -50,12 +52,14 @@
         return firstTokens.size() + tokenGaps.size() + serviceTimes.size();
     }
 
-    bool windowEnds(TimePoint now) const
+    bool windowEnds(TimePoint now)
     {
         const auto age = now - windowStart;
         const std::size_t samples = sampleCount();
         if (samples == 0)
             return false;
+        if (aimIsFarMissed())
+            return age >= shortestWindow;
         if (samples >= fullWindow)
             return age >= shortestWindow;
         return age >= (samples < fewSamples ? 2 * windowLength : windowLength);
@@ -72,6 +76,13 @@
         return !firstTokenIsLate && !gapIsLong;
     }
 
+    /// The server is slow whatever its load; only tokens tell that before requests end.
+    bool aimIsFarMissed()
+    {
+        return tokenGaps.size() >= fewSamples
+               && percentile(tokenGaps, 0.5) > severeMiss * options.tokenGapAim;
+    }
+
     /// Compares medians, since costs of plain calls differ and their tail says little of load.
     bool plainAimIsMet()
     {
@@ -91,12 +102,22 @@
         limit = std::max(options.minLimit, limit - std::max(1, limit / 10));
     }
 
-    /// Rises faster up to a level that was in use before a slowdown, to recover within 5 s.
+    /// Halves what is in use: a slowed server below its limit would get work until the limit, which
+    /// falls by a tenth per window, comes down to it.
+    void shrinkBelowUse()
+    {
+        goodLimit = std::max(goodLimit, limit);
+        grewLast = false;
+        limit = std::max(options.minLimit, std::min(limit, mostInFlight) / 2);
+    }
+
+    /// Rises faster up to a level that was in use before a slowdown, to recover within 5 s even
+    /// from the lowest limit.
     void grow()
     {
         grewLast = true;
         const bool recovers = limit < goodLimit * 3 / 4;
-        const int step = std::max(1, recovers ? limit / 3 : limit / 10);
+        const int step = std::max(1, recovers ? std::max(limit / 3, goodLimit / 5) : limit / 10);
         limit = std::min(options.maxLimit, limit + step);
         if (!recovers)
             goodLimit = limit;
@@ -106,6 +127,7 @@
     {
         windowStart = now;
         wasFull = false;
+        mostInFlight = 0;
         firstTokens.clear();
         tokenGaps.clear();
         serviceTimes.clear();
@@ -120,6 +142,8 @@
     bool isStarted = false;
     /// Work waited while nearly all slots were in use, at some tick of this window.
     bool wasFull = false;
+    /// Most requests in flight at the ticks of this window.
+    int mostInFlight = 0;
     std::optional<double> floorNs;
     std::vector<nanoseconds> firstTokens;
     std::vector<nanoseconds> tokenGaps;
@@ -156,12 +180,16 @@
     }
     const bool nearLimit = inFlight >= impl.limit - std::max(1, impl.limit / 10);
     impl.wasFull |= workWaits && nearLimit;
+    impl.mostInFlight = std::max(impl.mostInFlight, inFlight);
     if (!impl.windowEnds(now))
         return;
     const bool aimIsMet = impl.aimIsMet();
+    const bool isSlow = !aimIsMet && impl.aimIsFarMissed();
     const bool mayGrow = impl.wasFull;
+    if (isSlow && impl.options.fixedLimit == 0)
+        impl.shrinkBelowUse();
     impl.startWindow(now);
-    if (impl.options.fixedLimit > 0)
+    if (impl.options.fixedLimit > 0 || isSlow)
         return;
     if (!aimIsMet)
         impl.shrink();
