Keep a home's answers to agents within a byte budget

Every report got an answer: with 23 agents at 4 reports/s the largest entry sent 18.5 KB/s in datagrams (target 8) under load, 4.6 KB/s of them gossip. Agents take turns now, at most as fast as 2.8 KB/s allow. The unit test fails without the pacing, as each of 5520 reports is answered.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -6,6 +6,7 @@
 #include "entry/RequestIntake.h"
 #include "entry/RequestRouter.h"
 #include "fairness/FairnessHome.h"
+#include "fairness/ReplyPacer.h"
 
 #include <nlohmann/json.hpp>
 
@@ -13,6 +14,8 @@
 
 namespace {
 
+// With gossip, about 5 KB/s, this stays within the 8 KB/s that a daemon has for control.
+constexpr double totalsBytesPerSecond = 2800;
 constexpr milliseconds housekeepingInterval{200};
 // The balancer needs this long to see /readyz and send new callers elsewhere; until then they are
 // served as usual.
@@ -38,6 +41,7 @@
 
     std::unique_ptr<Daemon> daemon;
     std::unique_ptr<FairnessHome> home;
+    ReplyPacer pacer{totalsBytesPerSecond};
     std::unique_ptr<RequestIntake> intake;
     std::unique_ptr<AgentLinks> links;
     std::unique_ptr<RequestRouter> router;
@@ -152,7 +156,9 @@
         daemon->metrics().count("lovagecourse_unexpected_messages_total");
         return;
     }
-    daemon->datagrams().send(daemon->route(*endpoint), home->apply(*report, daemon->now()));
+    const FairTotals totals = home->apply(*report, daemon->now());
+    if (pacer.takeTurn(sender, totals.entries.size(), daemon->now()))
+        daemon->datagrams().send(daemon->route(*endpoint), totals);
 }
 
 void EntryNode::Impl::onRequest(CallerRequest &&request)
--- /dev/null
+++ b/src/fairness/ReplyPacer.cpp
@@ -0,0 +1,37 @@
+#include "fairness/ReplyPacer.h"
+
+namespace lovagecourse {
+
+namespace {
+
+// Sizes on the wire with usual names.
+constexpr double entryBytes = 50;
+constexpr double datagramBytes = 110;
+constexpr seconds reporterLifetime{3};
+constexpr milliseconds updateInterval{250};
+
+} // namespace
+
+bool ReplyPacer::takeTurn(const DaemonId &agent, std::size_t flows, TimePoint now)
+{
+    Agent &reporter = agents_[agent];
+    reporter.heard = now;
+    reporter.bytes = datagramBytes + entryBytes * static_cast<double>(flows);
+    if (now - roundUpdated_ >= updateInterval) {
+        roundUpdated_ = now;
+        std::erase_if(agents_, [now](const auto &item) {
+            return now - item.second.heard > reporterLifetime;
+        });
+        double bytes = 0;
+        for (const auto &[name, other] : agents_)
+            bytes += other.bytes;
+        round_ = std::chrono::duration<double>(bytes / bytesPerSecond_);
+    }
+    const bool isFirst = reporter.answered == TimePoint();
+    if (!isFirst && now - reporter.answered < round_)
+        return false;
+    reporter.answered = now;
+    return true;
+}
+
+} // namespace lovagecourse
--- /dev/null
+++ b/tests/fairness/ReplyPacerTest.cpp
@@ -0,0 +1,32 @@
+#include "fairness/ReplyPacer.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lovagecourse;
+
+// Guards against control traffic above the budget, and against agents that never get positions
+// because others always come first.
+TEST_CASE("reply pacer, 23 agents report every 250 ms, stays within the budget and answers each")
+{
+    constexpr double budget = 2800;
+    constexpr int agents = 23;
+    constexpr std::size_t flows = 5;
+    ReplyPacer pacer(budget);
+    std::map<int, int> answers;
+    const TimePoint start(seconds(100));
+    constexpr int rounds = 240;
+    for (int round = 0; round < rounds; ++round) {
+        for (int agent = 0; agent < agents; ++agent) {
+            const TimePoint now = start + milliseconds(250 * round + agent * 10);
+            answers[agent] += pacer.takeTurn(DaemonId(std::to_string(agent)), flows, now) ? 1 : 0;
+        }
+    }
+    int total = 0;
+    for (const auto &[agent, count] : answers) {
+        total += count;
+        REQUIRE(count >= 10);
+    }
+    // 60 s; every agent may have one answer before the first round is known.
+    constexpr double answerBytes = 110 + 50 * flows;
+    REQUIRE((total - agents) * answerBytes <= budget * rounds / 4);
+}
