--- a/standins/MeasureFleet.cpp
+++ b/standins/MeasureFleet.cpp
@@ -262,6 +262,8 @@
         if (isEngine)
             command.insert(command.end(), options_.engineOptions.begin(),
                            options_.engineOptions.end());
+        else
+            command.insert(command.end(), {"--status-ms", "0"});
         spawn(server, command);
     }
     writeAllSettings();
@@ -286,14 +288,15 @@
     return "http://" + addresses_.at("entry-" + std::to_string(entry));
 }
 
-std::string MeasureFleet::engineUrl(int engine) const
+std::string MeasureFleet::serverUrl(const std::string &server) const
 {
-    return "http://" + addresses_.at("engine-" + std::to_string(engine));
+    return "http://" + addresses_.at(server);
 }
 
 bool MeasureFleet::control(int engine, const json &command) const
 {
-    return !fetchText(engineUrl(engine) + "/control", command.dump()).empty();
+    return !fetchText(serverUrl("engine-" + std::to_string(engine)) + "/control", command.dump())
+                    .empty();
 }
 
 std::map<std::string, double> MeasureFleet::metrics(const std::string &name) const
--- a/standins/MeasureFleet.h
+++ b/standins/MeasureFleet.h
@@ -43,7 +43,7 @@
     /// Starts all and waits until every entry can use every server; false when that fails.
     bool start();
     std::string entryUrl(int entry) const;
-    std::string engineUrl(int engine) const;
+    std::string serverUrl(const std::string &server) const;
     /// Changes a stand-in's behaviour.
     bool control(int engine, const nlohmann::json &command) const;
     /// A metric of every daemon, by its name.
