--- a/src/agent/AgentNode.cpp
+++ b/src/agent/AgentNode.cpp
@@ -608,9 +608,7 @@
         if (wasRunning)
             running.push_back(run->offer.fingerprint);
     }
-    // Each broken request is probed for; counted each time, one crash would make suspects that no
-    // server runs any more.
-    if (running.empty() || crashMarked)
+    if (running.empty())
         return;
     crashMarked = true;
     const std::uint64_t crashId = daemon->incarnation().value * 1000 + ++lastCrash;
--- a/src/entry/PendingRequest.h
+++ b/src/entry/PendingRequest.h
@@ -26,6 +26,7 @@
     TimePoint acceptedAt;
     int status = 0;
     HeaderList headers;
+
 };
 
 /// A caller's request from its arrival to the end of its answer.
