Move flows away from homes that stop answering without a closed link

Cause: an agent dropped a home only when its link closed. An entry that is cut off silently (no reset, no FIN) stayed the home of its flows for as long as TCP kept the link, so reports went nowhere and each agent ordered these flows by its own service alone. A second fault beside it: when such an entry linked again before its former link ended, the end of the former one removed the new home. Ruled out: the link itself. Entries send nothing on an idle link, and a heartbeat per link would cost control traffic. Homes answer every report, so a missing answer is the sign. Change: a home that leaves reports unanswered for 3 s loses its flows. It gets an empty report per interval, which it answers once it can; its link coming up again counts too. An entry's link that ends removes the home only if the entry has no other link.

--- a/src/agent/AgentNode.cpp
+++ b/src/agent/AgentNode.cpp
@@ -181,7 +181,9 @@
         links->send(link, SuspectNotice{daemon->suspects().recent(now(), 100)});
     };
     handlers.onDown = [this](std::uint64_t link, const Hello &hello) {
-        reporter->onEntryDown(hello.daemon);
+        // An entry that was cut off may be linked again before its former link ends.
+        if (!links->hasLinkOf(hello.daemon))
+            reporter->onEntryDown(hello.daemon);
         onLinkDown(link);
     };
     handlers.onMessage = [this](std::uint64_t link, Message &&message) {
--- a/src/agent/EntryLinks.cpp
+++ b/src/agent/EntryLinks.cpp
@@ -2,6 +2,8 @@
 
 #include "core/Log.h"
 
+#include <algorithm>
+
 namespace lovagecourse {
 
 EntryLinks::EntryLinks(Daemon &daemon, Handlers handlers)
@@ -45,6 +47,12 @@
     handlers_.onDown(link, closed.hello);
 }
 
+bool EntryLinks::hasLinkOf(const DaemonId &entry) const
+{
+    return std::any_of(links_.begin(), links_.end(),
+                       [&](const auto &item) { return item.second.hello.daemon == entry; });
+}
+
 void EntryLinks::send(std::uint64_t link, Message message)
 {
     const auto found = links_.find(link);
--- a/src/agent/EntryLinks.h
+++ b/src/agent/EntryLinks.h
@@ -24,6 +24,8 @@
 
     /// Opens the listening address, which no second agent of the host can share.
     std::optional<SocketFailure> listen();
+    /// True when an entry has a link that is ready.
+    bool hasLinkOf(const DaemonId &entry) const;
     /// Sends to one entry; dropped when its link has closed.
     void send(std::uint64_t link, Message message);
     void sendToAll(const Message &message);
--- a/src/agent/ServiceReporter.cpp
+++ b/src/agent/ServiceReporter.cpp
@@ -1,5 +1,6 @@
 #include "agent/ServiceReporter.h"
 
+#include "core/Log.h"
 #include "fairness/HomePlacement.h"
 
 #include <algorithm>
@@ -10,6 +11,8 @@
 
 constexpr milliseconds reportInterval{250};
 constexpr double bytesPerSecond = 4096;
+// A home that was cut off without a closed connection loses its flows after this time.
+constexpr milliseconds silenceTimeout{3000};
 // Sizes on the wire with usual names; they only steer the budget.
 constexpr double entryBytes = 80;
 constexpr double datagramBytes = 130;
@@ -35,7 +38,7 @@
 
 void ServiceReporter::onEntryUp(const DaemonId &entry, const Endpoint &datagramEndpoint)
 {
-    homes_[entry] = datagramEndpoint;
+    homes_[entry] = Home{datagramEndpoint, std::nullopt, false};
 }
 
 void ServiceReporter::onEntryDown(const DaemonId &entry)
@@ -45,6 +48,11 @@
 
 void ServiceReporter::onTotals(const FairTotals &totals)
 {
+    const auto home = homes_.find(totals.home);
+    if (home != homes_.end()) {
+        home->second.unansweredSince.reset();
+        home->second.silent = false;
+    }
     if (totals.agentIncarnation == daemon_.incarnation())
         ledger_.applyTotals(totals, daemon_.now());
 }
@@ -61,6 +69,32 @@
     servedSinceReport_ = Work();
 }
 
+std::vector<DaemonId> ServiceReporter::answeringHomes()
+{
+    std::vector<DaemonId> answering;
+    for (auto &[entry, home] : homes_) {
+        const bool isLate =
+                home.unansweredSince && daemon_.now() - *home.unansweredSince >= silenceTimeout;
+        if (isLate && !home.silent)
+            logWarning(LogPart::Agent, "entry ", entry, " answers no reports; its flows move");
+        home.silent = home.silent || isLate;
+        if (!home.silent)
+            answering.push_back(entry);
+        else
+            send(entry, ServiceReport{daemon_.settings().name, daemon_.incarnation(), {}, {}, {}});
+    }
+    return answering;
+}
+
+void ServiceReporter::send(const DaemonId &home, const ServiceReport &report)
+{
+    byteBudget_ -= datagramBytes + entryBytes * static_cast<double>(report.entries.size());
+    Home &target = homes_.at(home);
+    if (!target.unansweredSince)
+        target.unansweredSince = daemon_.now();
+    daemon_.datagrams().send(daemon_.route(target.endpoint), report);
+}
+
 void ServiceReporter::report()
 {
     updateCapacity();
@@ -68,20 +102,14 @@
     byteBudget_ = std::min(bytesPerSecond, byteBudget_ + income);
     ledger_.expire(daemon_.now());
     const double affordable = std::max(0., byteBudget_ - datagramBytes) / entryBytes;
-    if (homes_.empty() || affordable < 1)
+    if (affordable < 1)
+        return;
+    const std::vector<DaemonId> live = answeringHomes();
+    if (live.empty())
         return;
-
-    std::vector<DaemonId> live;
-    for (const auto &[entry, endpoint] : homes_)
-        live.push_back(entry);
     // Positions of different services do not compare, so each report is of one service.
     using ReportKey = std::pair<DaemonId, ServiceId>;
     std::map<ReportKey, ServiceReport> reports;
-    const auto send = [this](const DaemonId &home, ServiceReport &report) {
-        byteBudget_ -= datagramBytes + entryBytes * static_cast<double>(report.entries.size());
-        daemon_.datagrams().send(daemon_.route(homes_.at(home)), report);
-        report.entries.clear();
-    };
     for (const ServiceReportEntry &entry :
          ledger_.reportsDue(daemon_.now(), static_cast<std::size_t>(affordable))) {
         const DaemonId home = *chooseHome(entry.flow, live);
@@ -91,8 +119,10 @@
         report.virtualTime = ledger_.virtualTime(entry.flow.service);
         report.capacityPerSecond = capacityPerSecond_;
         report.entries.push_back(entry);
-        if (report.entries.size() == entriesPerDatagram)
-            send(home, report);
+        if (report.entries.size() < entriesPerDatagram)
+            continue;
+        send(home, report);
+        report.entries.clear();
     }
     for (auto &[key, report] : reports) {
         if (!report.entries.empty())
--- a/src/agent/ServiceReporter.h
+++ b/src/agent/ServiceReporter.h
@@ -5,6 +5,8 @@
 
 #include <functional>
 #include <map>
+#include <optional>
+#include <vector>
 
 namespace lovagecourse {
 
@@ -22,12 +24,24 @@
     void onServed(Work work);
 
 private:
+    /// Entry that sums positions.
+    struct Home
+    {
+        Endpoint endpoint;
+        /// First report that was sent after the last totals.
+        std::optional<TimePoint> unansweredSince;
+        bool silent = false;
+    };
+
     void report();
+    /// Entries that answer; those that don't get an empty report, which they answer once they can.
+    std::vector<DaemonId> answeringHomes();
+    void send(const DaemonId &home, const ServiceReport &report);
     void updateCapacity();
 
     Daemon &daemon_;
     AccountLedger &ledger_;
-    std::map<DaemonId, Endpoint> homes_;
+    std::map<DaemonId, Home> homes_;
     Work servedSinceReport_;
     Work capacityPerSecond_;
     double byteBudget_;
