--- a/src/agent/AgentNode.cpp
+++ b/src/agent/AgentNode.cpp
@@ -57,6 +57,7 @@
     void onConfiguration(const ConfigurationState &state);
     void checkLeaving();
     void beginLeaving(const char *reason);
+    void onLeaveNotice(const LeaveNotice &notice);
     void exitWhenDrained();
 
     // Offers and grants.
@@ -251,6 +252,16 @@
     exitWhenDrained();
 }
 
+void AgentNode::Impl::onLeaveNotice(const LeaveNotice &notice)
+{
+    // What this agent read itself is at least as new as the word of an entry.
+    const bool knowsBetter = notice.byHostList
+                                     ? daemon->isHostListFresh()
+                                     : daemon->configuration().state().offset >= notice.offset;
+    if (!knowsBetter)
+        beginLeaving("an entry says that its server leaves");
+}
+
 void AgentNode::Impl::exitWhenDrained()
 {
     if (!terminating)
@@ -260,9 +271,12 @@
     if (!outOfTime && (!runs.empty() || !recorded))
         return;
     logInfo(LogPart::Agent, outOfTime ? "drain timeout passed; exits" : "drained; exits");
-    // The last answers leave in this turn of the loop; the timer runs in a later one.
-    tick = std::make_unique<Timer>(daemon->loop(), [this] { daemon->loop().stop(); });
-    tick->startOnce(tickInterval);
+    // The last answers leave in this turn of the loop or, to a slow entry, in later ones.
+    tick = std::make_unique<Timer>(daemon->loop(), [this, outOfTime] {
+        if (outOfTime || links->unsentBytes() == 0)
+            daemon->loop().stop();
+    });
+    tick->startRepeating(tickInterval);
     terminating = false;
 }
 
@@ -284,6 +298,8 @@
             run->second->backend->addCredit(credit->bytes);
     } else if (const auto *notice = std::get_if<SuspectNotice>(&message)) {
         daemon->suspects().merge(notice->suspects, now());
+    } else if (const auto *leave = std::get_if<LeaveNotice>(&message)) {
+        onLeaveNotice(*leave);
     } else if (const auto *request = std::get_if<StateRequest>(&message)) {
         links->send(link, daemon->configuration().replyTo(*request));
     } else {
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <list>
+#include <optional>
 #include <random>
 
 namespace lovagecourse {
@@ -21,6 +22,8 @@
 constexpr unsigned roundsPerConfiguredPeer = 4;
 constexpr std::size_t gossipSuspects = 4;
 constexpr milliseconds hostListInterval{1000};
+// Short enough that a server whose agent can't read the list still leaves within 3 s.
+constexpr milliseconds hostListFreshTime{1500};
 // A state link is used for one request; more at once are refused.
 constexpr std::size_t maxStateLinks = 64;
 
@@ -109,6 +112,7 @@
     std::unique_ptr<HttpGateway> admin;
     std::unique_ptr<ConfigurationFollower> configuration;
     std::set<HostId> leavingHosts;
+    std::optional<TimePoint> hostListRead;
     bool leaving = false;
     unsigned gossipRounds = 0;
     std::mt19937_64 random{std::random_device{}()};
@@ -223,6 +227,7 @@
     log.listHosts([this](const HostListResult &result) {
         if (const auto *hosts = std::get_if<std::vector<HostEntry>>(&result)) {
             leavingHosts.clear();
+            hostListRead = clock.now();
             for (const HostEntry &host : *hosts) {
                 if (host.leaving)
                     leavingHosts.insert(host.host);
@@ -385,6 +390,11 @@
     return impl_->leavingHosts.contains(host);
 }
 
+bool Daemon::isHostListFresh() const
+{
+    return impl_->hostListRead && now() - *impl_->hostListRead < hostListFreshTime;
+}
+
 Endpoint Daemon::route(const Endpoint &endpoint) const
 {
     return impl_->routeOf(endpoint);
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -63,6 +63,8 @@
     ConfigurationFollower &configuration();
     /// True when the host list names the host as leaving.
     bool isHostLeaving(const HostId &host) const;
+    /// True when the host list was read within the last reading intervals.
+    bool isHostListFresh() const;
     /// Address to use for an endpoint, after the settings' replacements.
     Endpoint route(const Endpoint &endpoint) const;
     /// Tells peers that this daemon leaves.
--- a/src/entry/AgentLinks.cpp
+++ b/src/entry/AgentLinks.cpp
@@ -102,6 +102,8 @@
             silent.push_back(id);
         else if (!agent.link && agent.inConfiguration && now >= agent.retryAt)
             connect(agent);
+        else
+            sendLeaveNotice(agent);
     }
     for (const ServerId &server : silent) {
         daemon_.metrics().count("lovagecourse_agent_silences_total");
@@ -109,6 +111,18 @@
     }
 }
 
+void AgentLinks::sendLeaveNotice(const AgentLink &agent)
+{
+    const bool stays = !agent.inConfiguration || !agent.state || agent.state->leaving;
+    if (stays)
+        return;
+    LeaveNotice notice;
+    notice.offset = daemon_.configuration().state().offset;
+    notice.byHostList = daemon_.isHostListFresh() && daemon_.isHostLeaving(agent.server.host);
+    if (notice.byHostList || agent.server.leaving)
+        agent.link->send(notice);
+}
+
 void AgentLinks::send(const ServerId &server, Message message)
 {
     const auto found = agents_.find(server);
--- a/src/entry/AgentLinks.h
+++ b/src/entry/AgentLinks.h
@@ -54,6 +54,8 @@
     };
 
     bool isUsable(const AgentLink &agent) const;
+    /// Tells an agent that its server leaves when it may be unable to hear it from the platform.
+    void sendLeaveNotice(const AgentLink &agent);
     void connect(AgentLink &agent);
     void onClosed(const ServerId &server, const LinkFailure &failure);
     void onMessage(const ServerId &server, Message &&message);
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -259,6 +259,22 @@
     }
 };
 
+/// Entry to agent: the agent's server leaves. An agent that is cut off from the platform learns it
+/// in this way.
+struct LeaveNotice
+{
+    /// The host list says so; otherwise the configuration does.
+    bool byHostList = false;
+    /// Configuration offset of the sender.
+    LogOffset offset;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(byHostList, offset);
+    }
+};
+
 /// Asks for a configuration state newer than the offset.
 struct StateRequest
 {
@@ -389,6 +405,6 @@
 using Message =
         std::variant<Hello, Offer, OfferWithdraw, OfferRefused, Grant, GrantDecline, GrantAccept,
                      Cancel, Credit, AnswerHead, AnswerData, AnswerEnd, AgentState, SuspectNotice,
-                     StateRequest, StateReply, Gossip, ServiceReport, FairTotals>;
+                     StateRequest, StateReply, Gossip, ServiceReport, FairTotals, LeaveNotice>;
 
 } // namespace lovagecourse
