--- a/src/agent/EntryLinks.cpp
+++ b/src/agent/EntryLinks.cpp
@@ -60,4 +60,12 @@
     }
 }
 
+std::size_t EntryLinks::unsentBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[id, entry] : links_)
+        bytes += entry.link->unsentBytes();
+    return bytes;
+}
+
 } // namespace lovagecourse
--- a/src/agent/EntryLinks.h
+++ b/src/agent/EntryLinks.h
@@ -27,6 +27,8 @@
     /// Sends to one entry; dropped when its link has closed.
     void send(std::uint64_t link, Message message);
     void sendToAll(const Message &message);
+    /// Bytes that wait for a slow entry.
+    std::size_t unsentBytes() const;
 
 private:
     struct EntryLink
--- a/src/gateway/CallerExchange.cpp
+++ b/src/gateway/CallerExchange.cpp
@@ -117,7 +117,6 @@
     }
     if (!exchange.delivered) {
         exchange.delivered = true;
-        ++openRequests;
         metrics.count("lovagecourse_caller_requests_total");
         const MHD_ConnectionInfo *info =
                 MHD_get_connection_info(exchange.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
@@ -181,11 +180,8 @@
     impl.hangUps.remove(exchange->request.id.value);
     if (exchange->response)
         MHD_destroy_response(exchange->response);
-    if (exchange->delivered) {
-        --impl.openRequests;
-        if (!exchange->ended && !exchange->left)
-            impl.events.emplace_back(Left{exchange->request.id});
-    }
+    if (exchange->delivered && !exchange->ended && !exchange->left)
+        impl.events.emplace_back(Left{exchange->request.id});
     impl.exchanges.erase(exchange->request.id);
 }
 
--- a/src/gateway/GatewayImpl.h
+++ b/src/gateway/GatewayImpl.h
@@ -110,7 +110,6 @@
     /// Handlers run after libmicrohttpd has returned, so that they never re-enter it.
     std::vector<Event> events;
     std::uint64_t lastCaller = 0;
-    std::size_t openRequests = 0;
     bool stopping = false;
     /// Set to false on destruction, which a handler may cause.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/gateway/HttpGateway.cpp
+++ b/src/gateway/HttpGateway.cpp
@@ -276,7 +276,7 @@
 
 std::size_t HttpGateway::openRequests() const
 {
-    return impl_->openRequests;
+    return impl_->exchanges.size();
 }
 
 void HttpGateway::stopListening()
