--- a/src/agent/AgentNode.cpp
+++ b/src/agent/AgentNode.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
 #include <map>
 
 namespace lovagecourse {
@@ -23,7 +24,8 @@
 namespace {
 
 constexpr milliseconds tickInterval{50};
-constexpr milliseconds stateInterval{500};
+// Entries take an agent as gone after 3 s of silence, so two of three heartbeats may be late.
+constexpr milliseconds stateInterval{1000};
 // Entries offer to all agents of a small site within 50 ms anyway; a notice more often than this
 // would cost more than 8 KB/s near saturation.
 constexpr milliseconds idleStateInterval{100};
@@ -109,10 +111,9 @@
     std::map<GrantId, std::unique_ptr<RequestRun>> runs;
     std::set<FlowId> backlogged;
     std::uint64_t lastGrant = 0;
-    /// Number of the next crash; the requests that one outage breaks share it.
-    std::uint64_t nextCrash = 1;
-    /// Last crash whose running requests were marked.
-    std::uint64_t markedCrash = 0;
+    std::uint64_t lastCrash = 0;
+    /// The requests that ran when the server went down were marked as suspects.
+    bool crashMarked = false;
     double serviceTimeMs = 0;
     bool leaving = false;
     bool terminating = false;
@@ -136,8 +137,8 @@
     if (settings.fairness == FairnessPolicy::FirstComeFirstServed)
         options.order = OfferOrder::FirstComeFirstServed;
     queue = std::make_unique<OfferQueue>(options);
-    monitor = std::make_unique<ServerMonitor>(*daemon, [this](bool up) {
-        nextCrash += up ? 1 : 0;
+    monitor = std::make_unique<ServerMonitor>(*daemon, [this](bool isUp) {
+        crashMarked = crashMarked && !isUp;
         broadcastState();
         pumpGrants();
     });
@@ -399,10 +400,15 @@
     RequestRun &run = *found->second;
     run.request = std::move(accept);
     run.deadline = now() + milliseconds(run.request.deadlineMs);
-    if (run.request.idempotencyKey.value.empty())
-        send(run);
-    else
+    const Service *service = findService(run.offer.flow.service);
+    const bool needsClaim = service && !service->repeatable;
+    const bool hasKey = !run.request.idempotencyKey.value.empty();
+    if (hasKey)
         claim(run);
+    else if (needsClaim) // The entry has an older configuration, in which it was repeatable.
+        finish(run.grant, false, Refusal{RefusalReason::ClaimUnavailable, Ran::No});
+    else
+        send(run);
 }
 
 void AgentNode::Impl::onCancel(std::uint64_t link, GrantId grant)
@@ -415,7 +421,10 @@
     // A claimed request that the server has runs to its outcome, which later calls get.
     const bool runsOn = run.claim && run.phase != RunPhase::Claiming;
     if (!runsOn)
-        finish(grant, false, Refusal{RefusalReason::CallerLeft, Ran::Unknown});
+        return finish(grant, false, Refusal{RefusalReason::CallerLeft, Ran::Unknown});
+    // Nobody gives credit any more, but the whole answer must be recorded.
+    if (run.backend)
+        run.backend->addCredit(std::numeric_limits<std::uint32_t>::max());
 }
 
 void AgentNode::Impl::onLinkDown(std::uint64_t link)
@@ -441,11 +450,9 @@
     request.requestDigest = digestOf(run.offer, run.request);
     request.deadline = run.deadline;
     const GrantId grant = run.grant;
-    journal->coordinator().begin(
-            request,
-            [this, grant](const ClaimDecision &decision) { onClaimDecision(grant, decision); },
-            now());
-    journal->pump();
+    journal->begin(request, [this, grant](const ClaimDecision &decision) {
+        onClaimDecision(grant, decision);
+    });
 }
 
 void AgentNode::Impl::onClaimDecision(GrantId grant, const ClaimDecision &decision)
@@ -494,6 +501,10 @@
     if (run.claim) {
         request.headers.emplace_back("idempotency-key", run.request.idempotencyKey.value);
         request.totalTimeout += claimedGrace;
+        // A request that the agent could not send by its deadline, such as after a pause of the
+        // process, must not be sent: operators settle keys after that time.
+        const auto left = std::chrono::ceil<milliseconds>(run.deadline - now());
+        request.connectTimeout = std::clamp(left, milliseconds(1), request.connectTimeout);
         request.freshConnection = true;
     }
     if (run.request.resumeFromEvent > 0)
@@ -604,6 +615,9 @@
 
 void AgentNode::Impl::markCrash()
 {
+    // Every broken connection reports the same death; a second mark would count it twice.
+    if (crashMarked)
+        return;
     std::vector<Fingerprint> running;
     for (const auto &[grant, run] : runs) {
         const bool wasRunning = run->phase == RunPhase::Running || run->phase == RunPhase::Probing;
@@ -612,10 +626,10 @@
     }
     // Each broken request is probed for; counted each time, one crash would make suspects that no
     // server runs any more.
-    if (running.empty() || markedCrash == nextCrash)
+    if (running.empty() || crashMarked)
         return;
-    const std::uint64_t crashId = daemon->incarnation().value * 1000 + nextCrash;
-    markedCrash = nextCrash;
+    crashMarked = true;
+    const std::uint64_t crashId = daemon->incarnation().value * 1000 + ++lastCrash;
     logWarning(LogPart::Agent, "server died while running ", running.size(), " requests");
     daemon->metrics().count("lovagecourse_server_crashes_total");
     daemon->suspects().onCrash(running, crashId, now());
--- a/tests/integration/Fleet.cpp
+++ b/tests/integration/Fleet.cpp
@@ -287,6 +287,11 @@
     start(copyName, command);
 }
 
+std::string Fleet::freeEndpoint()
+{
+    return takeEndpoint();
+}
+
 std::string Fleet::entryUrl(int entry) const
 {
     return "http://" + endpoints_.at("entry-" + std::to_string(entry));
@@ -344,6 +349,16 @@
     return getJson("http://" + endpoints_.at(server) + "/journal");
 }
 
+nlohmann::json Fleet::takenOrders(const std::string &engine) const
+{
+    return getJson("http://" + endpoints_.at(engine) + "/orders");
+}
+
+std::string Fleet::freeEndpoint()
+{
+    return takeEndpoint();
+}
+
 bool Fleet::control(const std::string &standin, const nlohmann::json &command) const
 {
     return postJson("http://" + endpoints_.at(standin) + "/control", command);
