--- a/tests/integration/Fleet.cpp
+++ b/tests/integration/Fleet.cpp
@@ -354,11 +354,6 @@
     return getJson("http://" + endpoints_.at(engine) + "/orders");
 }
 
-std::string Fleet::freeEndpoint()
-{
-    return takeEndpoint();
-}
-
 bool Fleet::control(const std::string &standin, const nlohmann::json &command) const
 {
     return postJson("http://" + endpoints_.at(standin) + "/control", command);
--- a/tests/integration/Fleet.h
+++ b/tests/integration/Fleet.h
@@ -88,8 +88,6 @@
     /// Names of all daemons.
     std::vector<std::string> daemons() const;
     std::string folder() const { return folder_; }
-    /// Free address of this host, for the settings of a copy.
-    static std::string freeEndpoint();
 
 private:
     struct Member
