Spread notes over broken log paths and wait for peers before being ready

Now a peer's state is fetched once a peer has been ahead for 1 s. - A daemon that restarted empty in an outage was ready with the state of the first peer, note 1, while a peer with note 2 could be reached.

The proxied test fleet passes state links (TCP), not only datagrams.

--- a/src/agent/AgentNode.cpp
+++ b/src/agent/AgentNode.cpp
@@ -161,7 +161,9 @@
         beginLeaving("termination was requested");
     };
     handlers.fillStatus = [this](nlohmann::json &page) { fillStatus(page); };
-    handlers.isReady = [this] { return server && monitor->isUp() && !leaving; };
+    handlers.isReady = [this] {
+        return server && monitor->isUp() && !leaving && daemon->configuration().isReady();
+    };
     return handlers;
 }
 
@@ -321,7 +323,8 @@
     for (const QueuedOffer &expired : queue->takeExpired(now()))
         links->send(expired.key.link,
                     OfferRefused{expired.offer.offer, RefusalReason::DeadlineExpired});
-    const bool mayGrant = server && limit && monitor->isUp() && !leaving;
+    const bool mayGrant =
+            server && limit && monitor->isUp() && !leaving && daemon->configuration().isReady();
     if (!mayGrant)
         return;
     const auto position = [this](const FlowId &flow) {
--- a/src/daemon/ConfigurationFollower.cpp
+++ b/src/daemon/ConfigurationFollower.cpp
@@ -18,6 +18,14 @@
 constexpr int maxSnapshotDelayMs = 5000;
 // A peer's offset counts for readiness as long as it was heard within this time.
 constexpr seconds peerOffsetLifetime{5};
+// Another peer is asked first for this long after a peer did not answer a fetch.
+constexpr seconds failedFetchPause{2};
+// A read that hangs on a silently broken path fails only after 15 s; once a peer has been ahead for
+// this long, its state is fetched although the log seems to answer.
+constexpr milliseconds maxBehindPeers{1000};
+// Without the log, a daemon hears about a dozen peers in this time, so that one of them tells of a
+// newer state than that of the first peer.
+constexpr seconds peerHearingTime{3};
 // Retry of a snapshot whose append failed.
 constexpr seconds snapshotRetry{10};
 
@@ -31,6 +39,7 @@
         , settings(daemonSettings)
         , log(logClient)
         , onChange(std::move(changeHandler))
+        , started(wireContext.clock.now())
         , follower(
                   wire.loop, log, configurationStream, LogOffset(0),
                   [this](const LogBatch &batch) { onBatch(batch); },
@@ -44,6 +53,8 @@
     {
         LogOffset offset;
         TimePoint heard;
+        /// Until then other peers are asked first.
+        TimePoint avoidUntil;
     };
 
     void onBatch(const LogBatch &batch);
@@ -52,9 +63,14 @@
     void keepHouse();
     void appendSnapshotWhenDue();
     bool isSnapshotDue() const;
+    bool isLogBehind() const;
     void fetchFromPeer();
+    void endFetch(bool answered);
+    void updateGap();
     void onPeerState(const StateReply &reply);
-    std::optional<Endpoint> newerPeer() const;
+    bool hasNewerPeer() const;
+    std::optional<Endpoint> peerToAsk() const;
+    bool hasHeardPeers() const;
     void notifyIfChanged(LogOffset before);
 
     WireContext wire;
@@ -64,12 +80,19 @@
     ConfigurationFold fold;
     /// Records that the state lacks have expired.
     bool hasGap = false;
-    /// When this daemon first had a note; starts the time to the first snapshot.
+    /// Oldest offset that the log kept at the last read.
+    LogOffset oldest;
+    /// When the oldest record that this daemon read was stored, or when it took its first state
+    /// from a peer; starts the time to the first snapshot.
     std::optional<WallTime> firstNoteTime;
     bool logAvailable = true;
     bool wasReady = false;
     std::map<Endpoint, PeerOffset> peerOffsets;
+    /// Since when some peer has had a newer state.
+    std::optional<TimePoint> behindSince;
+    TimePoint started;
     std::unique_ptr<Link> fetchLink;
+    Endpoint fetchPeer;
     TimePoint fetchStarted;
     std::optional<TimePoint> snapshotAt;
     std::mt19937_64 random{std::random_device{}()};
@@ -82,13 +105,21 @@
     const LogOffset before = fold.state().offset;
     for (const LogRecord &record : batch.records)
         reportOutcome(record, fold.apply(record));
-    // Records between the state and the oldest one expired and no snapshot covers them yet.
-    hasGap = fold.hasGap() || fold.state().offset < batch.oldest;
-    if (!firstNoteTime && fold.state().note.value > 0)
-        firstNoteTime = wire.clock.wallNow();
+    oldest = batch.oldest;
+    updateGap();
+    // The record's own time: with the time of this start, daemons that restart often would never
+    // find a snapshot due.
+    if (!firstNoteTime && !batch.records.empty())
+        firstNoteTime = batch.records.front().time;
     notifyIfChanged(before);
 }
 
+/// Records between the state and the oldest one may have expired with no snapshot that covers them.
+void ConfigurationFollower::Impl::updateGap()
+{
+    hasGap = fold.hasGap() || fold.state().offset < oldest;
+}
+
 void ConfigurationFollower::Impl::reportOutcome(const LogRecord &record, const FoldOutcome &outcome)
 {
     if (const auto *accepted = std::get_if<NoteAccepted>(&outcome)) {
@@ -121,15 +152,24 @@
     const TimePoint now = wire.clock.now();
     std::erase_if(peerOffsets,
                   [now](const auto &item) { return now - item.second.heard > peerOffsetLifetime; });
+    if (!hasNewerPeer())
+        behindSince.reset();
+    else if (!behindSince)
+        behindSince = now;
     if (fetchLink && now - fetchStarted > fetchTimeout)
-        fetchLink.reset();
-    // While the log answers, it is the shortest way to the newest state.
-    const bool logIsBehind = !logAvailable || hasGap;
-    if (!fetchLink && logIsBehind)
+        endFetch(false);
+    if (!fetchLink && isLogBehind())
         fetchFromPeer();
     appendSnapshotWhenDue();
 }
 
+/// While the log answers, it is the shortest way to the newest state.
+bool ConfigurationFollower::Impl::isLogBehind() const
+{
+    const bool isLate = behindSince && wire.clock.now() - *behindSince > maxBehindPeers;
+    return !logAvailable || hasGap || isLate;
+}
+
 bool ConfigurationFollower::Impl::isSnapshotDue() const
 {
     const bool mayAppend = settings.role == DaemonRole::Entry && logAvailable
@@ -165,12 +205,21 @@
                });
 }
 
-std::optional<Endpoint> ConfigurationFollower::Impl::newerPeer() const
+bool ConfigurationFollower::Impl::hasNewerPeer() const
+{
+    return std::any_of(peerOffsets.begin(), peerOffsets.end(), [this](const auto &item) {
+        return item.second.offset > fold.state().offset;
+    });
+}
+
+/// The peer with the newest state among those that are not avoided.
+std::optional<Endpoint> ConfigurationFollower::Impl::peerToAsk() const
 {
+    const TimePoint now = wire.clock.now();
     std::optional<Endpoint> best;
     LogOffset bestOffset = fold.state().offset;
     for (const auto &[endpoint, peer] : peerOffsets) {
-        if (peer.offset <= bestOffset)
+        if (peer.offset <= bestOffset || now < peer.avoidUntil)
             continue;
         best = endpoint;
         bestOffset = peer.offset;
@@ -178,11 +227,17 @@
     return best;
 }
 
+bool ConfigurationFollower::Impl::hasHeardPeers() const
+{
+    return wire.clock.now() - started > peerHearingTime;
+}
+
 void ConfigurationFollower::Impl::fetchFromPeer()
 {
-    const auto peer = newerPeer();
+    const auto peer = peerToAsk();
     if (!peer)
         return;
+    fetchPeer = *peer;
     fetchStarted = wire.clock.now();
     const auto detour = settings.via.find(*peer);
     const Endpoint endpoint = detour == settings.via.end() ? *peer : detour->second;
@@ -193,14 +248,25 @@
     handlers.onMessage = [this](Message &&message) {
         if (const auto *reply = std::get_if<StateReply>(&message))
             onPeerState(*reply);
-        fetchLink.reset();
+        endFetch(std::holds_alternative<StateReply>(message));
     };
-    handlers.onClosed = [this](const LinkFailure &) { fetchLink.reset(); };
+    handlers.onClosed = [this](const LinkFailure &) { endFetch(false); };
     fetchLink = Link::connect(wire, endpoint, std::move(handlers));
 }
 
+void ConfigurationFollower::Impl::endFetch(bool answered)
+{
+    const auto peer = peerOffsets.find(fetchPeer);
+    if (!answered && peer != peerOffsets.end())
+        peer->second.avoidUntil = wire.clock.now() + failedFetchPause;
+    fetchLink.reset();
+}
+
 void ConfigurationFollower::Impl::onPeerState(const StateReply &reply)
 {
+    // The peer has nothing newer.
+    if (reply.state.empty())
+        return;
     const auto state = stateFromJson(reply.state);
     if (std::holds_alternative<RecordMalformed>(state)) {
         wire.metrics.count("lovagecourse_configuration_peer_states_malformed_total");
@@ -212,6 +278,10 @@
     logInfo(LogPart::Configuration, "took the state at offset ", fold.state().offset,
             " from a peer");
     follower.skipTo(fold.state().offset);
+    // The next batch may be a long poll away.
+    updateGap();
+    if (!firstNoteTime)
+        firstNoteTime = wire.clock.wallNow();
     notifyIfChanged(before);
 }
 
@@ -233,8 +303,9 @@
     if (impl_->wasReady)
         return true;
     const bool hasLog = impl_->logAvailable && impl_->follower.isCaughtUp() && !impl_->hasGap;
-    const bool hasPeerState = !impl_->logAvailable && impl_->fold.state().offset.value > 0;
-    impl_->wasReady = (hasLog || hasPeerState) && !impl_->newerPeer();
+    const bool hasPeerState =
+            !impl_->logAvailable && impl_->fold.state().offset.value > 0 && impl_->hasHeardPeers();
+    impl_->wasReady = (hasLog || hasPeerState) && !impl_->hasNewerPeer();
     return impl_->wasReady;
 }
 
@@ -245,7 +316,9 @@
 
 void ConfigurationFollower::onPeerOffset(const Endpoint &peer, LogOffset offset)
 {
-    impl_->peerOffsets[peer] = Impl::PeerOffset{offset, impl_->wire.clock.now()};
+    Impl::PeerOffset &known = impl_->peerOffsets[peer];
+    known.offset = offset;
+    known.heard = impl_->wire.clock.now();
 }
 
 StateReply ConfigurationFollower::replyTo(const StateRequest &request) const
--- a/tests/integration/Fleet.cpp
+++ b/tests/integration/Fleet.cpp
@@ -186,6 +186,11 @@
     for (const auto &[name, map] : maps_) {
         command.push_back("--map");
         command.push_back(map.first + '=' + map.second);
+        // Peers fetch configuration over TCP at the address of their datagrams.
+        if (!map.first.starts_with("udp:"))
+            continue;
+        command.push_back("--map");
+        command.push_back("tcp:" + map.first.substr(4) + '=' + map.second);
     }
     start("proxy", command);
     const bool up =
