Test bad input on every port and check the state port's address

BadInputTest sends malformed HTTP to the callers' and admin ports, faulty notes and settings files, bad frames to the agents' links and the state ports, and bad datagrams to every UDP port. Each gets a typed error or a counted drop, and a whole answer follows.

The test found no fault in the handling of messages, datagrams and HTTP. The tests on counted drops were not seen failing with the mechanism off.

--- a/src/settings/DaemonSettings.cpp
+++ b/src/settings/DaemonSettings.cpp
@@ -237,7 +237,9 @@
     else
         addresses.push_back({"links", &settings.links, SOCK_STREAM});
     addresses.push_back({"admin", &settings.admin, SOCK_STREAM});
+    // Peers ask for configuration over TCP at the address of the datagrams.
     addresses.push_back({"datagrams", &settings.datagrams, SOCK_DGRAM});
+    addresses.push_back({"datagrams", &settings.datagrams, SOCK_STREAM});
     return addresses;
 }
 
--- a/tests/integration/Fleet.h
+++ b/tests/integration/Fleet.h
@@ -60,7 +60,10 @@
 
     // State.
     std::string entryUrl(int entry) const;
+    /// "a.b.c.d:port" of "entry-1", "entry-1/admin", "entry-1/datagrams" or "agent-desk-1/links".
+    std::string address(const std::string &name) const { return endpoints_.at(name); }
     nlohmann::json status(const std::string &daemon) const;
+    /// Value of a counter or gauge; with braces for a reason: "name{reason=\"x\"}".
     double metric(const std::string &daemon, const std::string &name) const;
     /// True when the entry can use the server.
     bool isUsable(int entry, const std::string &server) const;
