--- a/tests/integration/Fleet.cpp
+++ b/tests/integration/Fleet.cpp
@@ -287,6 +287,11 @@
     start(copyName, command);
 }
 
+std::string Fleet::freeEndpoint()
+{
+    return takeEndpoint();
+}
+
 std::string Fleet::entryUrl(int entry) const
 {
     return "http://" + endpoints_.at("entry-" + std::to_string(entry));
