--- a/src/agent/AgentNode.cpp
+++ b/src/agent/AgentNode.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
 #include <map>
 
 namespace lovagecourse {
@@ -23,9 +24,11 @@
 namespace {
 
 constexpr milliseconds tickInterval{50};
-constexpr milliseconds stateInterval{500};
-// Idle slots are told at most this often.
-constexpr milliseconds idleStateInterval{10};
+// Entries take an agent as gone after 3 s of silence, so two of three heartbeats may be late.
+constexpr milliseconds stateInterval{1000};
+// Entries offer to all agents of a small site within 50 ms anyway; a notice more often than this
+// would cost more than 8 KB/s near saturation.
+constexpr milliseconds idleStateInterval{100};
 constexpr milliseconds grantTimeout{250};
 // Longest run of a claimed request after its deadline; then its outcome is unknown.
 constexpr milliseconds claimedGrace{60000};
@@ -108,12 +111,16 @@
     std::set<FlowId> backlogged;
     std::uint64_t lastGrant = 0;
     std::uint64_t lastCrash = 0;
+    /// The requests that ran when the server went down were marked as suspects.
+    bool crashMarked = false;
     double serviceTimeMs = 0;
     bool leaving = false;
     bool terminating = false;
     TimePoint terminateStarted;
     TimePoint lastState;
     TimePoint lastIdleState;
+    /// Offers waited or no slot was free since idle slots were last told.
+    bool wasSaturated = false;
     std::unique_ptr<Timer> tick;
 };
 
@@ -129,7 +136,8 @@
     if (settings.fairness == FairnessPolicy::FirstComeFirstServed)
         options.order = OfferOrder::FirstComeFirstServed;
     queue = std::make_unique<OfferQueue>(options);
-    monitor = std::make_unique<ServerMonitor>(*daemon, [this](bool) {
+    monitor = std::make_unique<ServerMonitor>(*daemon, [this](bool isUp) {
+        crashMarked = crashMarked && !isUp;
         broadcastState();
         pumpGrants();
     });
@@ -379,10 +387,15 @@
     RequestRun &run = *found->second;
     run.request = std::move(accept);
     run.deadline = now() + milliseconds(run.request.deadlineMs);
-    if (run.request.idempotencyKey.value.empty())
-        send(run);
-    else
+    const Service *service = findService(run.offer.flow.service);
+    const bool needsClaim = service && !service->repeatable;
+    const bool hasKey = !run.request.idempotencyKey.value.empty();
+    if (hasKey)
         claim(run);
+    else if (needsClaim) // The entry has an older configuration, in which it was repeatable.
+        finish(run.grant, false, Refusal{RefusalReason::ClaimUnavailable, Ran::No});
+    else
+        send(run);
 }
 
 void AgentNode::Impl::onCancel(std::uint64_t link, GrantId grant)
@@ -395,7 +408,10 @@
     // A claimed request that the server has runs to its outcome, which later calls get.
     const bool runsOn = run.claim && run.phase != RunPhase::Claiming;
     if (!runsOn)
-        finish(grant, false, Refusal{RefusalReason::CallerLeft, Ran::Unknown});
+        return finish(grant, false, Refusal{RefusalReason::CallerLeft, Ran::Unknown});
+    // Nobody gives credit any more, but the whole answer must be recorded.
+    if (run.backend)
+        run.backend->addCredit(std::numeric_limits<std::uint32_t>::max());
 }
 
 void AgentNode::Impl::onLinkDown(std::uint64_t link)
@@ -421,11 +437,9 @@
     request.requestDigest = digestOf(run.offer, run.request);
     request.deadline = run.deadline;
     const GrantId grant = run.grant;
-    journal->coordinator().begin(
-            request,
-            [this, grant](const ClaimDecision &decision) { onClaimDecision(grant, decision); },
-            now());
-    journal->pump();
+    journal->begin(request, [this, grant](const ClaimDecision &decision) {
+        onClaimDecision(grant, decision);
+    });
 }
 
 void AgentNode::Impl::onClaimDecision(GrantId grant, const ClaimDecision &decision)
@@ -474,6 +488,10 @@
     if (run.claim) {
         request.headers.emplace_back("idempotency-key", run.request.idempotencyKey.value);
         request.totalTimeout += claimedGrace;
+        // A request that the agent could not send by its deadline, such as after a pause of the
+        // process, must not be sent: operators settle keys after that time.
+        const auto left = std::chrono::ceil<milliseconds>(run.deadline - now());
+        request.connectTimeout = std::clamp(left, milliseconds(1), request.connectTimeout);
         request.freshConnection = true;
     }
     if (run.request.resumeFromEvent > 0)
@@ -584,6 +602,9 @@
 
 void AgentNode::Impl::markCrash()
 {
+    // Every broken connection reports the same death; a second mark would count it twice.
+    if (crashMarked)
+        return;
     std::vector<Fingerprint> running;
     for (const auto &[grant, run] : runs) {
         const bool wasRunning = run->phase == RunPhase::Running || run->phase == RunPhase::Probing;
@@ -592,6 +613,7 @@
     }
     if (running.empty())
         return;
+    crashMarked = true;
     const std::uint64_t crashId = daemon->incarnation().value * 1000 + ++lastCrash;
     logWarning(LogPart::Agent, "server died while running ", running.size(), " requests");
     daemon->metrics().count("lovagecourse_server_crashes_total");
@@ -662,8 +684,13 @@
 void AgentNode::Impl::tellIdleSlots()
 {
     const bool hasIdleSlot = queue->size() == 0 && static_cast<int>(runs.size()) < limit->limit();
-    if (!hasIdleSlot || now() - lastIdleState < idleStateInterval)
+    if (!hasIdleSlot) {
+        wasSaturated = true;
+        return;
+    }
+    if (!wasSaturated || now() - lastIdleState < idleStateInterval)
         return;
+    wasSaturated = false;
     lastIdleState = now();
     broadcastState();
 }
--- a/src/claims/ClaimFold.h
+++ b/src/claims/ClaimFold.h
@@ -85,6 +85,10 @@
     FencingNumber newestStart(const ServerId &server) const;
     /// Incarnation of the newest start; empty when there was none.
     std::optional<Incarnation> newestIncarnation(const ServerId &server) const;
+    /// Highest order that an agent of the server was about to give; 0 when there was none.
+    FencingNumber newestOrder(const ServerId &server) const;
+    /// Starts of the server's agent that were read.
+    std::size_t startCount(const ServerId &server) const;
     std::vector<UnsettledKey> unsettledKeys() const;
     /// Forgets keys whose last record is older than the given time.
     void expire(WallTime olderThan);
@@ -97,7 +101,7 @@
 };
 
 /// Body of a record by which an operator settles a key. A settlement of not-run frees the key only
-/// if it is Unsettled at that point of the log.
+/// if it is Unsettled at that point of the log and the record's time is not before mayRunUntil.
 std::string settlementRecordBody(const AccountKey &key, bool ran);
 /// The same for one claim of the key: changes nothing once another claim stands, so that an answer
 /// of the server about an earlier claim is not taken for a later one.
