--- a/standins/MeasureFleet.cpp
+++ b/standins/MeasureFleet.cpp
@@ -212,6 +212,8 @@
              << "\nkeys = [" << inQuotes(keyDigest(account + "-key")) << "]\n";
     note << "[[added.services]]\nname = \"chat\"\npath = \"/v1/chat/completions\"\n"
          << "kind = \"model\"\nrepeatable = true\n"
+         // Costs are scaled down, and so is the bound between short and long.
+         << "long_above = 50.0\ndefault_cost = 24.0\n"
          << "[[added.services]]\nname = \"trials\"\npath = \"/trials/\"\nkind = \"plain\"\n"
          << "repeatable = true\n";
     for (std::size_t i = 0; i < servers_.size(); ++i) {
