--- a/standins/MeasureFleet.cpp
+++ b/standins/MeasureFleet.cpp
@@ -122,7 +122,7 @@
 
 std::string MeasureFleet::routed(const std::string &from, const std::string &to)
 {
-    const std::string listen = address(from + '>' + to);
+    std::string listen = address(from + '>' + to);
     maps_[listen] = address(to);
     return listen;
 }
@@ -193,8 +193,10 @@
 bool MeasureFleet::startProxy()
 {
     std::vector<std::string> command{options_.standins, "proxy", "--control", address("proxy")};
-    for (const auto &[listen, target] : maps_)
-        command.insert(command.end(), {"--map", "tcp:" + listen + '=' + target});
+    for (const auto &[listen, target] : maps_) {
+        command.emplace_back("--map");
+        command.push_back(std::string("tcp:").append(listen).append("=").append(target));
+    }
     spawn("proxy", command);
     // Half of the delay is random, so that links differ by data centre.
     const json rules{{"map", "*"}, {"delay_ms", options_.delayMs}, {"jitter_ms", options_.delayMs}};
