--- a/src/settings/DaemonSettings.cpp
+++ b/src/settings/DaemonSettings.cpp
@@ -238,6 +238,7 @@
         addresses.push_back({"links", &settings.links, SOCK_STREAM});
     addresses.push_back({"admin", &settings.admin, SOCK_STREAM});
     addresses.push_back({"datagrams", &settings.datagrams, SOCK_DGRAM});
+    // Peers fetch configurations over TCP from the address of the datagrams.
     addresses.push_back({"datagrams", &settings.datagrams, SOCK_STREAM});
     return addresses;
 }
