Answer every agent within 3 s, briefly when the byte budget is used up

Flows would move away from healthy homes. Change: an answer without flows at least each 2 s. New unit test; it fails without the change, since the second full answer comes after 25 s.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -156,8 +156,11 @@
         daemon->metrics().count("lovagecourse_unexpected_messages_total");
         return;
     }
-    const FairTotals totals = home->apply(*report, daemon->now());
-    if (pacer.takeTurn(sender, totals.entries.size(), daemon->now()))
+    FairTotals totals = home->apply(*report, daemon->now());
+    const ReplyKind reply = pacer.takeTurn(sender, totals.entries.size(), daemon->now());
+    if (reply == ReplyKind::Brief)
+        totals.entries.clear();
+    if (reply != ReplyKind::None)
         daemon->datagrams().send(daemon->route(*endpoint), totals);
 }
 
--- a/src/fairness/ReplyPacer.cpp
+++ b/src/fairness/ReplyPacer.cpp
@@ -9,10 +9,12 @@
 constexpr double datagramBytes = 110;
 constexpr seconds reporterLifetime{3};
 constexpr milliseconds updateInterval{250};
+// With the usual report interval of 250 ms, well below the 3 s after which a home is given up.
+constexpr seconds briefInterval{2};
 
 } // namespace
 
-bool ReplyPacer::takeTurn(const DaemonId &agent, std::size_t flows, TimePoint now)
+ReplyKind ReplyPacer::takeTurn(const DaemonId &agent, std::size_t flows, TimePoint now)
 {
     Agent &reporter = agents_[agent];
     reporter.heard = now;
@@ -27,11 +29,16 @@
             bytes += other.bytes;
         round_ = std::chrono::duration<double>(bytes / bytesPerSecond_);
     }
-    const bool isFirst = reporter.answered == TimePoint();
-    if (!isFirst && now - reporter.answered < round_)
-        return false;
+    const bool isFirst = reporter.answeredFull == TimePoint();
+    if (isFirst || now - reporter.answeredFull >= round_) {
+        reporter.answeredFull = now;
+        reporter.answered = now;
+        return ReplyKind::Full;
+    }
+    if (now - reporter.answered < briefInterval)
+        return ReplyKind::None;
     reporter.answered = now;
-    return true;
+    return ReplyKind::Brief;
 }
 
 } // namespace lovagecourse
--- a/src/fairness/ReplyPacer.h
+++ b/src/fairness/ReplyPacer.h
@@ -3,13 +3,24 @@
 #include "core/Clock.h"
 #include "core/Ids.h"
 
+#include <cstdint>
 #include <map>
 
 namespace lovagecourse {
 
+/// What a report is answered with.
+enum class ReplyKind : std::uint8_t {
+    None,
+    /// Totals without flows, which only show that the home is there.
+    Brief,
+    Full
+};
+
 /// Keeps a home's answers to agents' reports within a byte budget, and gives each agent its turn.
 ///
-/// A report that gets no answer does no harm: the next answer names cumulative values.
+/// A report that gets no answer does no harm: the next answer names cumulative values. No agent
+/// waits for an answer of some kind for much over 2 s, since agents take a home as gone after 3 s.
+/// Brief answers come on top of the budget: 110 bytes per agent and 2 s.
 class ReplyPacer
 {
 public:
@@ -18,13 +29,14 @@
         : bytesPerSecond_(bytesPerSecond)
     {}
 
-    /// True when a report of the agent that names so many flows is to be answered now.
-    bool takeTurn(const DaemonId &agent, std::size_t flows, TimePoint now);
+    /// Answer to a report of the agent that names so many flows.
+    ReplyKind takeTurn(const DaemonId &agent, std::size_t flows, TimePoint now);
     void forget(const DaemonId &agent) { agents_.erase(agent); }
 
 private:
     struct Agent
     {
+        TimePoint answeredFull;
         TimePoint answered;
         TimePoint heard;
         double bytes = 0;
--- a/tests/fairness/ReplyPacerTest.cpp
+++ b/tests/fairness/ReplyPacerTest.cpp
@@ -18,7 +18,8 @@
     for (int round = 0; round < rounds; ++round) {
         for (int agent = 0; agent < agents; ++agent) {
             const TimePoint now = start + milliseconds(250 * round + agent * 10);
-            answers[agent] += pacer.takeTurn(DaemonId(std::to_string(agent)), flows, now) ? 1 : 0;
+            const ReplyKind reply = pacer.takeTurn(DaemonId(std::to_string(agent)), flows, now);
+            answers[agent] += reply == ReplyKind::Full ? 1 : 0;
         }
     }
     int total = 0;
@@ -30,3 +31,23 @@
     constexpr double answerBytes = 110 + 50 * flows;
     REQUIRE((total - agents) * answerBytes <= budget * rounds / 4);
 }
+
+// Guards against agents that take a healthy home as gone, because the budget left them unanswered
+// for 3 s.
+TEST_CASE("reply pacer, more reports than the budget can answer, none waits for 3 s")
+{
+    constexpr int agents = 100;
+    ReplyPacer pacer(2800);
+    std::map<int, TimePoint> answered;
+    for (int round = 0; round < 240; ++round) {
+        for (int agent = 0; agent < agents; ++agent) {
+            const TimePoint now = TimePoint(seconds(100)) + milliseconds(250 * round + agent * 2);
+            const bool isFirst = !answered.contains(agent);
+            const bool isAnswered =
+                    pacer.takeTurn(DaemonId(std::to_string(agent)), 12, now) != ReplyKind::None;
+            REQUIRE((isFirst || now - answered[agent] < seconds(3)));
+            if (isAnswered)
+                answered[agent] = now;
+        }
+    }
+}
