--- /dev/null
+++ b/src/agent/RequestRuns.cpp
@@ -0,0 +1,245 @@
+#include "agent/AgentNodeImpl.h"
+
+#include "core/Log.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+
+namespace lovagecourse {
+
+namespace {
+
+// Longest run of a claimed request after its deadline; then its outcome is unknown.
+constexpr milliseconds claimedGrace{60000};
+constexpr double serviceTimeWeight = 0.1;
+
+std::string digestOf(const Offer &offer, const GrantAccept &request)
+{
+    const std::string text = offer.flow.service.value + '\n' + request.method + '\n' + request.path
+                             + '\n' + request.body;
+    return std::to_string(XXH64(text.data(), text.size(), 0));
+}
+
+double toMilliseconds(std::chrono::nanoseconds duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+} // namespace
+
+void AgentNode::Impl::claim(RequestRun &run)
+{
+    run.phase = RunPhase::Claiming;
+    if (!journal)
+        return finish(run.grant, false, Refusal{RefusalReason::ClaimUnavailable, Ran::No});
+    ClaimRequest request;
+    request.key = AccountKey{run.offer.flow.account, run.request.idempotencyKey};
+    request.requestDigest = digestOf(run.offer, run.request);
+    request.deadline = run.deadline;
+    const GrantId grant = run.grant;
+    journal->begin(request, [this, grant](const ClaimDecision &decision) {
+        onClaimDecision(grant, decision);
+    });
+}
+
+void AgentNode::Impl::onClaimDecision(GrantId grant, const ClaimDecision &decision)
+{
+    const auto found = runs.find(grant);
+    const auto *won = std::get_if<ClaimWon>(&decision);
+    if (found == runs.end()) {
+        if (won)
+            journal->coordinator().giveUp(won->claim);
+        return;
+    }
+    RequestRun &run = *found->second;
+    if (const auto *refused = std::get_if<ClaimRefused>(&decision))
+        return finish(grant, false, refused->refusal);
+    if (const auto *repeated = std::get_if<ClaimReplay>(&decision))
+        return replay(run, repeated->answer);
+    if (!journal->coordinator().mayRun(won->claim, now())) {
+        journal->coordinator().giveUp(won->claim);
+        return finish(grant, false, Refusal{RefusalReason::ClaimUnavailable, Ran::No});
+    }
+    run.claim = won->claim;
+    send(run);
+}
+
+void AgentNode::Impl::replay(RequestRun &run, const RecordedAnswer &answer)
+{
+    HeaderList headers = answer.headers;
+    headers.emplace_back("idempotent-replayed", "true");
+    links->send(run.link, AnswerHead{run.grant, answer.status, headers});
+    links->send(run.link, AnswerData{run.grant, 0, 0, answer.body});
+    daemon->metrics().count("lovagecourse_replayed_answers_total");
+    finish(run.grant, true, Refusal{});
+}
+
+void AgentNode::Impl::send(RequestRun &run)
+{
+    run.phase = RunPhase::Running;
+    run.sentAt = now();
+    run.lastPartAt = run.sentAt;
+    HttpRequest request;
+    request.method = run.request.method;
+    request.url = "http://" + toString(server->address) + run.request.path;
+    request.headers = run.request.headers;
+    request.body = run.request.body;
+    request.totalTimeout = milliseconds(std::max<std::uint32_t>(run.request.deadlineMs, 1));
+    if (run.claim) {
+        request.headers.emplace_back("idempotency-key", run.request.idempotencyKey.value);
+        request.totalTimeout += claimedGrace;
+        // A request that the agent could not send by its deadline, such as after a pause of the
+        // process, must not be sent: operators settle keys after that time.
+        const auto left = std::chrono::ceil<milliseconds>(run.deadline - now());
+        request.connectTimeout = std::clamp(left, milliseconds(1), request.connectTimeout);
+        request.freshConnection = true;
+    }
+    if (run.request.resumeFromEvent > 0)
+        request.headers.emplace_back("x-resume-from", std::to_string(run.request.resumeFromEvent));
+    BackendRequest::Handlers handlers;
+    RequestRun *const runPointer = &run;
+    handlers.onHead = [this, runPointer](int status, const HeaderList &headers) {
+        onHead(*runPointer, status, headers);
+    };
+    handlers.onPart = [this, runPointer](AnswerPart &&part) {
+        onPart(*runPointer, std::move(part));
+    };
+    handlers.onEnd = [this, grant = run.grant](BackendOutcome outcome) {
+        onBackendEnd(grant, outcome);
+    };
+    run.backend =
+            std::make_unique<BackendRequest>(daemon->http(), request, run.request.resumeFromEvent,
+                                             run.request.credit, std::move(handlers));
+}
+
+void AgentNode::Impl::onHead(RequestRun &run, int status, const HeaderList &headers)
+{
+    run.isEventStream = findHeader(headers, "content-type").starts_with("text/event-stream");
+    if (run.claim) {
+        run.answer.status = static_cast<std::uint16_t>(status);
+        run.answer.headers = headers;
+    }
+    if (!run.abandoned)
+        links->send(run.link, AnswerHead{run.grant, static_cast<std::uint16_t>(status), headers});
+}
+
+void AgentNode::Impl::onPart(RequestRun &run, AnswerPart &&part)
+{
+    const TimePoint arrived = now();
+    if (!run.sawFirstPart) {
+        run.sawFirstPart = true;
+        if (run.isEventStream && limit)
+            limit->onFirstToken(arrived - run.sentAt);
+    } else if (run.isEventStream && part.eventCount > 0 && limit) {
+        limit->onTokenGap((arrived - run.lastPartAt) / part.eventCount);
+    }
+    run.lastPartAt = arrived;
+    if (run.isEventStream)
+        consume(run, Work(part.eventCount));
+    if (run.claim)
+        run.answer.body += part.bytes;
+    if (!run.abandoned)
+        links->send(run.link,
+                    AnswerData{run.grant, part.firstEvent, part.eventCount, std::move(part.bytes)});
+}
+
+void AgentNode::Impl::consume(RequestRun &run, Work work)
+{
+    run.consumed += work;
+    reporter->onServed(work);
+    const Service *service = findService(run.offer.flow.service);
+    if (service && run.consumed > service->longAbove)
+        run.costClass = CostClass::Long;
+    const Share share = shareOf(run.offer.flow);
+    ledger->charge(run.offer.flow, share, work, now());
+    const Work released = std::min(work, run.held);
+    run.held -= released;
+    ledger->hold(run.offer.flow, share, Work() - released, now());
+}
+
+void AgentNode::Impl::onBackendEnd(GrantId grant, BackendOutcome outcome)
+{
+    RequestRun &run = *runs.at(grant);
+    const auto elapsed = now() - run.sentAt;
+    if (outcome == BackendOutcome::Complete) {
+        if (!run.isEventStream)
+            consume(run, Work(toMilliseconds(elapsed)));
+        if (!run.isEventStream && limit)
+            limit->onServiceTime(elapsed);
+        serviceTimeMs += serviceTimeWeight * (toMilliseconds(elapsed) - serviceTimeMs);
+        daemon->metrics().latency("lovagecourse_server_seconds", elapsed);
+        if (run.offer.suspect) {
+            daemon->suspects().onCompleted(run.offer.fingerprint, now());
+            links->sendToAll(SuspectNotice{daemon->suspects().recent(now(), 1)});
+        }
+        if (run.claim)
+            journal->coordinator().recordOutcome(*run.claim, run.answer);
+        return finish(grant, true, Refusal{});
+    }
+    if (outcome == BackendOutcome::NotSent && run.claim)
+        journal->coordinator().giveUp(*run.claim);
+    else if (run.claim)
+        journal->coordinator().recordUnknown(*run.claim);
+    if (outcome == BackendOutcome::TimedOut)
+        return finish(grant, false, Refusal{RefusalReason::DeadlineExpired, Ran::Unknown});
+    // Whether the server died decides whether this request is a suspect; the entry must know
+    // that before it sends the request anywhere else.
+    run.phase = outcome == BackendOutcome::NotSent ? RunPhase::NotSent : RunPhase::Probing;
+    monitor->probe([this, grant](bool answered) { onProbedAfterBreak(grant, answered); });
+}
+
+void AgentNode::Impl::onProbedAfterBreak(GrantId grant, bool serverAnswered)
+{
+    const auto found = runs.find(grant);
+    if (found == runs.end())
+        return;
+    if (!serverAnswered)
+        markCrash();
+    const bool notSent = found->second->phase == RunPhase::NotSent;
+    const Ran ran = notSent ? Ran::No : Ran::Unknown;
+    finish(grant, false, Refusal{RefusalReason::ServerLost, ran});
+}
+
+void AgentNode::Impl::markCrash()
+{
+    // Every broken connection reports the same death; a second mark would count it twice.
+    if (crashMarked)
+        return;
+    std::vector<Fingerprint> running;
+    for (const auto &[grant, run] : runs) {
+        const bool wasRunning = run->phase == RunPhase::Running || run->phase == RunPhase::Probing;
+        if (wasRunning)
+            running.push_back(run->offer.fingerprint);
+    }
+    if (running.empty())
+        return;
+    crashMarked = true;
+    const std::uint64_t crashId = daemon->incarnation().value * 1000 + ++lastCrash;
+    logWarning(LogPart::Agent, "server died while running ", running.size(), " requests");
+    daemon->metrics().count("lovagecourse_server_crashes_total");
+    daemon->suspects().onCrash(running, crashId, now());
+    links->sendToAll(SuspectNotice{daemon->suspects().recent(now(), running.size())});
+}
+
+void AgentNode::Impl::finish(GrantId grant, bool complete, const Refusal &refusal)
+{
+    const auto found = runs.find(grant);
+    assert(found != runs.end());
+    const std::unique_ptr<RequestRun> run = std::move(found->second);
+    runs.erase(found);
+    // An estimate that was too high is given back.
+    ledger->hold(run->offer.flow, shareOf(run->offer.flow), Work() - run->held, now());
+    if (!run->abandoned)
+        links->send(run->link, AnswerEnd{grant, complete, refusal, run->consumed});
+    if (!complete)
+        daemon->metrics().count("lovagecourse_runs_failed_total", toString(refusal.reason));
+    if (journal)
+        journal->pump();
+    pumpGrants();
+    exitWhenDrained();
+}
+
+} // namespace lovagecourse
--- a/src/scheduling/OfferQueue.cpp
+++ b/src/scheduling/OfferQueue.cpp
@@ -166,8 +166,12 @@
     // Each running long request opens at most one slot of the reserve, so that short work alone
     // stays within the limit.
     const int reserve = std::min(shortReserve(slots.limit), slots.longInFlight);
-    admitted.shortOnly = options.costClasses && !admitted.anyClass && shortCount > 0
-                         && inFlight < slots.limit + reserve;
+    // A limit that shrinks below the long requests in flight must not take the reserve away: quotes
+    // waited 2 s for several dossiers to end.
+    const bool reserveIsFree =
+            inFlight < slots.limit + reserve || slots.shortInFlight < reserve;
+    admitted.shortOnly =
+            options.costClasses && !admitted.anyClass && shortCount > 0 && reserveIsFree;
     const bool mayBlock = blockedSince ? now - *blockedSince < suspectBlock
                                        : !noBlockBefore || now >= *noBlockBefore;
     admitted.suspects = admitted.anyClass && (inFlight == 0 || mayBlock);
--- a/tests/integration/FairnessTest.cpp
+++ b/tests/integration/FairnessTest.cpp
@@ -61,6 +61,7 @@
     {
         REQUIRE(isHome("entry-3"));
         std::vector<std::string> urls;
+        urls.reserve(entries.size());
         for (const int entry : entries)
             urls.push_back(fleet.entryUrl(entry));
         meter.addAccount("single", 1.5, {urls.front()}, "m", 24);
