Judge the limit only once it has taken effect; start from proven limits after a decline

Cause: quotes waited behind dossiers because agents' limits fell to 1 to 8 while 11 to 16 long requests ran (traced with log lines at each late grant): each window that missed the aim cut the limit again, although requests above the last cut still ran, and recovery aimed at the starting limit of 32, which was never met. Ruled out: the offers per account (separate accounts), ageing. New unit test: the limit fell to 1 before, and stays at 8 or more now.

--- a/src/scheduling/ConcurrencyLimit.cpp
+++ b/src/scheduling/ConcurrencyLimit.cpp
@@ -97,16 +97,19 @@
     void shrink()
     {
         // A miss right after a rise shows that the server no longer carries the earlier limit.
+        provenLimit = grewLast ? std::min(provenLimit, limit) : provenLimit;
         goodLimit = grewLast ? limit : std::max(goodLimit, limit);
+        goodLimit = std::min(goodLimit, provenLimit);
         grewLast = false;
-        limit = std::max(options.minLimit, limit - std::max(1, limit / 10));
+        const int used = std::min(limit, mostInFlight);
+        limit = std::max(options.minLimit, used - std::max(1, used / 10));
     }
 
     /// Halves what is in use: a slowed server below its limit would get work until the limit, which
     /// falls by a tenth per window, comes down to it.
     void shrinkBelowUse()
     {
-        goodLimit = std::max(goodLimit, limit);
+        goodLimit = std::min(std::max(goodLimit, limit), provenLimit);
         grewLast = false;
         limit = std::max(options.minLimit, std::min(limit, mostInFlight) / 2);
     }
@@ -137,6 +140,9 @@
     int limit;
     /// Limit in use before the latest decline.
     int goodLimit = 0;
+    /// Highest limit at which the aim was met with nearly all slots in use; the starting limit is
+    /// no evidence.
+    int provenLimit = 0;
     bool grewLast = false;
     TimePoint windowStart;
     bool isStarted = false;
@@ -186,15 +192,22 @@
     const bool aimIsMet = impl.aimIsMet();
     const bool isSlow = !aimIsMet && impl.aimIsFarMissed();
     const bool mayGrow = impl.wasFull;
-    if (isSlow && impl.options.fixedLimit == 0)
-        impl.shrinkBelowUse();
-    impl.startWindow(now);
-    if (impl.options.fixedLimit > 0 || isSlow)
+    // Requests that were granted before the limit fell still run; the next verdict on the server
+    // is due when they have ended.
+    const bool isSettled = inFlight <= impl.limit;
+    if (impl.options.fixedLimit > 0) {
+        impl.startWindow(now);
         return;
-    if (!aimIsMet)
-        impl.shrink();
-    else if (mayGrow)
+    }
+    if (aimIsMet && mayGrow) {
+        impl.provenLimit = std::max(impl.provenLimit, impl.limit);
         impl.grow();
+    } else if (!aimIsMet && isSettled && isSlow) {
+        impl.shrinkBelowUse();
+    } else if (!aimIsMet && isSettled) {
+        impl.shrink();
+    }
+    impl.startWindow(now);
 }
 
 int ConcurrencyLimit::limit() const
--- a/src/scheduling/OfferQueue.cpp
+++ b/src/scheduling/OfferQueue.cpp
@@ -168,8 +168,7 @@
     const int reserve = std::min(shortReserve(slots.limit), slots.longInFlight);
     // A limit that shrinks below the long requests in flight must not take the reserve away: quotes
     // waited 2 s for several dossiers to end.
-    const bool reserveIsFree =
-            inFlight < slots.limit + reserve || slots.shortInFlight < reserve;
+    const bool reserveIsFree = inFlight < slots.limit + reserve || slots.shortInFlight < reserve;
     admitted.shortOnly =
             options.costClasses && !admitted.anyClass && shortCount > 0 && reserveIsFree;
     const bool mayBlock = blockedSince ? now - *blockedSince < suspectBlock
--- a/tests/scheduling/ConcurrencyLimitTest.cpp
+++ b/tests/scheduling/ConcurrencyLimitTest.cpp
@@ -2,7 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <random>
+#include <vector>
 
 using namespace lovagecourse;
 
@@ -79,3 +81,33 @@
     run(limit, seconds(60));
     CHECK(limit.limit() == 32);
 }
+
+// Guards against a limit that falls on while the requests above it still run: it fell to 1 with 13
+// in flight, and short work waited for them to end.
+TEST_CASE_METHOD(ConcurrencyLimitFixture,
+                 "concurrency limit, long requests above it still run, does not undershoot")
+{
+    ConcurrencyLimitOptions wide = options(ServiceKind::Model);
+    wide.maxLimit = 64;
+    ConcurrencyLimit limit(wide);
+    std::vector<double> tokensLeft;
+    int lowest = 64;
+    for (int tick = 0; tick < 600; ++tick) {
+        // Work always waits; each request has 100 tokens, and 8 run without slowing each other.
+        while (static_cast<int>(tokensLeft.size()) < limit.limit() && tokensLeft.size() < 16)
+            tokensLeft.push_back(100);
+        const double gapMs = 40 * std::max(1., static_cast<double>(tokensLeft.size()) / 8);
+        for (double &tokens : tokensLeft) {
+            tokens -= 50 / gapMs;
+            limit.onTokenGap(std::chrono::microseconds(static_cast<int>(1000 * gapMs)));
+        }
+        std::erase_if(tokensLeft, [](double tokens) { return tokens <= 0; });
+        now += milliseconds(50);
+        limit.onTick(now, static_cast<int>(tokensLeft.size()), true);
+        lowest = std::min(lowest, limit.limit());
+    }
+    // 11 requests have gaps of 55 ms, within the aim of 56 ms.
+    CHECK(lowest >= 8);
+    CHECK(limit.limit() >= 9);
+    CHECK(limit.limit() <= 13);
+}
