--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -15,8 +15,6 @@
 namespace {
 
 constexpr std::size_t firstOffers = 2;
-// When no server is known to have a free slot, the first to free one decides, so more are asked.
-constexpr std::size_t contendedOffers = 8;
 constexpr milliseconds widenInterval{50};
 // A flood must not fill the agents' queues.
 constexpr std::size_t offersPerAccountAndServer = 4;
@@ -87,12 +85,7 @@
         });
     if (isPush)
         return choosePushTarget(candidates, daemon.settings().routing, random);
-    const bool hasFreeSlot =
-            std::any_of(candidates.begin(), candidates.end(), [](const Candidate &candidate) {
-                return candidate.usable && expectedWaitMs(candidate) <= 0;
-            });
-    const std::size_t wanted = hasFreeSlot ? count : std::max(count, contendedOffers);
-    return chooseCandidates(candidates, daemon.settings().dataCentre, details.prefixHash, wanted,
+    return chooseCandidates(candidates, daemon.settings().dataCentre, details.prefixHash, count,
                             random);
 }
 
