Share the command line of the note and keys commands

Change: LogCommandOptions reads what both have in common. Behaviour is as before; tried by hand: help, an unknown sub-command and a missing argument give the same text and exit code 2.

--- a/src/app/KeyCommands.cpp
+++ b/src/app/KeyCommands.cpp
@@ -1,97 +1,37 @@
 #include "app/KeyCommands.h"
 
 #include "app/CommandLine.h"
+#include "app/LogCommandOptions.h"
 #include "app/NoteCommands.h"
 #include "app/NoteLog.h"
 #include "claims/ClaimFold.h"
 
-#include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
 
-#include <cstdlib>
 #include <ctime>
 #include <iomanip>
 #include <iostream>
-#include <optional>
 #include <sstream>
 
 namespace lovagecourse {
 
 namespace {
 
-constexpr double longestTimeoutSeconds = 3600;
+const LogCommandUsage usage{"keys", "Idempotency keys whose requests may have run",
+                            "unsettled | settle ACCOUNT KEY ran|not-run"};
 
-struct KeyOptions
+/// What was expected of sub-command and arguments; empty when they can be used.
+std::string checkArguments(const LogCommandOptions &options)
 {
-    std::string command;
-    std::vector<std::string> arguments;
-    std::string platformUrl;
-    bool isJson = false;
-    bool isHelp = false;
-    milliseconds timeout{10000};
-};
-
-cxxopts::Options commandOptions()
-{
-    cxxopts::Options options("lovagecourse keys", "Idempotency keys whose requests may have run");
-    options.positional_help("unsettled | settle ACCOUNT KEY ran|not-run");
-    options.add_options()("platform", "URL of the platform, else from LOVAGECOURSE_PLATFORM",
-                          cxxopts::value<std::string>());
-    options.add_options()("json", "print JSON");
-    options.add_options()("timeout", "seconds before a read or an append gives up",
-                          cxxopts::value<double>()->default_value("10"));
-    options.add_options()("help", "print this text");
-    options.add_options("hidden")("command", "", cxxopts::value<std::string>());
-    options.add_options("hidden")("arguments", "", cxxopts::value<std::vector<std::string>>());
-    options.parse_positional({"command", "arguments"});
-    return options;
-}
-
-std::optional<KeyOptions> usageFault(const std::string &fault)
-{
-    std::cerr << "lovagecourse keys: " << fault << '\n' << commandOptions().help({""});
-    return std::nullopt;
-}
-
-std::optional<KeyOptions> checkOptions(const cxxopts::ParseResult &parsed)
-{
-    KeyOptions options;
-    options.isHelp = parsed.count("help") > 0;
-    if (options.isHelp)
-        return options;
-    if (parsed.count("command") > 0)
-        options.command = parsed["command"].as<std::string>();
-    if (parsed.count("arguments") > 0)
-        options.arguments = parsed["arguments"].as<std::vector<std::string>>();
-    const char *url = std::getenv("LOVAGECOURSE_PLATFORM");
-    options.platformUrl = url == nullptr ? "" : url;
-    if (parsed.count("platform") > 0)
-        options.platformUrl = parsed["platform"].as<std::string>();
-    options.isJson = parsed.count("json") > 0;
-    const double timeout = parsed["timeout"].as<double>();
-    if (!(timeout > 0 && timeout <= longestTimeoutSeconds))
-        return usageFault("--timeout: expected seconds above 0, at most 3600");
-    options.timeout = milliseconds(static_cast<std::int64_t>(timeout * 1000) + 1);
     const bool isSettle = options.command == "settle";
     if (!isSettle && options.command != "unsettled")
-        return usageFault("expected unsettled or settle");
+        return "expected unsettled or settle";
     if (options.arguments.size() != (isSettle ? 3U : 0U))
-        return usageFault(options.command + ": expected "
-                          + (isSettle ? "ACCOUNT KEY ran|not-run" : "no argument"));
+        return options.command + ": expected "
+               + (isSettle ? "ACCOUNT KEY ran|not-run" : "no argument");
     if (isSettle && options.arguments[2] != "ran" && options.arguments[2] != "not-run")
-        return usageFault("settle: expected ran or not-run");
-    if (options.platformUrl.empty())
-        return usageFault("--platform: expected the URL of the platform");
-    return options;
-}
-
-std::optional<KeyOptions> parseOptions(int argc, char **argv)
-{
-    try {
-        return checkOptions(commandOptions().parse(argc, argv));
-    } catch (const cxxopts::exceptions::exception &fault) {
-        return usageFault(fault.what());
-    }
+        return "settle: expected ran or not-run";
+    return {};
 }
 
 /// Reads and folds the whole stream; prints why it can't.
@@ -118,7 +58,7 @@
     return text.str();
 }
 
-int printUnsettled(const KeyOptions &options, const ClaimFold &fold)
+int printUnsettled(const LogCommandOptions &options, const ClaimFold &fold)
 {
     nlohmann::json rows = nlohmann::json::array();
     for (const auto &[key, state] : fold.unsettledKeys()) {
@@ -141,7 +81,7 @@
 }
 
 /// Settles one key, from the check of its state to the state that the log then gives it.
-int settle(const KeyOptions &options, NoteLog &log, const ClaimFold &before)
+int settle(const LogCommandOptions &options, NoteLog &log, const ClaimFold &before)
 {
     const AccountKey key{AccountId(options.arguments[0]), IdempotencyKey(options.arguments[1])};
     const bool ran = options.arguments[2] == "ran";
@@ -190,11 +130,11 @@
 
 int runKeyCommand(int argc, char **argv)
 {
-    const auto options = parseOptions(argc, argv);
+    const auto options = parseLogCommand(usage, argc, argv, &checkArguments);
     if (!options)
         return exitUsage;
     if (options->isHelp) {
-        std::cout << commandOptions().help({""});
+        std::cout << logCommandHelp(usage);
         return 0;
     }
     NoteLog log(options->platformUrl, options->timeout, "claims");
--- a/src/app/NoteCommands.cpp
+++ b/src/app/NoteCommands.cpp
@@ -1,15 +1,14 @@
 #include "app/NoteCommands.h"
 
 #include "app/CommandLine.h"
+#include "app/LogCommandOptions.h"
 #include "app/NoteHistory.h"
 #include "app/NoteLog.h"
 #include "app/NotePages.h"
 
-#include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
 
 #include <charconv>
-#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -19,84 +18,20 @@
 
 namespace {
 
-struct NoteOptions
-{
-    std::string command;
-    std::vector<std::string> arguments;
-    std::string platformUrl;
-    bool isJson = false;
-    bool isHelp = false;
-    milliseconds timeout{10000};
-};
-
-constexpr double longestTimeoutSeconds = 3600;
-
-cxxopts::Options commandOptions()
-{
-    cxxopts::Options options("lovagecourse note", "Release notes in the platform's log");
-    options.positional_help("submit FILE | list | show N | state | history");
-    options.add_options()("platform", "URL of the platform, else from LOVAGECOURSE_PLATFORM",
-                          cxxopts::value<std::string>());
-    options.add_options()("json", "print JSON");
-    options.add_options()("timeout", "seconds before a read or an append gives up",
-                          cxxopts::value<double>()->default_value("10"));
-    options.add_options()("help", "print this text");
-    options.add_options("hidden")("command", "", cxxopts::value<std::string>());
-    options.add_options("hidden")("arguments", "", cxxopts::value<std::vector<std::string>>());
-    options.parse_positional({"command", "arguments"});
-    return options;
-}
-
-std::optional<NoteOptions> usageFault(const std::string &fault)
-{
-    std::cerr << "lovagecourse note: " << fault << '\n' << commandOptions().help({""});
-    return std::nullopt;
-}
-
-std::string platformUrl(const cxxopts::ParseResult &parsed)
-{
-    if (parsed.count("platform") > 0)
-        return parsed["platform"].as<std::string>();
-    const char *url = std::getenv("LOVAGECOURSE_PLATFORM");
-    return url == nullptr ? "" : url;
-}
+const LogCommandUsage usage{"note", "Release notes in the platform's log",
+                            "submit FILE | list | show N | state | history"};
 
-std::optional<NoteOptions> checkOptions(const cxxopts::ParseResult &parsed)
+/// What was expected of sub-command and arguments; empty when they can be used.
+std::string checkArguments(const LogCommandOptions &options)
 {
-    NoteOptions options;
-    options.isHelp = parsed.count("help") > 0;
-    if (options.isHelp)
-        return options;
-    if (parsed.count("command") > 0)
-        options.command = parsed["command"].as<std::string>();
-    if (parsed.count("arguments") > 0)
-        options.arguments = parsed["arguments"].as<std::vector<std::string>>();
-    options.platformUrl = platformUrl(parsed);
-    options.isJson = parsed.count("json") > 0;
-    const double timeout = parsed["timeout"].as<double>();
-    if (!(timeout > 0 && timeout <= longestTimeoutSeconds))
-        return usageFault("--timeout: expected seconds above 0, at most 3600");
-    options.timeout = milliseconds(static_cast<std::int64_t>(timeout * 1000) + 1);
     const bool takesArgument = options.command == "submit" || options.command == "show";
     const bool isKnown = takesArgument || options.command == "list" || options.command == "state"
                          || options.command == "history";
     if (!isKnown)
-        return usageFault("expected submit, list, show, state or history");
+        return "expected submit, list, show, state or history";
     if (options.arguments.size() != (takesArgument ? 1U : 0U))
-        return usageFault(options.command + ": expected "
-                          + (takesArgument ? "one argument" : "no argument"));
-    if (options.platformUrl.empty())
-        return usageFault("--platform: expected the URL of the platform");
-    return options;
-}
-
-std::optional<NoteOptions> parseOptions(int argc, char **argv)
-{
-    try {
-        return checkOptions(commandOptions().parse(argc, argv));
-    } catch (const cxxopts::exceptions::exception &fault) {
-        return usageFault(fault.what());
-    }
+        return options.command + ": expected " + (takesArgument ? "one argument" : "no argument");
+    return {};
 }
 
 /// Reads a file, or standard input for "-".
@@ -143,7 +78,7 @@
 class Submission
 {
 public:
-    Submission(const NoteOptions &options, NoteLog &log)
+    Submission(const LogCommandOptions &options, NoteLog &log)
         : options_(options)
         , file_(options.arguments[0])
         , log_(log)
@@ -271,13 +206,13 @@
         return exitNoteLost;
     }
 
-    const NoteOptions &options_;
+    const LogCommandOptions &options_;
     const std::string &file_;
     NoteLog &log_;
     ReleaseNote note_;
 };
 
-int printHistory(const NoteOptions &options, const NoteHistory &history)
+int printHistory(const LogCommandOptions &options, const NoteHistory &history)
 {
     // "list" shows what is in force, "history" also the notes that were not taken.
     const bool onlyAccepted = options.command == "list";
@@ -292,7 +227,7 @@
     return 0;
 }
 
-int printNote(const NoteOptions &options, const NoteHistory &history)
+int printNote(const LogCommandOptions &options, const NoteHistory &history)
 {
     const std::string &text = options.arguments[0];
     std::uint64_t number = 0;
@@ -314,7 +249,7 @@
     return 0;
 }
 
-int printState(const NoteOptions &options, const NoteHistory &history)
+int printState(const LogCommandOptions &options, const NoteHistory &history)
 {
     const ConfigurationState &state = history.fold.state();
     std::cout << (options.isJson ? stateToJson(state) + '\n' : statePage(state));
@@ -325,11 +260,11 @@
 
 int runNoteCommand(int argc, char **argv)
 {
-    const auto options = parseOptions(argc, argv);
+    const auto options = parseLogCommand(usage, argc, argv, &checkArguments);
     if (!options)
         return exitUsage;
     if (options->isHelp) {
-        std::cout << commandOptions().help({""});
+        std::cout << logCommandHelp(usage);
         return 0;
     }
     NoteLog log(options->platformUrl, options->timeout);
