Charge models by tokens in whole answers too, and not for the end of a stream

Cause: an answer that is no event stream was charged by its milliseconds, also for models, and the [DONE] event of a stream counted as a token (found by reading). Before: 20 tokens were charged as 501 and 21. After: 20 and 20. New test, seen failing with both.

--- a/src/agent/AgentNodeImpl.h
+++ b/src/agent/AgentNodeImpl.h
@@ -59,6 +59,9 @@
     void finish(GrantId grant, bool complete, const Refusal &refusal);
     void replay(RequestRun &run, const RecordedAnswer &answer);
     void consume(RequestRun &run, Work work);
+    /// A model's answer that is no event stream; its body names the tokens.
+    bool isWholeModelAnswer(const RequestRun &run) const;
+    Work wholeAnswerWork(const RequestRun &run, std::chrono::nanoseconds elapsed) const;
 
     // Status.
     void onTick();
--- a/src/agent/RequestRun.h
+++ b/src/agent/RequestRun.h
@@ -49,7 +49,7 @@
     bool abandoned = false;
     /// Set while a claim of this agent stands for the request.
     std::optional<ClaimId> claim;
-    /// Answer of a claimed request, to be recorded.
+    /// Answer of a claimed request, to be recorded; or of a model, whose body names its tokens.
     RecordedAnswer answer;
     std::unique_ptr<BackendRequest> backend;
 };
--- a/src/agent/RequestRuns.cpp
+++ b/src/agent/RequestRuns.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Log.h"
 
+#include <nlohmann/json.hpp>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -23,6 +24,16 @@
     return std::to_string(XXH64(text.data(), text.size(), 0));
 }
 
+/// Tokens that a model's whole answer names; empty when it names none.
+std::optional<Work> completionTokens(const std::string &body)
+{
+    const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+    const auto pointer = nlohmann::json::json_pointer("/usage/completion_tokens");
+    if (!answer.is_object() || !answer.contains(pointer) || !answer[pointer].is_number())
+        return std::nullopt;
+    return Work(std::max(0., answer[pointer].get<double>()));
+}
+
 double toMilliseconds(std::chrono::nanoseconds duration)
 {
     return std::chrono::duration<double, std::milli>(duration).count();
@@ -138,8 +149,8 @@
     }
     run.lastPartAt = arrived;
     if (run.isEventStream)
-        consume(run, Work(part.eventCount));
-    if (run.claim)
+        consume(run, Work(part.eventCount - (part.isDone ? 1 : 0)));
+    if (run.claim || isWholeModelAnswer(run))
         run.answer.body += part.bytes;
     if (!run.abandoned)
         links->send(run.link,
@@ -160,13 +171,27 @@
     ledger->hold(run.offer.flow, share, Work() - released, now());
 }
 
+bool AgentNode::Impl::isWholeModelAnswer(const RequestRun &run) const
+{
+    const Service *service = findService(run.offer.flow.service);
+    return service && service->kind == ServiceKind::Model && !run.isEventStream;
+}
+
+Work AgentNode::Impl::wholeAnswerWork(const RequestRun &run, std::chrono::nanoseconds elapsed) const
+{
+    if (!isWholeModelAnswer(run))
+        return Work(toMilliseconds(elapsed));
+    // An answer that does not name its tokens costs what was estimated.
+    return completionTokens(run.answer.body).value_or(run.held);
+}
+
 void AgentNode::Impl::onBackendEnd(GrantId grant, BackendOutcome outcome)
 {
     RequestRun &run = *runs.at(grant);
     const auto elapsed = now() - run.sentAt;
     if (outcome == BackendOutcome::Complete) {
         if (!run.isEventStream)
-            consume(run, Work(toMilliseconds(elapsed)));
+            consume(run, wholeAnswerWork(run, elapsed));
         if (!run.isEventStream && limit)
             limit->onServiceTime(elapsed);
         serviceTimeMs += serviceTimeWeight * (toMilliseconds(elapsed) - serviceTimeMs);
--- a/src/backend/BackendRequest.cpp
+++ b/src/backend/BackendRequest.cpp
@@ -53,6 +53,7 @@
         sawDone_ = events.done;
         part.firstEvent = nextEvent_;
         part.eventCount = events.count;
+        part.isDone = events.done;
         part.bytes = std::move(events.bytes);
         nextEvent_ += part.eventCount;
     }
--- a/src/backend/BackendRequest.h
+++ b/src/backend/BackendRequest.h
@@ -14,6 +14,8 @@
 {
     std::uint64_t firstEvent = 0;
     std::uint32_t eventCount = 0;
+    /// The last event is the "[DONE]" that ends a stream; it carries no token.
+    bool isDone = false;
     std::string bytes;
 };
 
--- a/tests/integration/RequestPathTest.cpp
+++ b/tests/integration/RequestPathTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace lovagecourse::test;
 
 namespace {
@@ -45,6 +47,28 @@
     CHECK(fleet.journal("desk-1")["runs"][key] == 1);
 }
 
+// Guards against whole answers of models that are charged by time, which is 20 times their tokens,
+// and against the end of a stream being charged as a token.
+TEST_CASE_METHOD(RequestPathFixture, "request path, chat answer, is charged by its tokens")
+{
+    constexpr int tokens = 20;
+    const bool streamed = GENERATE(false, true);
+    REQUIRE(fleet.chat(1, "a", "how many tokens?", tokens, streamed).status == 200);
+    const auto position = [this](const std::string &agent) {
+        const nlohmann::json page = fleet.status(agent);
+        for (const auto &row : page["accounts"]) {
+            if (row["name"] == "a")
+                return row["position"].get<double>();
+        }
+        return 0.;
+    };
+    const auto highest = [&position] {
+        return std::max(position("agent-engine-1"), position("agent-engine-2"));
+    };
+    REQUIRE(waitUntil(std::chrono::seconds(5), [&] { return highest() > 0; }));
+    CHECK(highest() == Approx(tokens));
+}
+
 // Guards against requests that run although their caller is not known or their form is wrong.
 TEST_CASE_METHOD(RequestPathFixture, "request path, bad requests, are refused as not run")
 {
