Remove functions, a handler and a field that nothing uses

Cause: the re-read of the whole change found OfferBook::find, HttpClient::runningTransfers, EventStreamSplitter::incompleteBytes, PendingRequest::nextWiden, a suspects handler that both roles left empty, and includes left over from splitting files. No behaviour changes.

--- a/src/agent/AgentNode.cpp
+++ b/src/agent/AgentNode.cpp
@@ -61,7 +61,6 @@
             reporter->onTotals(*totals);
     };
     handlers.onHosts = [this] { checkLeaving(); };
-    handlers.onSuspects = [] {};
     handlers.onTerminate = [this] {
         terminating = true;
         terminateStarted = now();
--- a/src/agent/RequestRuns.cpp
+++ b/src/agent/RequestRuns.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <limits>
 
 namespace lovagecourse {
 
--- a/src/backend/EventStreamSplitter.h
+++ b/src/backend/EventStreamSplitter.h
@@ -21,8 +21,6 @@
 public:
     /// Takes bytes and gives out the events that are whole now.
     WholeEvents append(std::string_view bytes);
-    /// Bytes of an event that has begun and not ended.
-    std::size_t incompleteBytes() const { return pending_.size(); }
 
 private:
     std::string pending_;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -197,8 +197,6 @@
     const TimePoint now = clock.now();
     peers.merge(message.peers, now);
     suspects.merge(message.suspects, now);
-    if (!message.suspects.empty())
-        handlers.onSuspects();
     // Only what a peer says of itself proves that it can be reached.
     for (const PeerEntry &entry : message.peers) {
         if (entry.daemon == sender)
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -32,8 +32,6 @@
         std::function<void(const DaemonId &sender, Message &&message)> onDatagram;
         /// The platform's host list was read.
         std::function<void()> onHosts;
-        /// New crash suspects came from a peer.
-        std::function<void()> onSuspects;
         /// SIGTERM or SIGINT came.
         std::function<void()> onTerminate;
         /// Fills the role's part of the status page.
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -80,7 +80,6 @@
         onDatagram(sender, message);
     };
     handlers.onHosts = [] {};
-    handlers.onSuspects = [] {};
     handlers.onTerminate = [this] {
         if (terminating)
             return;
--- a/src/entry/OfferBook.cpp
+++ b/src/entry/OfferBook.cpp
@@ -23,12 +23,6 @@
     return entry;
 }
 
-const OfferBook::Entry *OfferBook::find(OfferId offer) const
-{
-    const auto found = offers_.find(offer);
-    return found == offers_.end() ? nullptr : &found->second;
-}
-
 std::size_t OfferBook::count(const AccountId &account, const ServerId &server) const
 {
     const auto found = counts_.find({account, server});
--- a/src/entry/OfferBook.h
+++ b/src/entry/OfferBook.h
@@ -27,7 +27,6 @@
     OfferId add(const Entry &entry);
     /// Removes an offer and returns what it was for; empty when it is not known.
     std::optional<Entry> remove(OfferId offer);
-    const Entry *find(OfferId offer) const;
     /// Offers of an account at a server.
     std::size_t count(const AccountId &account, const ServerId &server) const;
     /// All offers at a server.
--- a/src/entry/PendingRequest.h
+++ b/src/entry/PendingRequest.h
@@ -42,7 +42,6 @@
     /// A second attempt is wanted because the first byte is late.
     bool hedging = false;
     bool hedged = false;
-    TimePoint nextWiden;
     std::map<ServerId, OfferId> offers;
     std::vector<Attempt> attempts;
     /// Attempt whose answer is passed on.
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -1,6 +1,5 @@
 #include "entry/RequestRouter.h"
 
-#include "core/Log.h"
 #include "entry/RequestRouterImpl.h"
 #include "routing/PushChoice.h"
 
--- a/src/entry/RouterAnswers.cpp
+++ b/src/entry/RouterAnswers.cpp
@@ -1,7 +1,5 @@
 #include "entry/RequestRouterImpl.h"
 
-#include "core/Log.h"
-
 #include <algorithm>
 #include <cassert>
 #include <utility>
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -293,11 +293,6 @@
     curl_easy_pause(found->second->easy, CURLPAUSE_CONT);
 }
 
-std::size_t HttpClient::runningTransfers() const
-{
-    return impl_->transfers.size();
-}
-
 std::string_view findHeader(const HeaderList &headers, std::string_view name)
 {
     for (const auto &[headerName, value] : headers) {
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -65,7 +65,6 @@
     /// Stops reading from the server until resume(); unknown ids are ignored.
     void pause(HttpTransferId transfer);
     void resume(HttpTransferId transfer);
-    std::size_t runningTransfers() const;
 
 private:
     struct Impl;
