--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -5,14 +5,18 @@
 #include "app/NoteCommands.h"
 #include "app/StatusCommand.h"
 #include "core/Log.h"
+#include "direct/RouterNode.h"
 #include "entry/EntryNode.h"
+#include "platform/Binding.h"
 #include "settings/DaemonSettings.h"
+#include "settings/RouterSettings.h"
 
 #include <cxxopts.hpp>
 
 #include <csignal>
 #include <cstring>
 #include <iostream>
+#include <optional>
 #include <string_view>
 
 namespace lovagecourse {
@@ -25,6 +29,7 @@
 
   entry  --settings FILE [--check]   run a router process
   agent  --settings FILE [--check]   run the process beside a backend server
+  router --settings FILE [--check]   run a router process on a platform without agents
   note   submit FILE | list | show N | state | history
                                      drive the system by release notes
   keys   unsettled | settle ACCOUNT KEY ran|not-run
@@ -38,12 +43,12 @@
         std::cerr << toString(fault) << '\n';
 }
 
-template <class Node>
-int runNode(const DaemonSettings &settings)
+template <class Node, class Settings, class... Parts>
+int runNode(const Settings &settings, Parts... parts)
 {
     EventLoop loop;
     const SystemClock clock;
-    auto opened = Node::open(loop, clock, settings);
+    auto opened = Node::open(loop, clock, settings, std::move(parts)...);
     if (const auto *failure = std::get_if<SocketFailure>(&opened)) {
         std::cerr << "lovagecourse: socket failed: " << std::strerror(failure->error) << '\n';
         return exitFailure;
@@ -54,38 +59,67 @@
     return 0;
 }
 
-int runDaemon(DaemonRole role, int argc, char **argv)
+/// Options of a daemon's command.
+struct DaemonOptions
+{
+    std::string file;
+    bool onlyCheck = false;
+};
+
+/// Empty after printing what is wrong.
+std::optional<DaemonOptions> parseDaemonOptions(int argc, char **argv)
 {
     cxxopts::Options options("lovagecourse");
     options.add_options()("settings", "settings file",
                           cxxopts::value<std::string>())("check", "only check the settings");
-    std::string file;
-    bool onlyCheck = false;
     try {
         const auto parsed = options.parse(argc, argv);
-        file = parsed["settings"].as<std::string>();
-        onlyCheck = parsed.count("check") > 0;
+        return DaemonOptions{parsed["settings"].as<std::string>(), parsed.count("check") > 0};
     } catch (const cxxopts::exceptions::exception &error) {
         std::cerr << "lovagecourse: " << error.what() << '\n' << usage;
-        return exitUsage;
+        return std::nullopt;
     }
-    const SettingsResult settings = readSettings(file, role);
+}
+
+int runDaemon(DaemonRole role, int argc, char **argv)
+{
+    const auto options = parseDaemonOptions(argc, argv);
+    if (!options)
+        return exitUsage;
+    const SettingsResult settings = readSettings(options->file, role);
     if (const auto *faults = std::get_if<std::vector<SettingsFault>>(&settings)) {
         printFaults(*faults);
         return exitUsage;
     }
     const auto &checked = std::get<DaemonSettings>(settings);
-    const std::vector<SettingsFault> addressFaults = checkAddresses(checked, file);
+    const std::vector<SettingsFault> addressFaults = checkAddresses(checked, options->file);
     if (!addressFaults.empty()) {
         printFaults(addressFaults);
         return exitUsage;
     }
-    if (onlyCheck)
+    if (options->onlyCheck)
         return 0;
     startLog(checked.logLevel, checked.logFormat, checked.name.value);
     return role == DaemonRole::Entry ? runNode<EntryNode>(checked) : runNode<AgentNode>(checked);
 }
 
+int runRouter(int argc, char **argv)
+{
+    const auto options = parseDaemonOptions(argc, argv);
+    if (!options)
+        return exitUsage;
+    const RouterSettingsResult settings = readRouterSettings(options->file);
+    if (const auto *faults = std::get_if<std::vector<SettingsFault>>(&settings)) {
+        printFaults(*faults);
+        return exitUsage;
+    }
+    const auto &checked = std::get<RouterSettings>(settings);
+    if (options->onlyCheck)
+        return 0;
+    startLog(checked.logLevel, LogFormat::Text, checked.name.value);
+    return runNode<RouterNode>(checked, platform::makeBinding());
+}
+
 } // namespace
 
 int runCommandLine(int argc, char **argv)
@@ -97,6 +131,8 @@
         return runDaemon(DaemonRole::Entry, argc - 1, argv + 1);
     if (command == "agent")
         return runDaemon(DaemonRole::Agent, argc - 1, argv + 1);
+    if (command == "router")
+        return runRouter(argc - 1, argv + 1);
     if (command == "note")
         return runNoteCommand(argc - 1, argv + 1);
     if (command == "keys")
--- /dev/null
+++ b/src/direct/DirectRouter.cpp
@@ -0,0 +1,625 @@
+#include "direct/DirectRouter.h"
+
+#include "core/Log.h"
+#include "direct/DirectExchange.h"
+#include "gateway/Problem.h"
+#include "placing/Admission.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <random>
+#include <unordered_map>
+
+namespace lovagecourse {
+
+namespace {
+
+// Time for the server's own answer at the deadline to arrive before this process gives one.
+constexpr milliseconds deadlineSlack{100};
+// A host in the same region accepts within milliseconds; this covers one lost packet's repeat.
+constexpr milliseconds connectTimeout{300};
+// Longer than a path recovers from lost packets, shorter than callers wait.
+constexpr milliseconds unacknowledgedLimit{2500};
+// Backend servers close idle connections after some seconds; a reused one must not be near that.
+constexpr seconds maxIdleAge{2};
+// Bytes of an answer that may wait for a slow caller before the server's are left unread.
+constexpr std::size_t maxUnconsumed = 256U << 10;
+// Servers that can't be connected to cost a request connectTimeout each.
+constexpr std::size_t maxUnreachable = 4;
+// Generated tokens count twice: a generation step costs about two tokens' reading.
+constexpr double outputTokenCost = 2;
+// A first byte later than this many usual times, and the slack, stalls.
+constexpr double stallFactor = 3;
+constexpr double stallSlackMs = 60;
+// Retry-After where nothing can be predicted: servers register again within a second or two.
+constexpr milliseconds unknownRetry{300};
+
+constexpr int statusUnauthorized = 401;
+constexpr int statusNotFound = 404;
+constexpr int statusTooLarge = 413;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
+constexpr int firstErrorStatus = 400;
+constexpr int firstServerErrorStatus = 500;
+
+double toMs(std::chrono::nanoseconds duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+std::string_view hostName(std::string_view host)
+{
+    return host.substr(0, std::min(host.find(':'), host.size()));
+}
+
+bool isStreamKind(RequestKind kind)
+{
+    return kind == RequestKind::Stream || kind == RequestKind::ResumableStream;
+}
+
+bool isRepeatable(RequestKind kind)
+{
+    return kind == RequestKind::Safe || kind == RequestKind::ResumableStream;
+}
+
+std::string retryAfterText(milliseconds delay)
+{
+    const std::int64_t millis = delay.count();
+    const std::string fraction = std::to_string(1000 + millis % 1000).substr(1);
+    return std::to_string(millis / 1000) + "." + fraction;
+}
+
+} // namespace
+
+struct DirectRouter::Impl
+{
+    explicit Impl(DirectContext routerContext)
+        : context(std::move(routerContext))
+        , random(std::random_device{}())
+    {}
+
+    TimePoint now() const { return context.clock.now(); }
+    DirectExchange *find(CallerId caller);
+    RepeatBudget &budget(const ServiceId &service);
+
+    void receive(CallerRequest &&request);
+    bool accept(DirectExchange &exchange);
+    void dispatch(DirectExchange &exchange);
+    PlacementRequest placementRequest(const DirectExchange &exchange) const;
+    bool admit(DirectExchange &exchange, const Placement &placement);
+    void send(DirectExchange &exchange, Placement placement);
+    void armStallTimer(DirectExchange &exchange);
+    bool mayRepeat(DirectExchange &exchange);
+
+    void onHead(CallerId caller, int status, const HeaderList &headers);
+    void onData(CallerId caller, std::string_view bytes);
+    void onDone(CallerId caller, const std::optional<HttpFailure> &failure);
+    void onNotSent(DirectExchange &exchange);
+    void onNotExecuted(DirectExchange &exchange);
+    void onBroken(DirectExchange &exchange, std::string_view why);
+    void onAnswered(DirectExchange &exchange);
+    void onDeadline(CallerId caller);
+    void onStalled(CallerId caller);
+
+    void forward(DirectExchange &exchange, std::string_view bytes);
+    void deliver(DirectExchange &exchange, const DirectAttempt &attempt);
+    void endAttempt(DirectExchange &exchange);
+    void cancelAttempt(DirectExchange &exchange);
+    void refuse(DirectExchange &exchange, std::string_view reason, milliseconds retryAfter);
+    void fail(DirectExchange &exchange, int status, std::string_view reason);
+    void reject(CallerId caller, int status, RefusalReason reason);
+    void finish(DirectExchange &exchange, std::string_view outcome, int status,
+                std::string_view reason);
+
+    DirectContext context;
+    HttpGateway *gateway = nullptr;
+    std::shared_ptr<const DirectConfiguration> configuration;
+    std::unordered_map<CallerId, std::unique_ptr<DirectExchange>> exchanges;
+    std::unordered_map<ServiceId, RepeatBudget> budgets;
+    std::mt19937_64 random;
+};
+
+DirectExchange *DirectRouter::Impl::find(CallerId caller)
+{
+    const auto found = exchanges.find(caller);
+    return found == exchanges.end() ? nullptr : found->second.get();
+}
+
+RepeatBudget &DirectRouter::Impl::budget(const ServiceId &service)
+{
+    return budgets.try_emplace(service, context.repeatLimits).first->second;
+}
+
+void DirectRouter::Impl::reject(CallerId caller, int status, RefusalReason reason)
+{
+    context.metrics.count("lovagecourse_refusals_total", toString(reason));
+    gateway->answer(caller, status, {{"content-type", problemMediaType}},
+                    makeProblemBody(Refusal{reason, Ran::No}));
+}
+
+void DirectRouter::Impl::receive(CallerRequest &&request)
+{
+    auto owned = std::make_unique<DirectExchange>();
+    DirectExchange &exchange = *owned;
+    exchange.caller = request.id;
+    exchange.request = std::move(request);
+    exchange.arrived = now();
+    exchange.client = context.codec.decodeRequest(exchange.request.headers);
+    exchange.configuration = configuration;
+    if (!accept(exchange))
+        return;
+    exchanges.emplace(exchange.caller, std::move(owned));
+    budget(exchange.service).onRequest(exchange.arrived);
+    if (isStreamKind(exchange.route->kind))
+        context.shares.onAsked(exchange.accountHash, exchange.costTokens, exchange.arrived);
+    const CallerId caller = exchange.caller;
+    exchange.deadlineTimer =
+            std::make_unique<Timer>(context.loop, [this, caller] { onDeadline(caller); });
+    exchange.deadlineTimer->startOnce(exchange.deadline - exchange.arrived);
+    dispatch(exchange);
+}
+
+/// Finds route and account; answers the caller itself when there is none.
+bool DirectRouter::Impl::accept(DirectExchange &exchange)
+{
+    const auto refused = [&](int status, RefusalReason reason, std::string_view text) {
+        reject(exchange.caller, status, reason);
+        logInfo(LogPart::Routing, "event=rejected request=", exchange.client.attemptId,
+                " status=", status, " reason=", text,
+                " configuration=", configuration ? configuration->version : 0);
+        return false;
+    };
+    if (!configuration)
+        return refused(statusUnavailable, RefusalReason::NotReady, "no-configuration");
+    exchange.route =
+            selectRoute(*configuration, hostName(exchange.client.host), exchange.request.path);
+    if (!exchange.route)
+        return refused(statusNotFound, RefusalReason::UnknownService, "no-route");
+    if (configuration->hasAccounts) {
+        const auto account = configuration->accounts.find(exchange.client.key);
+        if (account != configuration->accounts.end())
+            exchange.account = account->second;
+        else if (!exchange.route->isPublic)
+            return refused(statusUnauthorized, RefusalReason::UnknownKey, "unknown-key");
+    }
+    const bool isTooLarge = configuration->maxBodyBytes > 0
+                            && exchange.request.body.size() > configuration->maxBodyBytes;
+    if (isTooLarge)
+        return refused(statusTooLarge, RefusalReason::BodyTooLarge, "body-too-large");
+    exchange.accountHash = reportHash(exchange.account.value);
+    constexpr double range = 18446744073709551616.;
+    exchange.service = selectService(*exchange.route, static_cast<double>(random()) / range);
+    const std::string &model = exchange.client.model;
+    exchange.prompt = makePrefixes(XXH64(model.data(), model.size(), 0), exchange.client.prompt);
+    exchange.costTokens =
+            exchange.client.promptTokens + outputTokenCost * exchange.client.maxOutputTokens;
+    milliseconds limit = exchange.route->timeout;
+    if (exchange.client.patience)
+        limit = std::min(limit, *exchange.client.patience + deadlineSlack);
+    exchange.deadline = exchange.arrived + limit;
+    return true;
+}
+
+PlacementRequest DirectRouter::Impl::placementRequest(const DirectExchange &exchange) const
+{
+    PlacementRequest request;
+    request.service = exchange.service;
+    request.prompt = exchange.prompt;
+    request.promptTokens = exchange.client.promptTokens;
+    request.objectiveMs = static_cast<double>(exchange.route->objective.count());
+    request.excluded = exchange.tried;
+    return request;
+}
+
+void DirectRouter::Impl::dispatch(DirectExchange &exchange)
+{
+    auto placement = context.pool.choose(placementRequest(exchange), now());
+    if (!placement) {
+        if (exchange.mayHaveRun)
+            return fail(exchange, statusBadGateway, "no-server-left");
+        return refuse(exchange, "no-server", unknownRetry);
+    }
+    if (exchange.tried.empty() && !admit(exchange, *placement))
+        return;
+    send(exchange, std::move(*placement));
+}
+
+bool DirectRouter::Impl::admit(DirectExchange &exchange, const Placement &placement)
+{
+    AdmissionInput input;
+    input.waitMs = placement.prediction.waitMs;
+    input.firstByteMs = placement.prediction.firstByteMs();
+    input.objectiveMs = static_cast<double>(exchange.route->objective.count());
+    input.leftMs = toMs(exchange.deadline - now());
+    input.standing = context.shares.standing(exchange.accountHash, now());
+    const AdmissionVerdict verdict = decideAdmission(input);
+    if (const auto *refused = std::get_if<RefusedForNow>(&verdict)) {
+        logInfo(LogPart::Routing, "event=not-admitted request=", exchange.client.attemptId,
+                " service=", exchange.service, " best=", placement.server,
+                " wait_ms=", input.waitMs, " first_byte_ms=", input.firstByteMs,
+                " objective_ms=", input.objectiveMs, " standing=", input.standing,
+                " servers=", placement.candidates);
+        refuse(exchange, "overload", refused->retryAfter);
+        return false;
+    }
+    if (isStreamKind(exchange.route->kind))
+        context.shares.onServed(exchange.accountHash, exchange.costTokens, now());
+    return true;
+}
+
+void DirectRouter::Impl::send(DirectExchange &exchange, Placement placement)
+{
+    const TimePoint current = now();
+    auto attempt = std::make_unique<DirectAttempt>();
+    attempt->placement = std::move(placement);
+    attempt->sentAt = current;
+    attempt->number = context.pool.onSent(attempt->placement, exchange.prompt, current);
+    exchange.tried.insert(attempt->placement.server);
+    ++exchange.sends;
+
+    ServerRequest server;
+    server.account = exchange.account;
+    server.expectedServer = attempt->placement.server;
+    const auto left = std::chrono::duration_cast<milliseconds>(exchange.deadline - current);
+    server.timeLeft = std::max(left, milliseconds(1));
+    if (exchange.client.patience) {
+        const auto used = std::chrono::duration_cast<milliseconds>(current - exchange.arrived);
+        server.timeLeft =
+                std::clamp(*exchange.client.patience - used, milliseconds(1), server.timeLeft);
+    }
+    server.resumeAfter = exchange.lastEventId;
+
+    HttpRequest request;
+    request.method = exchange.request.method;
+    request.url = "http://" + toString(attempt->placement.address) + "/";
+    request.target = exchange.request.path + exchange.request.query;
+    request.headers = context.codec.encodeRequest(exchange.client, server);
+    request.body = exchange.request.body;
+    request.connectTimeout = std::min(connectTimeout, server.timeLeft);
+    request.sendBodyOnce = true;
+    request.freshConnection = request.body.empty();
+    request.onlyGivenHeaders = true;
+    request.unacknowledgedLimit = unacknowledgedLimit;
+    request.maxIdleAge = maxIdleAge;
+
+    logInfo(LogPart::Routing, "event=sent request=", exchange.client.attemptId,
+            " route=", exchange.route->name, " account=", exchange.account,
+            " configuration=", exchange.configuration->version,
+            " server=", attempt->placement.server, " send=", exchange.sends,
+            " wait_ms=", attempt->placement.prediction.waitMs,
+            " read_ms=", attempt->placement.prediction.readMs,
+            " base_ms=", attempt->placement.prediction.baseMs,
+            " unread_tokens=", attempt->placement.unreadTokens,
+            " local=", attempt->placement.prediction.isLocal);
+    const CallerId caller = exchange.caller;
+    HttpClient::Handlers handlers;
+    handlers.onHead = [this, caller](int status, const HeaderList &headers) {
+        onHead(caller, status, headers);
+    };
+    handlers.onData = [this, caller](std::string_view bytes) { onData(caller, bytes); };
+    handlers.onDone = [this, caller](const std::optional<HttpFailure> &failure) {
+        onDone(caller, failure);
+    };
+    exchange.attempt = std::move(attempt);
+    exchange.attempt->transfer = context.http.start(request, std::move(handlers));
+    armStallTimer(exchange);
+}
+
+/// A repeatable request whose answer does not begin is sent to another server.
+void DirectRouter::Impl::armStallTimer(DirectExchange &exchange)
+{
+    if (!isRepeatable(exchange.route->kind) || exchange.sends >= exchange.route->maxServers)
+        return;
+    const double usualMs = exchange.attempt->placement.prediction.firstByteMs();
+    const double stallMs = stallFactor * usualMs + stallSlackMs;
+    const CallerId caller = exchange.caller;
+    exchange.stallTimer =
+            std::make_unique<Timer>(context.loop, [this, caller] { onStalled(caller); });
+    exchange.stallTimer->startOnce(milliseconds(static_cast<std::int64_t>(stallMs)));
+}
+
+bool DirectRouter::Impl::mayRepeat(DirectExchange &exchange)
+{
+    const TimePoint current = now();
+    if (exchange.sends >= exchange.route->maxServers || current >= exchange.deadline)
+        return false;
+    if (budget(exchange.service).tryTake(context.routerCount(), current))
+        return true;
+    context.metrics.count("lovagecourse_repeats_denied_total");
+    return false;
+}
+
+void DirectRouter::Impl::onHead(CallerId caller, int status, const HeaderList &headers)
+{
+    DirectExchange *exchange = find(caller);
+    if (!exchange || !exchange->attempt)
+        return;
+    DirectAttempt &attempt = *exchange->attempt;
+    attempt.hasHead = true;
+    attempt.status = status;
+    attempt.answer = context.codec.decodeAnswer(status, headers);
+    const ServerAnswer &answer = attempt.answer;
+    const bool isForeign =
+            !answer.attemptId.empty() && answer.attemptId != exchange->client.attemptId;
+    const bool isUnsigned = status < firstErrorStatus && !answer.isSigned;
+    attempt.isGarbled = isForeign || isUnsigned;
+    attempt.isEventStream = findHeader(headers, "content-type").starts_with("text/event-stream")
+                            && status < firstErrorStatus;
+    context.pool.onFirstByte(attempt.placement.server, attempt.number, now());
+    if (exchange->stallTimer)
+        exchange->stallTimer->stop();
+    if (attempt.isGarbled)
+        logWarning(LogPart::Routing, "event=garbled-answer request=", exchange->client.attemptId,
+                   " server=", attempt.placement.server, " status=", status,
+                   " answer_id=", answer.attemptId, " signed=", answer.isSigned);
+}
+
+void DirectRouter::Impl::onData(CallerId caller, std::string_view bytes)
+{
+    DirectExchange *exchange = find(caller);
+    if (!exchange || !exchange->attempt)
+        return;
+    DirectAttempt &attempt = *exchange->attempt;
+    if (!attempt.hasBytes) {
+        attempt.hasBytes = true;
+        context.metrics.latency("lovagecourse_first_byte_seconds", now() - exchange->arrived);
+    }
+    if (attempt.isGarbled)
+        return;
+    if (!attempt.isEventStream) {
+        attempt.body.append(bytes);
+        return;
+    }
+    if (exchange->route->kind == RequestKind::ResumableStream) {
+        // Only whole events go out, so that another server can go on behind them.
+        const WholeEvents events = attempt.splitter.append(bytes);
+        if (events.count == 0)
+            return;
+        const std::string last = context.codec.lastEventId(events.bytes);
+        if (!last.empty())
+            exchange->lastEventId = last;
+        return forward(*exchange, events.bytes);
+    }
+    forward(*exchange, bytes);
+}
+
+void DirectRouter::Impl::forward(DirectExchange &exchange, std::string_view bytes)
+{
+    if (!exchange.isStreaming) {
+        exchange.isStreaming = true;
+        gateway->beginStream(exchange.caller, exchange.attempt->status,
+                             exchange.attempt->answer.forwarded);
+    }
+    exchange.unconsumed += bytes.size();
+    gateway->sendData(exchange.caller, bytes);
+    if (exchange.unconsumed > maxUnconsumed && !exchange.isPaused) {
+        exchange.isPaused = true;
+        context.http.pause(exchange.attempt->transfer);
+    }
+}
+
+void DirectRouter::Impl::onDone(CallerId caller, const std::optional<HttpFailure> &failure)
+{
+    DirectExchange *exchange = find(caller);
+    if (!exchange || !exchange->attempt)
+        return;
+    const DirectAttempt &attempt = *exchange->attempt;
+    const ServerId server = attempt.placement.server;
+    context.pool.onEnded(server, attempt.number, now());
+    if (failure) {
+        logInfo(LogPart::Backend, "event=send-failed request=", exchange->client.attemptId,
+                " server=", server, " curl=", failure->curlCode, " sent=", failure->maybeSent,
+                " head=", attempt.hasHead);
+        if (!attempt.hasHead)
+            context.pool.onUnreachable(server, now());
+        context.pool.onOutcome(server, true);
+        if (!failure->maybeSent)
+            return onNotSent(*exchange);
+        return onBroken(*exchange, "connection-broken");
+    }
+    if (attempt.isGarbled) {
+        context.pool.onOutcome(server, true);
+        return onBroken(*exchange, "garbled-answer");
+    }
+    if (attempt.answer.notExecuted)
+        return onNotExecuted(*exchange);
+    context.pool.onOutcome(server, attempt.status >= firstServerErrorStatus);
+    onAnswered(*exchange);
+}
+
+void DirectRouter::Impl::endAttempt(DirectExchange &exchange)
+{
+    if (exchange.stallTimer)
+        exchange.stallTimer->stop();
+    exchange.isPaused = false;
+    exchange.attempt.reset();
+}
+
+void DirectRouter::Impl::cancelAttempt(DirectExchange &exchange)
+{
+    if (!exchange.attempt)
+        return;
+    context.pool.onEnded(exchange.attempt->placement.server, exchange.attempt->number, now());
+    context.http.cancel(exchange.attempt->transfer);
+    endAttempt(exchange);
+}
+
+/// The connection was never made, so the server does not know the request.
+void DirectRouter::Impl::onNotSent(DirectExchange &exchange)
+{
+    endAttempt(exchange);
+    --exchange.sends;
+    if (exchange.tried.size() < maxUnreachable + exchange.sends && now() < exchange.deadline)
+        return dispatch(exchange);
+    if (exchange.isStreaming || exchange.mayHaveRun)
+        return fail(exchange, statusBadGateway, "unreachable");
+    refuse(exchange, "unreachable", unknownRetry);
+}
+
+void DirectRouter::Impl::onNotExecuted(DirectExchange &exchange)
+{
+    const DirectAttempt &attempt = *exchange.attempt;
+    logInfo(LogPart::Routing, "event=not-executed request=", exchange.client.attemptId,
+            " server=", attempt.placement.server, " status=", attempt.status);
+    context.pool.onUnreachable(attempt.placement.server, now());
+    endAttempt(exchange);
+    if (mayRepeat(exchange))
+        return dispatch(exchange);
+    if (exchange.isStreaming || exchange.mayHaveRun)
+        return fail(exchange, statusBadGateway, "server-refused");
+    refuse(exchange, "server-refused", unknownRetry);
+}
+
+void DirectRouter::Impl::onBroken(DirectExchange &exchange, std::string_view why)
+{
+    exchange.mayHaveRun = true;
+    endAttempt(exchange);
+    const bool mayGoOn = exchange.route->kind == RequestKind::Safe
+                         || (exchange.route->kind == RequestKind::ResumableStream
+                             && (!exchange.isStreaming || !exchange.lastEventId.empty()));
+    if (mayGoOn && mayRepeat(exchange))
+        return dispatch(exchange);
+    fail(exchange, statusBadGateway, why);
+}
+
+void DirectRouter::Impl::onAnswered(DirectExchange &exchange)
+{
+    DirectAttempt &attempt = *exchange.attempt;
+    if (exchange.isStreaming) {
+        if (!attempt.isEventStream)
+            return onBroken(exchange, "resume-failed");
+        gateway->endStream(exchange.caller);
+        return finish(exchange, "answered", attempt.status, "stream");
+    }
+    const bool isFailure = attempt.status >= firstServerErrorStatus;
+    if (isFailure && exchange.route->kind == RequestKind::Safe && mayRepeat(exchange)) {
+        exchange.mayHaveRun = true;
+        exchange.failedAnswer = std::move(exchange.attempt);
+        endAttempt(exchange);
+        return dispatch(exchange);
+    }
+    deliver(exchange, attempt);
+}
+
+void DirectRouter::Impl::deliver(DirectExchange &exchange, const DirectAttempt &attempt)
+{
+    gateway->answer(exchange.caller, attempt.status, attempt.answer.forwarded, attempt.body);
+    finish(exchange, "answered", attempt.status, "whole");
+}
+
+void DirectRouter::Impl::onDeadline(CallerId caller)
+{
+    DirectExchange *exchange = find(caller);
+    if (!exchange)
+        return;
+    exchange->mayHaveRun = exchange->mayHaveRun || exchange->attempt;
+    cancelAttempt(*exchange);
+    if (exchange->mayHaveRun)
+        return fail(*exchange, statusGatewayTimeout, "deadline");
+    refuse(*exchange, "deadline", unknownRetry);
+}
+
+void DirectRouter::Impl::onStalled(CallerId caller)
+{
+    DirectExchange *exchange = find(caller);
+    if (!exchange || !exchange->attempt || exchange->attempt->hasHead)
+        return;
+    if (!mayRepeat(*exchange))
+        return;
+    logInfo(LogPart::Routing, "event=stalled request=", exchange->client.attemptId,
+            " server=", exchange->attempt->placement.server,
+            " predicted_ms=", exchange->attempt->placement.prediction.firstByteMs(),
+            " waited_ms=", toMs(now() - exchange->attempt->sentAt));
+    context.pool.onOutcome(exchange->attempt->placement.server, true);
+    exchange->mayHaveRun = true;
+    cancelAttempt(*exchange);
+    dispatch(*exchange);
+}
+
+/// Only for requests that no server has begun and none will begin.
+void DirectRouter::Impl::refuse(DirectExchange &exchange, std::string_view reason,
+                                milliseconds retryAfter)
+{
+    context.metrics.count("lovagecourse_refusals_total", reason);
+    gateway->answer(
+            exchange.caller, statusUnavailable,
+            {{"content-type", problemMediaType}, {"retry-after", retryAfterText(retryAfter)}},
+            makeProblemBody(Refusal{RefusalReason::NoServer, Ran::No}));
+    finish(exchange, "refused", statusUnavailable, reason);
+}
+
+void DirectRouter::Impl::fail(DirectExchange &exchange, int status, std::string_view reason)
+{
+    context.metrics.count("lovagecourse_failures_total", reason);
+    if (exchange.isStreaming) {
+        gateway->abortStream(exchange.caller);
+        return finish(exchange, "broken-off", status, reason);
+    }
+    if (exchange.failedAnswer)
+        return deliver(exchange, *exchange.failedAnswer);
+    gateway->answer(exchange.caller, status, {{"content-type", problemMediaType}},
+                    makeProblemBody(Refusal{RefusalReason::ServerLost, Ran::Unknown}));
+    finish(exchange, "failed", status, reason);
+}
+
+void DirectRouter::Impl::finish(DirectExchange &exchange, std::string_view outcome, int status,
+                                std::string_view reason)
+{
+    context.metrics.count("lovagecourse_requests_total", outcome);
+    context.metrics.latency("lovagecourse_request_seconds", now() - exchange.arrived);
+    logInfo(LogPart::Routing, "event=", outcome, " request=", exchange.client.attemptId,
+            " status=", status, " reason=", reason, " sends=", exchange.sends,
+            " took_ms=", toMs(now() - exchange.arrived));
+    exchanges.erase(exchange.caller);
+}
+
+DirectRouter::DirectRouter(DirectContext context)
+    : impl_(std::make_unique<Impl>(std::move(context)))
+{}
+
+DirectRouter::~DirectRouter() = default;
+
+void DirectRouter::setGateway(HttpGateway &gateway)
+{
+    impl_->gateway = &gateway;
+}
+
+void DirectRouter::setConfiguration(std::shared_ptr<const DirectConfiguration> configuration)
+{
+    impl_->configuration = std::move(configuration);
+}
+
+void DirectRouter::onRequest(CallerRequest &&request)
+{
+    impl_->receive(std::move(request));
+}
+
+void DirectRouter::onCallerLeft(CallerId caller)
+{
+    DirectExchange *exchange = impl_->find(caller);
+    if (!exchange)
+        return;
+    impl_->cancelAttempt(*exchange);
+    impl_->finish(*exchange, "caller-left", 0, "caller-left");
+}
+
+void DirectRouter::onConsumed(CallerId caller, std::size_t bytes)
+{
+    DirectExchange *exchange = impl_->find(caller);
+    if (!exchange)
+        return;
+    exchange->unconsumed -= std::min(exchange->unconsumed, bytes);
+    if (exchange->isPaused && exchange->unconsumed <= maxUnconsumed && exchange->attempt) {
+        exchange->isPaused = false;
+        impl_->context.http.resume(exchange->attempt->transfer);
+    }
+}
+
+std::size_t DirectRouter::openRequests() const
+{
+    return impl_->exchanges.size();
+}
+
+} // namespace lovagecourse
--- /dev/null
+++ b/src/direct/RouterNode.cpp
@@ -0,0 +1,403 @@
+#include "direct/RouterNode.h"
+
+#include "core/Log.h"
+#include "direct/DirectRouter.h"
+#include "direct/RouterPeers.h"
+#include "direct/StoreFollower.h"
+#include "wire/DatagramSocket.h"
+
+#include <algorithm>
+#include <csignal>
+#include <optional>
+
+namespace lovagecourse {
+
+namespace {
+
+// The configuration must be in force within two seconds of its acknowledgement. A long poll that
+// went silent is noticed after its wait and a second, so the wait is short.
+constexpr FollowPace configurationPace{milliseconds(0), milliseconds(600)};
+// Heartbeats of all servers would end a long poll many times a second, so entries are read at a
+// pace that leaves half of the drain bound for a second try.
+constexpr FollowPace serversPace{milliseconds(700), milliseconds(0)};
+// Reports between routers: as fresh as the shortest wait that changes a choice.
+constexpr milliseconds reportInterval{100};
+// Above this number of peers, reports are rarer, so that their traffic grows with the number of
+// routers and not with its square.
+constexpr std::size_t peersPerInterval = 6;
+constexpr milliseconds housekeepingInterval{50};
+constexpr milliseconds listRetryInterval{500};
+constexpr milliseconds listTimeout{1000};
+// Larger than platforms allow; the configuration's own limits are checked behind it.
+constexpr std::size_t gatewayBodyBytes = 64U << 20;
+constexpr std::size_t gatewayHeaderBytes = 24U << 10;
+// Longer than platforms let callers keep an idle connection, so that the callers close first.
+constexpr seconds gatewayIdleTimeout{120};
+// The process ends by itself this long before the platform would kill it.
+constexpr milliseconds exitReserve{400};
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+
+Hello makeHello(const RouterSettings &settings, const Clock &clock)
+{
+    Hello hello;
+    hello.daemon = settings.name;
+    hello.role = DaemonRole::Entry;
+    hello.incarnation = Incarnation(toEpochMilliseconds(clock.wallNow()) * 1000);
+    hello.dataCentre = settings.dataCentre;
+    hello.datagramEndpoint = settings.datagrams;
+    return hello;
+}
+
+} // namespace
+
+struct RouterNode::Impl
+{
+    Impl(EventLoop &eventLoop, const Clock &nodeClock, RouterSettings nodeSettings,
+         PlatformBinding nodePlatform);
+
+    std::optional<SocketFailure> openSockets();
+    void start();
+    DirectContext routerContext();
+    HttpGateway::Handlers gatewayHandlers();
+    void answerAdmin(HttpGateway &gateway, const CallerRequest &request);
+
+    void onConfigurationRecords(const std::vector<KeyedRecord> &records);
+    void onAllServers(const std::vector<KeyedRecord> &records);
+    void onServerRecords(const std::vector<KeyedRecord> &records);
+    std::optional<ServerEntry> decodeServer(const KeyedRecord &record);
+    void applyChanges(const std::vector<ServerChange> &changes);
+
+    void listSelf();
+    void readRouters();
+    void sendReport();
+    void onDatagram(const DaemonId &sender, const Message &message);
+
+    bool isReady() const;
+    void onTerminate();
+    void onTick();
+
+    EventLoop &loop;
+    const Clock &clock;
+    RouterSettings settings;
+    PlatformBinding platform;
+    Metrics metrics;
+    Authenticator fleetKey;
+    WireContext wire;
+    HttpClient http;
+    std::unique_ptr<FleetStore> store;
+    std::shared_ptr<const DirectConfiguration> configuration;
+    ServerDirectory directory;
+    bool serversKnown = false;
+    ServerPool pool;
+    FairShares shares;
+    RouterPeers peers;
+    std::unique_ptr<DirectRouter> router;
+    std::unique_ptr<StoreFollower> configurationFollower;
+    std::unique_ptr<StoreFollower> serversFollower;
+    std::unique_ptr<DatagramSocket> datagrams;
+    std::unique_ptr<HttpGateway> gateway;
+    std::unique_ptr<HttpGateway> readyGateway;
+    std::unique_ptr<HttpGateway> adminGateway;
+    std::optional<TimePoint> terminated;
+    Timer tick;
+    Timer reportTimer;
+    Timer listTimer;
+    Timer routersTimer;
+    SignalWatcher onTerm;
+    SignalWatcher onInterrupt;
+};
+
+RouterNode::Impl::Impl(EventLoop &eventLoop, const Clock &nodeClock, RouterSettings nodeSettings,
+                       PlatformBinding nodePlatform)
+    : loop(eventLoop)
+    , clock(nodeClock)
+    , settings(std::move(nodeSettings))
+    , platform(std::move(nodePlatform))
+    , fleetKey(settings.fleetKey)
+    , wire{loop, clock, metrics, fleetKey, makeHello(settings, clock)}
+    , http(loop)
+    , store(platform.openStore(http, settings.platformUrl))
+    , pool(settings.dataCentre)
+    , router(std::make_unique<DirectRouter>(routerContext()))
+    , tick(loop, [this] { onTick(); })
+    , reportTimer(loop, [this] { sendReport(); })
+    , listTimer(loop, [this] { listSelf(); })
+    , routersTimer(loop, [this] { readRouters(); })
+    , onTerm(loop, SIGTERM, [this] { onTerminate(); })
+    , onInterrupt(loop, SIGINT, [this] { onTerminate(); })
+{}
+
+DirectContext RouterNode::Impl::routerContext()
+{
+    const RepeatLimits limits{settings.repeatRatio, settings.repeatSlack, settings.repeatWindow};
+    return DirectContext{
+            loop, clock, metrics, http, *platform.requests, pool, shares, limits, [this] {
+                return peers.liveCount(clock.now());
+            }};
+}
+
+HttpGateway::Handlers RouterNode::Impl::gatewayHandlers()
+{
+    HttpGateway::Handlers handlers;
+    handlers.onRequest = [this](CallerRequest &&request) { router->onRequest(std::move(request)); };
+    handlers.onCallerLeft = [this](CallerId caller) { router->onCallerLeft(caller); };
+    handlers.onConsumed = [this](CallerId caller, std::size_t bytes) {
+        router->onConsumed(caller, bytes);
+    };
+    return handlers;
+}
+
+std::optional<SocketFailure> RouterNode::Impl::openSockets()
+{
+    auto socket = DatagramSocket::open(
+            wire, settings.datagrams,
+            [this](const DaemonId &sender, Message &&message) { onDatagram(sender, message); });
+    if (const auto *failure = std::get_if<SocketFailure>(&socket))
+        return *failure;
+    datagrams = std::move(std::get<0>(socket));
+
+    GatewayLimits limits;
+    limits.maxBodyBytes = gatewayBodyBytes;
+    limits.maxHeaderBytes = gatewayHeaderBytes;
+    limits.idleTimeout = gatewayIdleTimeout;
+    auto opened = HttpGateway::open(loop, metrics, settings.callers, limits, gatewayHandlers());
+    if (const auto *failure = std::get_if<SocketFailure>(&opened))
+        return *failure;
+    gateway = std::move(std::get<0>(opened));
+    router->setGateway(*gateway);
+
+    const auto openAdmin = [this](const Endpoint &endpoint, std::unique_ptr<HttpGateway> &target) {
+        HttpGateway::Handlers handlers;
+        handlers.onRequest = [this, &target](CallerRequest &&request) {
+            answerAdmin(*target, request);
+        };
+        handlers.onCallerLeft = [](CallerId) {};
+        handlers.onConsumed = [](CallerId, std::size_t) {};
+        auto admin = HttpGateway::open(loop, metrics, endpoint, GatewayLimits{}, handlers);
+        if (const auto *failure = std::get_if<SocketFailure>(&admin))
+            return std::optional<SocketFailure>(*failure);
+        target = std::move(std::get<0>(admin));
+        return std::optional<SocketFailure>();
+    };
+    if (const auto failure = openAdmin(settings.ready, readyGateway))
+        return failure;
+    return openAdmin(settings.admin, adminGateway);
+}
+
+void RouterNode::Impl::start()
+{
+    StoreFollower::Handlers forConfiguration;
+    forConfiguration.onAll = [this](const auto &records) { onConfigurationRecords(records); };
+    forConfiguration.onChanges = forConfiguration.onAll;
+    forConfiguration.onReturned = [] {};
+    configurationFollower =
+            std::make_unique<StoreFollower>(loop, clock, *store, KeyedTopic::Configuration,
+                                            configurationPace, std::move(forConfiguration));
+    StoreFollower::Handlers forServers;
+    forServers.onAll = [this](const auto &records) { onAllServers(records); };
+    forServers.onChanges = [this](const auto &records) { onServerRecords(records); };
+    forServers.onReturned = [this] { directory.onStoreReturned(clock.now()); };
+    serversFollower = std::make_unique<StoreFollower>(loop, clock, *store, KeyedTopic::Servers,
+                                                      serversPace, std::move(forServers));
+    configurationFollower->start();
+    serversFollower->start();
+    listSelf();
+    readRouters();
+    tick.startRepeating(housekeepingInterval);
+    reportTimer.startOnce(reportInterval);
+}
+
+void RouterNode::Impl::onConfigurationRecords(const std::vector<KeyedRecord> &records)
+{
+    for (const KeyedRecord &record : records) {
+        if (record.key != platform.configurationKey || !record.value)
+            continue;
+        auto decoded = platform.decodeConfiguration(*record.value);
+        if (const auto *fault = std::get_if<DecodeFault>(&decoded)) {
+            metrics.count("lovagecourse_configuration_faults_total");
+            logError(LogPart::Configuration, "event=configuration-unreadable field=", fault->field);
+            continue;
+        }
+        auto &next = std::get<DirectConfiguration>(decoded);
+        const std::uint64_t current = configuration ? configuration->version : 0;
+        if (configuration && next.version <= current)
+            continue;
+        logInfo(LogPart::Configuration, "event=configuration version=", next.version,
+                " before=", current, " routes=", next.routes.size(),
+                " keys=", next.accounts.size());
+        metrics.gauge("lovagecourse_configuration_version", static_cast<double>(next.version));
+        configuration = std::make_shared<const DirectConfiguration>(std::move(next));
+        pool.setConfiguration(configuration);
+        router->setConfiguration(configuration);
+    }
+}
+
+std::optional<ServerEntry> RouterNode::Impl::decodeServer(const KeyedRecord &record)
+{
+    if (!record.value)
+        return std::nullopt;
+    auto decoded = platform.decodeServer(record.key, *record.value);
+    if (const auto *fault = std::get_if<DecodeFault>(&decoded)) {
+        metrics.count("lovagecourse_server_entry_faults_total");
+        logWarning(LogPart::Membership, "event=server-unreadable server=", record.key,
+                   " field=", fault->field);
+        return std::nullopt;
+    }
+    return std::get<ServerEntry>(std::move(decoded));
+}
+
+void RouterNode::Impl::onAllServers(const std::vector<KeyedRecord> &records)
+{
+    std::map<ServerId, ServerEntry> entries;
+    for (const KeyedRecord &record : records) {
+        if (auto entry = decodeServer(record))
+            entries.emplace(entry->id, std::move(*entry));
+    }
+    serversKnown = true;
+    applyChanges(directory.applyAll(entries, clock.now()));
+}
+
+void RouterNode::Impl::onServerRecords(const std::vector<KeyedRecord> &records)
+{
+    for (const KeyedRecord &record : records)
+        applyChanges(directory.apply(ServerId(record.key), decodeServer(record), clock.now()));
+}
+
+void RouterNode::Impl::applyChanges(const std::vector<ServerChange> &changes)
+{
+    for (const ServerChange &change : changes)
+        pool.apply(change);
+    metrics.gauge("lovagecourse_servers", static_cast<double>(directory.size()));
+}
+
+/// Other routers find this one by its record.
+void RouterNode::Impl::listSelf()
+{
+    store->writeDaemon(settings.name.value, toString(settings.datagrams), listTimeout,
+                       [this](const WriteResult &fault) {
+                           if (!fault)
+                               return;
+                           logWarning(LogPart::Membership,
+                                      "event=not-listed fault=", toString(*fault));
+                           listTimer.startOnce(listRetryInterval);
+                       });
+}
+
+void RouterNode::Impl::readRouters()
+{
+    store->readNewest(KeyedTopic::Daemons, listTimeout, [this](const KeyedResult &result) {
+        if (const auto *fault = std::get_if<StoreFault>(&result)) {
+            logWarning(LogPart::Membership, "event=routers-unknown fault=", toString(*fault));
+            routersTimer.startOnce(listRetryInterval);
+            return;
+        }
+        for (const KeyedRecord &record : std::get<KeyedBatch>(result).records) {
+            const auto endpoint = parseEndpoint(record.value.value_or(""));
+            if (endpoint && record.key != settings.name.value)
+                peers.onListed(DaemonId(record.key), *endpoint);
+        }
+    });
+}
+
+void RouterNode::Impl::sendReport()
+{
+    const TimePoint now = clock.now();
+    RouterReport report;
+    report.datagrams = settings.datagrams;
+    report.isLeaving = terminated.has_value();
+    pool.fillReport(report, now);
+    for (const auto &[account, tokens] : shares.own(now))
+        report.accounts.push_back({account, static_cast<std::uint32_t>(tokens.asked),
+                                   static_cast<std::uint32_t>(tokens.served)});
+    // Accounts that ask for most decide the fair share.
+    constexpr std::size_t maxAccounts = 32;
+    std::sort(report.accounts.begin(), report.accounts.end(),
+              [](const auto &left, const auto &right) { return left.asked > right.asked; });
+    if (report.accounts.size() > maxAccounts)
+        report.accounts.resize(maxAccounts);
+    const std::vector<Endpoint> targets = peers.targets(now);
+    for (const Endpoint &target : targets)
+        datagrams->send(target, report);
+    const std::size_t slower = std::max<std::size_t>(1, targets.size() / peersPerInterval);
+    reportTimer.startOnce(reportInterval * slower);
+}
+
+void RouterNode::Impl::onDatagram(const DaemonId &sender, const Message &message)
+{
+    const auto *report = std::get_if<RouterReport>(&message);
+    if (!report) {
+        metrics.count("lovagecourse_unexpected_messages_total");
+        return;
+    }
+    const TimePoint now = clock.now();
+    peers.onHeard(sender, report->datagrams, now);
+    if (report->isLeaving)
+        peers.onLeaving(sender);
+    pool.applyReport(sender.value, *report, now);
+    std::vector<std::pair<AccountHash, AccountTokens>> accounts;
+    for (const RouterAccountLoad &load : report->accounts)
+        accounts.emplace_back(load.account, AccountTokens{static_cast<double>(load.asked),
+                                                          static_cast<double>(load.served)});
+    shares.setPeer(sender.value, std::move(accounts), now);
+}
+
+bool RouterNode::Impl::isReady() const
+{
+    return configuration && serversKnown && !terminated;
+}
+
+void RouterNode::Impl::answerAdmin(HttpGateway &target, const CallerRequest &request)
+{
+    if (request.path == platform.readyPath || request.path == "/readyz")
+        return target.answer(request.id, isReady() ? statusOk : statusUnavailable,
+                             {{"content-type", "text/plain"}},
+                             isReady() ? "ready\n" : "not ready\n");
+    if (request.path == "/metrics")
+        return target.answer(request.id, statusOk, {{"content-type", "text/plain; version=0.0.4"}},
+                             metrics.renderPrometheus());
+    target.answer(request.id, statusNotFound, {{"content-type", "text/plain"}}, "not found\n");
+}
+
+void RouterNode::Impl::onTerminate()
+{
+    if (terminated)
+        return;
+    terminated = clock.now();
+    logInfo(LogPart::App, "event=stopping open_requests=", router->openRequests());
+    gateway->closeAfterAnswers();
+}
+
+void RouterNode::Impl::onTick()
+{
+    const TimePoint now = clock.now();
+    applyChanges(directory.expire(now));
+    if (!terminated)
+        return;
+    const auto since = now - *terminated;
+    const bool isIdle = since >= settings.balancerGrace && gateway->openRequests() == 0;
+    if (!isIdle && since < settings.shutdownLimit - exitReserve)
+        return;
+    logInfo(LogPart::App, "event=stopped open_requests=", router->openRequests());
+    loop.stop();
+}
+
+RouterNode::RouterNode(std::unique_ptr<Impl> impl)
+    : impl_(std::move(impl))
+{}
+
+RouterNode::~RouterNode() = default;
+
+std::variant<std::unique_ptr<RouterNode>, SocketFailure>
+RouterNode::open(EventLoop &loop, const Clock &clock, const RouterSettings &settings,
+                 PlatformBinding platform)
+{
+    auto impl = std::make_unique<Impl>(loop, clock, settings, std::move(platform));
+    if (const auto failure = impl->openSockets())
+        return *failure;
+    impl->start();
+    return std::unique_ptr<RouterNode>(new RouterNode(std::move(impl)));
+}
+
+} // namespace lovagecourse
--- /dev/null
+++ b/src/direct/ServerDirectory.cpp
@@ -0,0 +1,59 @@
+#include "direct/ServerDirectory.h"
+
+namespace lovagecourse {
+
+std::vector<ServerChange> ServerDirectory::apply(const ServerId &id,
+                                                 std::optional<ServerEntry> entry, TimePoint now)
+{
+    if (entry) {
+        entries_[id] = Known{*entry, false};
+        return {ServerChange{id, std::move(entry)}};
+    }
+    const auto found = entries_.find(id);
+    if (found == entries_.end())
+        return {};
+    if (now < patienceUntil_) {
+        found->second.isMissing = true;
+        return {};
+    }
+    entries_.erase(found);
+    return {ServerChange{id, std::nullopt}};
+}
+
+std::vector<ServerChange> ServerDirectory::applyAll(const std::map<ServerId, ServerEntry> &entries,
+                                                    TimePoint now)
+{
+    std::vector<ServerChange> changes;
+    std::vector<ServerId> lapsed;
+    for (const auto &[id, known] : entries_) {
+        if (!entries.contains(id))
+            lapsed.push_back(id);
+    }
+    for (const ServerId &id : lapsed) {
+        for (ServerChange &change : apply(id, std::nullopt, now))
+            changes.push_back(std::move(change));
+    }
+    for (const auto &[id, entry] : entries) {
+        for (ServerChange &change : apply(id, entry, now))
+            changes.push_back(std::move(change));
+    }
+    return changes;
+}
+
+std::vector<ServerChange> ServerDirectory::expire(TimePoint now)
+{
+    std::vector<ServerChange> changes;
+    if (now < patienceUntil_)
+        return changes;
+    for (auto known = entries_.begin(); known != entries_.end();) {
+        if (known->second.isMissing) {
+            changes.push_back(ServerChange{known->first, std::nullopt});
+            known = entries_.erase(known);
+        } else {
+            ++known;
+        }
+    }
+    return changes;
+}
+
+} // namespace lovagecourse
--- /dev/null
+++ b/src/direct/ServerPool.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "direct/ClientRequest.h"
+#include "direct/DirectConfiguration.h"
+#include "direct/ServerDirectory.h"
+#include "placing/CacheModel.h"
+#include "placing/PlacementChoice.h"
+#include "placing/ServerModel.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lovagecourse {
+
+/// What a request asks of a server.
+struct PlacementRequest
+{
+    ServiceId service;
+    std::vector<PromptPrefix> prompt;
+    double promptTokens = 0;
+    double objectiveMs = 0;
+    /// Servers that must not get it again.
+    std::set<ServerId> excluded;
+};
+
+/// The server that was chosen, and why.
+struct Placement
+{
+    ServerId server;
+    Endpoint address;
+    /// Tokens of the prompt that the server must read.
+    double unreadTokens = 0;
+    PlacementCandidate prediction;
+    std::size_t candidates = 0;
+};
+
+/// The backend servers as this daemon knows them: entries, models, other daemons' load.
+class ServerPool
+{
+public:
+    explicit ServerPool(DataCentreId dataCentre);
+
+    /// Takes the capacities of the services.
+    void setConfiguration(std::shared_ptr<const DirectConfiguration> configuration);
+    void apply(const ServerChange &change);
+    void applyReport(const std::string &peer, const RouterReport &report, TimePoint now);
+    /// Fills the servers' part of this daemon's report.
+    void fillReport(RouterReport &report, TimePoint now);
+
+    std::optional<Placement> choose(const PlacementRequest &request, TimePoint now) const;
+    /// Below: calls for servers that are gone are ignored.
+    SendNumber onSent(const Placement &placement, const std::vector<PromptPrefix> &prompt,
+                      TimePoint now);
+    void onFirstByte(const ServerId &server, SendNumber number, TimePoint now);
+    void onEnded(const ServerId &server, SendNumber number, TimePoint now);
+    void onOutcome(const ServerId &server, bool failed);
+    void onUnreachable(const ServerId &server, TimePoint now);
+    /// Usual time to the first byte at the server, in ms; 0 when it is gone.
+    double usualFirstByteMs(const ServerId &server) const;
+    std::size_t count(const ServiceId &service) const;
+
+private:
+    struct PeerReport
+    {
+        TimePoint received;
+        PeerLoad load;
+        std::uint64_t sentTokens = 0;
+    };
+
+    struct Server
+    {
+        ServerEntry entry;
+        ServerModel model;
+        CacheModel cache;
+        std::uint64_t sentTokens = 0;
+        std::unordered_map<std::string, PeerReport> peers;
+    };
+
+    Server *find(const ServerId &id);
+    double cacheTokens(const ServiceId &service) const;
+    ServerSpeed initialSpeed(const ServiceId &service) const;
+    PeerLoad peerLoad(const Server &server, TimePoint now) const;
+
+    DataCentreId dataCentre_;
+    std::shared_ptr<const DirectConfiguration> configuration_;
+    std::map<ServerId, Server> servers_;
+    std::unordered_map<std::uint32_t, ServerId> byHash_;
+    std::vector<RouterSentPrefix> unreported_;
+};
+
+/// Hash by which daemons name servers and accounts in their reports.
+std::uint32_t reportHash(const std::string &id);
+
+} // namespace lovagecourse
--- a/src/gateway/CallerExchange.cpp
+++ b/src/gateway/CallerExchange.cpp
@@ -81,11 +81,19 @@
         return queueAnswer(exchange);
     }
     std::size_t declared = 0;
+    std::size_t lengths = 0;
     bool waits = false;
     for (const auto &[name, value] : exchange.request.headers) {
         if (name == "content-length")
             std::from_chars(value.data(), value.data() + value.size(), declared);
         waits = waits || name == "expect";
+        lengths += name == "content-length" || name == "transfer-encoding" ? 1 : 0;
+    }
+    if (lengths > 1) {
+        // Another program could read the body's end elsewhere and take the rest as a request.
+        exchange.isAmbiguous = true;
+        prepareRefusal(exchange, Refusal{RefusalReason::MalformedRequest, Ran::No});
+        return queueAnswer(exchange);
     }
     exchange.tooLarge = declared > limits.maxBodyBytes;
     const bool answerNow = waits || declared > discardFactor * limits.maxBodyBytes;
--- a/src/gateway/GatewayImpl.h
+++ b/src/gateway/GatewayImpl.h
@@ -23,6 +23,8 @@
         std::size_t bodyBytes = 0;
         bool headersSeen = false;
         bool tooLarge = false;
+        /// The body's length is stated in more than one way, so what follows it is in doubt.
+        bool isAmbiguous = false;
         bool delivered = false;
         bool suspended = false;
         /// The caller closed the connection and its handler was or is being told.
@@ -111,6 +113,7 @@
     std::vector<Event> events;
     std::uint64_t lastCaller = 0;
     bool stopping = false;
+    bool closesAfterAnswers = false;
     /// Set to false on destruction, which a handler may cause.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/gateway/HttpGateway.cpp
+++ b/src/gateway/HttpGateway.cpp
@@ -176,6 +176,8 @@
     for (const auto &[name, value] : headers)
         if (!isHopByHop(name))
             MHD_add_response_header(response, name.c_str(), value.c_str());
+    if (closesAfterAnswers || exchange.isAmbiguous)
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
 }
 
 void HttpGateway::Impl::prepareAnswer(Exchange &exchange, int status, const HeaderList &headers,
@@ -274,6 +276,11 @@
     impl_->resume(*exchange);
 }
 
+void HttpGateway::closeAfterAnswers()
+{
+    impl_->closesAfterAnswers = true;
+}
+
 std::size_t HttpGateway::openRequests() const
 {
     return impl_->exchanges.size();
--- a/src/gateway/HttpGateway.h
+++ b/src/gateway/HttpGateway.h
@@ -75,6 +75,8 @@
     void endStream(CallerId caller);
     /// Ends a streamed answer so that the caller's HTTP client reports an error.
     void abortStream(CallerId caller);
+    /// From now on, each answer ends its connection.
+    void closeAfterAnswers();
     /// Requests that have begun to arrive and whose answer has not ended.
     std::size_t openRequests() const;
     /// Closes the listening socket; open requests go on.
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,6 +1,9 @@
 #include "http/HttpClient.h"
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cassert>
@@ -37,6 +40,8 @@
     CURL *easy = nullptr;
     curl_slist *headerLines = nullptr;
     std::string body;
+    std::size_t bodyRead = 0;
+    int unacknowledgedLimitMs = 0;
     HttpClient::Handlers handlers;
     HeaderList headers;
     bool headDelivered = false;
@@ -74,6 +79,28 @@
     return size * count;
 }
 
+std::size_t onReadBody(char *buffer, std::size_t size, std::size_t count, void *user)
+{
+    auto &transfer = *static_cast<Transfer *>(user);
+    const std::size_t length = transfer.body.copy(buffer, size * count, transfer.bodyRead);
+    transfer.bodyRead += length;
+    return length;
+}
+
+/// libcurl rewinds the body only to send it a second time.
+int refuseRewind(void *, curl_off_t, int)
+{
+    return CURL_SEEKFUNC_FAIL;
+}
+
+int onSocketOpen(void *user, curl_socket_t socket, curlsocktype)
+{
+    const auto &transfer = *static_cast<Transfer *>(user);
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &transfer.unacknowledgedLimitMs,
+               sizeof(transfer.unacknowledgedLimitMs));
+    return CURL_SOCKOPT_OK;
+}
+
 std::size_t onBodyBytes(char *data, std::size_t size, std::size_t count, void *user)
 {
     auto &transfer = *static_cast<Transfer *>(user);
@@ -233,6 +260,13 @@
                 transfer->headerLines, std::string(name).append(": ").append(value).c_str());
     // Without this, libcurl waits for "100 Continue" before larger bodies.
     transfer->headerLines = curl_slist_append(transfer->headerLines, "Expect:");
+    if (request.onlyGivenHeaders) {
+        for (const char *name : {"accept", "content-type"}) {
+            if (findHeader(request.headers, name).empty())
+                transfer->headerLines = curl_slist_append(transfer->headerLines,
+                                                          std::string(name).append(":").c_str());
+        }
+    }
 
     CURL *easy = transfer->easy;
     curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
@@ -257,8 +291,23 @@
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                          static_cast<curl_off_t>(transfer->body.size()));
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
+        if (request.sendBodyOnce) {
+            curl_easy_setopt(easy, CURLOPT_READFUNCTION, &onReadBody);
+            curl_easy_setopt(easy, CURLOPT_READDATA, transfer.get());
+            curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, &refuseRewind);
+        } else {
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
+        }
+    }
+    if (!request.target.empty())
+        curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request.target.c_str());
+    if (request.unacknowledgedLimit.count() > 0) {
+        transfer->unacknowledgedLimitMs = static_cast<int>(request.unacknowledgedLimit.count());
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &onSocketOpen);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, transfer.get());
     }
+    if (request.maxIdleAge.count() > 0)
+        curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(request.maxIdleAge.count()));
     if (request.method != "HEAD")
         curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
 
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -26,6 +26,17 @@
     /// Uses a connection of its own. libcurl repeats a request by itself when a reused connection
     /// turns out to be closed, which must not happen to a non-repeatable one.
     bool freshConnection = false;
+    /// Target of the request line exactly as given; empty takes it from the url.
+    std::string target;
+    /// Fails rather than sends the body a second time when a reused connection turns out to be
+    /// closed. Works for requests with a body; others need freshConnection for that.
+    bool sendBodyOnce = false;
+    /// Limit for bytes that the peer's host does not acknowledge; 0 leaves the system's default.
+    milliseconds unacknowledgedLimit{0};
+    /// Sends only the headers given here, not libcurl's defaults for accept and content-type.
+    bool onlyGivenHeaders = false;
+    /// A connection that was idle for longer is not used again; 0 leaves libcurl's default.
+    seconds maxIdleAge{0};
 };
 
 /// A transfer that ended without a whole answer.
--- /dev/null
+++ b/src/placing/PromptPart.cpp
@@ -0,0 +1,20 @@
+#include "placing/PromptPart.h"
+
+#include <xxhash.h>
+
+namespace lovagecourse {
+
+std::vector<PromptPrefix> makePrefixes(std::uint64_t modelHash,
+                                       const std::vector<PromptPart> &parts)
+{
+    std::vector<PromptPrefix> prefixes;
+    prefixes.reserve(parts.size());
+    std::uint64_t hash = modelHash;
+    for (const PromptPart &part : parts) {
+        hash = XXH64(&part.id, sizeof(part.id), hash);
+        prefixes.push_back(PromptPrefix{hash, part.tokens});
+    }
+    return prefixes;
+}
+
+} // namespace lovagecourse
--- a/src/settings/DaemonSettings.cpp
+++ b/src/settings/DaemonSettings.cpp
@@ -11,8 +11,6 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
-#include <fstream>
-#include <sstream>
 
 namespace lovagecourse {
 
@@ -29,10 +27,6 @@
 constexpr std::int64_t maxKeyWindowSeconds = 30 * dayInSeconds;
 constexpr std::int64_t maxFixedLimit = 100000;
 
-constexpr std::array<SettingsWord<LogLevel>, 4> logLevels{{{"debug", LogLevel::Debug},
-                                                           {"info", LogLevel::Info},
-                                                           {"warning", LogLevel::Warning},
-                                                           {"error", LogLevel::Error}}};
 constexpr std::array<SettingsWord<LogFormat>, 2> logFormats{
         {{"text", LogFormat::Text}, {"json", LogFormat::Json}}};
 constexpr std::array<SettingsWord<RoutingPolicy>, 4> routingPolicies{
@@ -45,29 +39,6 @@
          {"per-agent", FairnessPolicy::PerAgent},
          {"first-come", FairnessPolicy::FirstComeFirstServed}}};
 
-using ParsedFile = std::variant<toml::table, SettingsFault>;
-
-ParsedFile parseFile(const std::string &file)
-{
-    SettingsFault fault;
-    fault.file = file;
-    std::ifstream input(file, std::ios::binary);
-    std::ostringstream text;
-    if (!input || !(text << input.rdbuf())) {
-        fault.kind = SettingsFaultKind::Unreadable;
-        fault.expected = "a readable file that is not empty";
-        return fault;
-    }
-    toml::parse_result parsed = toml::parse(text.str());
-    if (parsed)
-        return std::move(parsed).table();
-    fault.kind = SettingsFaultKind::Syntax;
-    fault.line = parsed.error().source().begin.line;
-    fault.column = parsed.error().source().begin.column;
-    fault.expected = "valid TOML: " + std::string(parsed.error().description());
-    return fault;
-}
-
 /// Reads the sections of one file into settings.
 class SettingsAssembly
 {
@@ -258,7 +229,7 @@
 
 SettingsResult readSettings(const std::string &file, DaemonRole role)
 {
-    const ParsedFile parsed = parseFile(file);
+    const ParsedFile parsed = parseSettingsFile(file);
     if (const auto *fault = std::get_if<SettingsFault>(&parsed))
         return std::vector<SettingsFault>{*fault};
     return SettingsAssembly(std::get<toml::table>(parsed), file, role).read();
@@ -267,7 +238,7 @@
 std::vector<SettingsFault> checkAddresses(const DaemonSettings &settings, const std::string &file)
 {
     // Read again for the places of the settings in the file.
-    const ParsedFile parsed = parseFile(file);
+    const ParsedFile parsed = parseSettingsFile(file);
     const auto *table = std::get_if<toml::table>(&parsed);
     std::vector<SettingsFault> faults;
     SettingsReader reader(table, "", file, faults);
--- /dev/null
+++ b/src/settings/RouterSettings.cpp
@@ -0,0 +1,64 @@
+#include "settings/RouterSettings.h"
+
+#include "settings/SettingsReader.h"
+
+namespace lovagecourse {
+
+namespace {
+
+constexpr std::size_t minFleetKeyBytes = 16;
+constexpr double maxRatio = 10;
+constexpr double maxSlack = 1e6;
+constexpr std::int64_t maxWindowSeconds = 3600;
+constexpr double maxSeconds = 3600;
+
+void readTime(SettingsReader &reader, std::string_view name, milliseconds &value)
+{
+    double inSeconds = std::chrono::duration<double>(value).count();
+    reader.readNumber(name, inSeconds, 0, maxSeconds);
+    value = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(inSeconds));
+}
+
+} // namespace
+
+RouterSettingsResult readRouterSettings(const std::string &file)
+{
+    const ParsedFile parsed = parseSettingsFile(file);
+    if (const auto *fault = std::get_if<SettingsFault>(&parsed))
+        return std::vector<SettingsFault>{*fault};
+    std::vector<SettingsFault> faults;
+    RouterSettings settings;
+    SettingsReader root(&std::get<toml::table>(parsed), "", file, faults);
+    root.readText("name", settings.name.value);
+    root.readText("data_centre", settings.dataCentre.value);
+    root.readText("fleet_key", settings.fleetKey, minFleetKeyBytes);
+    root.readUrl("platform", settings.platformUrl);
+    root.readEndpoint("callers", settings.callers);
+    root.readEndpoint("ready", settings.ready);
+    root.readEndpoint("admin", settings.admin);
+    root.readEndpoint("datagrams", settings.datagrams);
+
+    SettingsReader log(root.readTable("log"), "log", file, faults);
+    log.readWord<LogLevel>("level", settings.logLevel, logLevels);
+    log.reportUnknown();
+
+    SettingsReader repeats(root.readTable("repeats"), "repeats", file, faults);
+    repeats.readNumber("ratio", settings.repeatRatio, 0, maxRatio);
+    repeats.readNumber("slack", settings.repeatSlack, 0, maxSlack);
+    std::int64_t window = settings.repeatWindow.count();
+    if (repeats.readInteger("window_s", window, 1, maxWindowSeconds))
+        settings.repeatWindow = seconds(window);
+    repeats.reportUnknown();
+
+    SettingsReader shutdown(root.readTable("shutdown"), "shutdown", file, faults);
+    readTime(shutdown, "limit_s", settings.shutdownLimit);
+    readTime(shutdown, "balancer_s", settings.balancerGrace);
+    shutdown.reportUnknown();
+
+    root.reportUnknown();
+    if (!faults.empty())
+        return faults;
+    return settings;
+}
+
+} // namespace lovagecourse
--- a/src/settings/SettingsReader.cpp
+++ b/src/settings/SettingsReader.cpp
@@ -1,5 +1,8 @@
 #include "settings/SettingsReader.h"
 
+#include <fstream>
+#include <sstream>
+
 namespace lovagecourse {
 
 namespace {
@@ -9,6 +12,27 @@
 
 } // namespace
 
+ParsedFile parseSettingsFile(const std::string &file)
+{
+    SettingsFault fault;
+    fault.file = file;
+    std::ifstream input(file, std::ios::binary);
+    std::ostringstream text;
+    if (!input || !(text << input.rdbuf())) {
+        fault.kind = SettingsFaultKind::Unreadable;
+        fault.expected = "a readable file that is not empty";
+        return fault;
+    }
+    toml::parse_result parsed = toml::parse(text.str());
+    if (parsed)
+        return std::move(parsed).table();
+    fault.kind = SettingsFaultKind::Syntax;
+    fault.line = parsed.error().source().begin.line;
+    fault.column = parsed.error().source().begin.column;
+    fault.expected = "valid TOML: " + std::string(parsed.error().description());
+    return fault;
+}
+
 SettingsReader::SettingsReader(const toml::table *table, std::string section, std::string file,
                                std::vector<SettingsFault> &faults)
     : table_(table)
@@ -98,6 +122,19 @@
     return true;
 }
 
+void SettingsReader::readNumber(std::string_view name, double &value, double low, double high)
+{
+    const toml::node *node = find(name);
+    if (!node)
+        return;
+    const std::optional<double> number = node->value<double>();
+    if (!number || !node->is_number() || *number < low || *number > high)
+        return report(number ? SettingsFaultKind::OutOfRange : SettingsFaultKind::WrongType, name,
+                      &node->source(),
+                      "a number from " + std::to_string(low) + " to " + std::to_string(high));
+    value = *number;
+}
+
 void SettingsReader::readFlag(std::string_view name, bool &value)
 {
     const toml::node *node = find(name);
--- a/src/settings/SettingsReader.h
+++ b/src/settings/SettingsReader.h
@@ -4,11 +4,13 @@
 
 #include <toml++/toml.h>
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <set>
 #include <span>
 #include <string_view>
+#include <variant>
 
 namespace lovagecourse {
 
@@ -20,6 +22,17 @@
     Value value;
 };
 
+using ParsedFile = std::variant<toml::table, SettingsFault>;
+
+/// Root table of a TOML file, or why it can't be read.
+ParsedFile parseSettingsFile(const std::string &file);
+
+/// Words for the severity of log lines.
+inline constexpr std::array<SettingsWord<LogLevel>, 4> logLevels{{{"debug", LogLevel::Debug},
+                                                                  {"info", LogLevel::Info},
+                                                                  {"warning", LogLevel::Warning},
+                                                                  {"error", LogLevel::Error}}};
+
 /// Reads one TOML table and collects its faults; reportUnknown() must come last.
 class SettingsReader
 {
@@ -38,6 +51,8 @@
     /// Optional; returns whether it is there and sound, and leaves the value alone otherwise.
     bool readInteger(std::string_view name, std::int64_t &value, std::int64_t low,
                      std::int64_t high);
+    /// Optional number that may have a fraction.
+    void readNumber(std::string_view name, double &value, double low, double high);
     void readFlag(std::string_view name, bool &value);
     /// Optional word out of a list.
     template <class Value>
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -403,10 +403,75 @@
     }
 };
 
+/// One server in a router's report.
+struct RouterServerLoad
+{
+    /// Hash of the server's id.
+    std::uint32_t server = 0;
+    /// Prompt tokens that this router sent there and that are not read yet.
+    std::uint32_t backlogTokens = 0;
+    /// Tokens that this router sent there and that were not kept, since its start.
+    std::uint64_t sentTokens = 0;
+    std::uint16_t running = 0;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(server, backlogTokens, sentTokens, running);
+    }
+};
+
+/// One client account in a router's report.
+struct RouterAccountLoad
+{
+    /// Hash of the account's id.
+    std::uint32_t account = 0;
+    /// Tokens within the window of fair shares.
+    std::uint32_t asked = 0;
+    std::uint32_t served = 0;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(account, asked, served);
+    }
+};
+
+/// Beginning of a prompt that a router sent to a server.
+struct RouterSentPrefix
+{
+    std::uint32_t server = 0;
+    std::uint64_t prefix = 0;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(server, prefix);
+    }
+};
+
+/// Datagram, router to router: what it sends and to where.
+struct RouterReport
+{
+    Endpoint datagrams;
+    std::vector<RouterServerLoad> servers;
+    std::vector<RouterAccountLoad> accounts;
+    /// Since the last report.
+    std::vector<RouterSentPrefix> prefixes;
+    /// The router stops and takes no more part.
+    bool isLeaving = false;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(datagrams, servers, accounts, prefixes, isLeaving);
+    }
+};
+
 /// Every message between the system's own processes. New ones go to the end.
-using Message =
-        std::variant<Hello, Offer, OfferWithdraw, OfferRefused, Grant, GrantDecline, GrantAccept,
-                     Cancel, Credit, AnswerHead, AnswerData, AnswerEnd, AgentState, SuspectNotice,
-                     StateRequest, StateReply, Gossip, ServiceReport, FairTotals, LeaveNotice>;
+using Message = std::variant<Hello, Offer, OfferWithdraw, OfferRefused, Grant, GrantDecline,
+                             GrantAccept, Cancel, Credit, AnswerHead, AnswerData, AnswerEnd,
+                             AgentState, SuspectNotice, StateRequest, StateReply, Gossip,
+                             ServiceReport, FairTotals, LeaveNotice, RouterReport>;
 
 } // namespace lovagecourse
