Predict first bytes from told slowness, attention cost and shared stalls

The logs showed three causes: speeds learned per server followed noise that servers tell of in their load header; prompts of 50,000 tokens took seconds because attention grows with the square, which the linear model did not know; a server that stalled was seen as stalled by one router alone. Ruled out: loss of reports between routers (each hears the other four within 0.3 s of its start). Change: one learned speed per service (base, token, pairs of tokens), told slowness per server with its age, exchanged between routers with backlog and overdue time.

--- a/src/direct/DirectExchange.h
+++ b/src/direct/DirectExchange.h
@@ -56,6 +56,10 @@
     /// Servers that got it or could not be reached.
     std::set<ServerId> tried;
     unsigned sends = 0;
+    /// Time from arrival to the first byte of an answer; 0 when none began.
+    double firstByteMs = 0;
+    /// What the last attempt was predicted to take to its first byte.
+    double predictedMs = 0;
     /// Some server may have begun to run it.
     bool mayHaveRun = false;
     std::unique_ptr<DirectAttempt> attempt;
--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -35,6 +35,9 @@
 // Retry-After where nothing can be predicted: servers register again within a second or two.
 constexpr milliseconds unknownRetry{300};
 
+// Retry-After of a router that can't take requests now; the caller's next try reaches another one.
+constexpr milliseconds elsewhereRetry{50};
+
 constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
 constexpr int statusTooLarge = 413;
@@ -118,6 +121,7 @@
     std::shared_ptr<const DirectConfiguration> configuration;
     std::unordered_map<CallerId, std::unique_ptr<DirectExchange>> exchanges;
     std::unordered_map<ServiceId, RepeatBudget> budgets;
+    bool isLeaving = false;
     std::mt19937_64 random;
 };
 
@@ -135,8 +139,10 @@
 void DirectRouter::Impl::reject(CallerId caller, int status, RefusalReason reason)
 {
     context.metrics.count("lovagecourse_refusals_total", toString(reason));
-    gateway->answer(caller, status, {{"content-type", problemMediaType}},
-                    makeProblemBody(Refusal{reason, Ran::No}));
+    HeaderList headers{{"content-type", problemMediaType}};
+    if (status == statusUnavailable)
+        headers.emplace_back("retry-after", retryAfterText(elsewhereRetry));
+    gateway->answer(caller, status, headers, makeProblemBody(Refusal{reason, Ran::No}));
 }
 
 void DirectRouter::Impl::receive(CallerRequest &&request)
@@ -171,6 +177,8 @@
                 " configuration=", configuration ? configuration->version : 0);
         return false;
     };
+    if (isLeaving)
+        return refused(statusUnavailable, RefusalReason::Draining, "leaving");
     if (!configuration)
         return refused(statusUnavailable, RefusalReason::NotReady, "no-configuration");
     exchange.route =
@@ -292,6 +300,8 @@
             " read_ms=", attempt->placement.prediction.readMs,
             " base_ms=", attempt->placement.prediction.baseMs,
             " unread_tokens=", attempt->placement.unreadTokens,
+            " prompt_tokens=", exchange.client.promptTokens,
+            " prompt=", exchange.prompt.empty() ? 0 : exchange.prompt.front().hash,
             " local=", attempt->placement.prediction.isLocal);
     const CallerId caller = exchange.caller;
     HttpClient::Handlers handlers;
@@ -302,6 +312,7 @@
     handlers.onDone = [this, caller](const std::optional<HttpFailure> &failure) {
         onDone(caller, failure);
     };
+    exchange.predictedMs = attempt->placement.prediction.firstByteMs();
     exchange.attempt = std::move(attempt);
     exchange.attempt->transfer = context.http.start(request, std::move(handlers));
     armStallTimer(exchange);
@@ -348,6 +359,8 @@
     attempt.isEventStream = findHeader(headers, "content-type").starts_with("text/event-stream")
                             && status < firstErrorStatus;
     context.pool.onFirstByte(attempt.placement.server, attempt.number, now());
+    if (answer.load)
+        context.pool.onLoad(attempt.placement.server, *answer.load, now());
     if (exchange->stallTimer)
         exchange->stallTimer->stop();
     if (attempt.isGarbled)
@@ -364,6 +377,7 @@
     DirectAttempt &attempt = *exchange->attempt;
     if (!attempt.hasBytes) {
         attempt.hasBytes = true;
+        exchange->firstByteMs = toMs(now() - exchange->arrived);
         context.metrics.latency("lovagecourse_first_byte_seconds", now() - exchange->arrived);
     }
     if (attempt.isGarbled)
@@ -407,7 +421,7 @@
         return;
     const DirectAttempt &attempt = *exchange->attempt;
     const ServerId server = attempt.placement.server;
-    context.pool.onEnded(server, attempt.number, now());
+    context.pool.onEnded(server, attempt.number);
     if (failure) {
         logInfo(LogPart::Backend, "event=send-failed request=", exchange->client.attemptId,
                 " server=", server, " curl=", failure->curlCode, " sent=", failure->maybeSent,
@@ -441,7 +455,7 @@
 {
     if (!exchange.attempt)
         return;
-    context.pool.onEnded(exchange.attempt->placement.server, exchange.attempt->number, now());
+    context.pool.onEnded(exchange.attempt->placement.server, exchange.attempt->number);
     context.http.cancel(exchange.attempt->transfer);
     endAttempt(exchange);
 }
@@ -571,6 +585,7 @@
     context.metrics.latency("lovagecourse_request_seconds", now() - exchange.arrived);
     logInfo(LogPart::Routing, "event=", outcome, " request=", exchange.client.attemptId,
             " status=", status, " reason=", reason, " sends=", exchange.sends,
+            " predicted_ms=", exchange.predictedMs, " first_byte_ms=", exchange.firstByteMs,
             " took_ms=", toMs(now() - exchange.arrived));
     exchanges.erase(exchange.caller);
 }
@@ -617,6 +632,11 @@
     }
 }
 
+void DirectRouter::refuseNewRequests()
+{
+    impl_->isLeaving = true;
+}
+
 std::size_t DirectRouter::openRequests() const
 {
     return impl_->exchanges.size();
--- a/src/direct/DirectRouter.h
+++ b/src/direct/DirectRouter.h
@@ -45,6 +45,8 @@
     void onRequest(CallerRequest &&request);
     void onCallerLeft(CallerId caller);
     void onConsumed(CallerId caller, std::size_t bytes);
+    /// The process ends soon: new requests are refused as not run, so that callers go elsewhere.
+    void refuseNewRequests();
     std::size_t openRequests() const;
 
 private:
--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -376,6 +376,9 @@
     if (!terminated)
         return;
     const auto since = now - *terminated;
+    // A request that comes later could not end before the platform kills the process.
+    if (since >= settings.balancerGrace)
+        router->refuseNewRequests();
     const bool isIdle = since >= settings.balancerGrace && gateway->openRequests() == 0;
     if (!isIdle && since < settings.shutdownLimit - exitReserve)
         return;
--- a/src/direct/RouterPeers.cpp
+++ b/src/direct/RouterPeers.cpp
@@ -1,5 +1,7 @@
 #include "direct/RouterPeers.h"
 
+#include "core/Log.h"
+
 #include <algorithm>
 
 namespace lovagecourse {
@@ -21,7 +23,11 @@
 
 void RouterPeers::onHeard(const DaemonId &router, const Endpoint &datagrams, TimePoint now)
 {
-    peers_[router] = Peer{datagrams, now};
+    Peer &peer = peers_[router];
+    if (peer.lastHeard == TimePoint() || now - peer.lastHeard > silence)
+        logInfo(LogPart::Membership, "event=router-heard router=", router,
+                " address=", toString(datagrams));
+    peer = Peer{datagrams, now};
 }
 
 void RouterPeers::onLeaving(const DaemonId &router)
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -10,10 +10,8 @@
 
 // Reports of peers older than this say nothing about the load now.
 constexpr milliseconds reportTimeout{1000};
-// Assumed for a server of which nothing is known; a usual plain service answers in this time.
-constexpr double unknownBaseMs = 60;
-// Used when the configuration does not tell the fleet's speed: a middle-sized engine.
-constexpr double unknownMsPerToken = 0.02;
+constexpr double maxReportedAgeMs = 60000;
+constexpr double perCent = 100;
 // Reports must fit into one datagram.
 constexpr std::size_t maxReportedPrefixes = 24;
 
@@ -55,21 +53,15 @@
             }));
 }
 
-/// Mean of the servers that have answered, so that a new server starts with what is known.
-ServerSpeed ServerPool::initialSpeed(const ServiceId &service) const
+/// Learned speed of a service; starts from the fleet's rate, as far as the configuration tells it.
+ReadingSpeed &ServerPool::speed(const ServiceId &service) const
 {
-    ServerSpeed sum;
-    double known = 0;
-    for (const auto &[id, server] : servers_) {
-        if (server.entry.service != service)
-            continue;
-        sum.baseMs += server.model.speed().baseMs;
-        sum.msPerToken += server.model.speed().msPerToken;
-        known += 1;
-    }
-    if (known > 0)
-        return ServerSpeed{sum.baseMs / known, sum.msPerToken / known};
-    return ServerSpeed{unknownBaseMs, unknownMsPerToken};
+    const auto found = speeds_.find(service);
+    if (found != speeds_.end())
+        return found->second;
+    const double perSecond = configuration_ ? configuration_->fleetTokensPerSecond : 0;
+    const double servers = static_cast<double>(std::max<std::size_t>(1, count(service)));
+    return speeds_.emplace(service, ReadingSpeed(perSecond / servers / 1000)).first->second;
 }
 
 void ServerPool::apply(const ServerChange &change)
@@ -84,8 +76,7 @@
     }
     const ServerEntry &entry = *change.entry;
     if (!server) {
-        servers_.emplace(change.id,
-                         Server{entry, ServerModel(initialSpeed(entry.service)), {}, 0, {}});
+        servers_.emplace(change.id, Server{entry, {}, {}, 0, {}});
         byHash_[reportHash(change.id.value)] = change.id;
         return;
     }
@@ -93,7 +84,7 @@
             server->entry.startedMs != entry.startedMs || server->entry.address != entry.address;
     if (restarted) {
         server->cache.clear();
-        server->model.onReachable();
+        server->model.onRestarted();
     }
     server->entry = entry;
 }
@@ -104,7 +95,8 @@
     for (const auto &[peer, report] : server.peers) {
         if (now - report.received > reportTimeout)
             continue;
-        sum.backlogTokens += report.load.backlogTokens;
+        sum.backlogMs += report.load.backlogMs;
+        sum.overdueMs = std::max(sum.overdueMs, report.load.overdueMs);
         sum.running += report.load.running;
     }
     return sum;
@@ -121,9 +113,13 @@
         if (last.sentTokens != 0 && load.sentTokens > last.sentTokens)
             server->cache.advance(static_cast<double>(load.sentTokens - last.sentTokens));
         last.received = now;
-        last.load.backlogTokens = load.backlogTokens;
+        last.load.backlogMs = load.backlogMs;
+        last.load.overdueMs = load.overdueMs;
         last.load.running = load.running;
         last.sentTokens = load.sentTokens;
+        if (load.slownessPercent > 0)
+            server->model.onSlowness(load.slownessPercent / perCent,
+                                     now - milliseconds(load.slownessAgeMs));
     }
     for (const RouterSentPrefix &sent : report.prefixes) {
         const auto known = byHash_.find(sent.server);
@@ -139,7 +135,16 @@
             continue;
         RouterServerLoad load;
         load.server = reportHash(id.value);
-        load.backlogTokens = static_cast<std::uint32_t>(server.model.backlogTokens(now));
+        load.backlogMs = static_cast<std::uint32_t>(server.model.backlogMs(now));
+        load.overdueMs = static_cast<std::uint32_t>(server.model.overdueMs(now));
+        if (server.model.slownessTold() != TimePoint()) {
+            const double age =
+                    std::chrono::duration<double, std::milli>(now - server.model.slownessTold())
+                            .count();
+            load.slownessAgeMs = static_cast<std::uint16_t>(std::min(age, maxReportedAgeMs));
+            load.slownessPercent =
+                    static_cast<std::uint16_t>(server.model.toldSlowness() * perCent);
+        }
         load.sentTokens = server.sentTokens;
         load.running = static_cast<std::uint16_t>(server.model.running());
         report.servers.push_back(load);
@@ -154,34 +159,38 @@
 std::optional<Placement> ServerPool::choose(const PlacementRequest &request, TimePoint now) const
 {
     const double capacity = cacheTokens(request.service);
+    const ReadingSpeed &usual = speed(request.service);
     std::vector<PlacementCandidate> candidates;
     std::vector<const Server *> servers;
-    std::vector<double> unread;
+    std::vector<PromptWork> works;
     for (const auto &[id, server] : servers_) {
         const bool fits = server.entry.service == request.service && !server.entry.isDraining
                           && !request.excluded.contains(id);
         if (!fits)
             continue;
         const double kept = server.cache.keptTokens(request.prompt, capacity);
-        const double tokens = std::max(0., request.promptTokens - kept);
+        const PromptWork work{std::max(0., request.promptTokens - kept), kept};
+        const double slowness = server.model.slowness(now);
         PlacementCandidate candidate;
         candidate.server = id;
-        candidate.waitMs = server.model.waitMs(peerLoad(server, now), server.entry.slots, now);
-        candidate.readMs = tokens * server.model.speed().msPerToken;
-        candidate.baseMs = server.model.speed().baseMs;
+        candidate.waitMs =
+                server.model.waitMs(usual, peerLoad(server, now), server.entry.slots, now);
+        candidate.readMs = usual.readMs(work) * slowness;
+        candidate.baseMs = usual.baseMs() * slowness;
         candidate.failureShare = server.model.failureShare();
         candidate.isLocal = server.entry.dataCentre == dataCentre_;
         candidate.isAvoided = server.model.isAvoided(now);
         candidates.push_back(std::move(candidate));
         servers.push_back(&server);
-        unread.push_back(tokens);
+        works.push_back(work);
     }
     const std::uint64_t promptHash = request.prompt.empty() ? 0 : request.prompt.front().hash;
     const auto best = choosePlacement(candidates, promptHash, request.objectiveMs);
     if (!best)
         return std::nullopt;
-    return Placement{candidates[*best].server, servers[*best]->entry.address, unread[*best],
-                     candidates[*best], candidates.size()};
+    return Placement{candidates[*best].server,  servers[*best]->entry.address,
+                     works[*best].unreadTokens, works[*best].keptTokens,
+                     candidates[*best],         candidates.size()};
 }
 
 SendNumber ServerPool::onSent(const Placement &placement, const std::vector<PromptPrefix> &prompt,
@@ -200,22 +209,29 @@
         server->cache.insert(prompt, capacity);
     }
     server->sentTokens += static_cast<std::uint64_t>(placement.unreadTokens);
-    return server->model.onSent(placement.unreadTokens, peerLoad(*server, now), server->entry.slots,
-                                now);
+    return server->model.onSent(speed(server->entry.service),
+                                PromptWork{placement.unreadTokens, placement.keptTokens},
+                                peerLoad(*server, now), server->entry.slots, now);
 }
 
 void ServerPool::onFirstByte(const ServerId &server, SendNumber number, TimePoint now)
 {
     if (Server *known = find(server)) {
-        known->model.onFirstByte(number, now);
+        known->model.onFirstByte(speed(known->entry.service), number, now);
         known->model.onReachable();
     }
 }
 
-void ServerPool::onEnded(const ServerId &server, SendNumber number, TimePoint now)
+void ServerPool::onLoad(const ServerId &server, const ReportedLoad &load, TimePoint now)
 {
     if (Server *known = find(server))
-        known->model.onEnded(number, now);
+        known->model.onSlowness(load.slowness, now);
+}
+
+void ServerPool::onEnded(const ServerId &server, SendNumber number)
+{
+    if (Server *known = find(server))
+        known->model.onEnded(number);
 }
 
 void ServerPool::onOutcome(const ServerId &server, bool failed)
@@ -230,10 +246,4 @@
         known->model.onUnreachable(now);
 }
 
-double ServerPool::usualFirstByteMs(const ServerId &server) const
-{
-    const auto found = servers_.find(server);
-    return found == servers_.end() ? 0 : found->second.model.speed().baseMs;
-}
-
 } // namespace lovagecourse
--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -34,6 +34,8 @@
     Endpoint address;
     /// Tokens of the prompt that the server must read.
     double unreadTokens = 0;
+    /// Tokens of the prompt that the server keeps.
+    double keptTokens = 0;
     PlacementCandidate prediction;
     std::size_t candidates = 0;
 };
@@ -56,11 +58,10 @@
     SendNumber onSent(const Placement &placement, const std::vector<PromptPrefix> &prompt,
                       TimePoint now);
     void onFirstByte(const ServerId &server, SendNumber number, TimePoint now);
-    void onEnded(const ServerId &server, SendNumber number, TimePoint now);
+    void onLoad(const ServerId &server, const ReportedLoad &load, TimePoint now);
+    void onEnded(const ServerId &server, SendNumber number);
     void onOutcome(const ServerId &server, bool failed);
     void onUnreachable(const ServerId &server, TimePoint now);
-    /// Usual time to the first byte at the server, in ms; 0 when it is gone.
-    double usualFirstByteMs(const ServerId &server) const;
     std::size_t count(const ServiceId &service) const;
 
 private:
@@ -82,12 +83,13 @@
 
     Server *find(const ServerId &id);
     double cacheTokens(const ServiceId &service) const;
-    ServerSpeed initialSpeed(const ServiceId &service) const;
+    ReadingSpeed &speed(const ServiceId &service) const;
     PeerLoad peerLoad(const Server &server, TimePoint now) const;
 
     DataCentreId dataCentre_;
     std::shared_ptr<const DirectConfiguration> configuration_;
     std::map<ServerId, Server> servers_;
+    mutable std::unordered_map<ServiceId, ReadingSpeed> speeds_;
     std::unordered_map<std::uint32_t, ServerId> byHash_;
     std::vector<RouterSentPrefix> unreported_;
 };
--- a/src/placing/PlacementChoice.cpp
+++ b/src/placing/PlacementChoice.cpp
@@ -9,12 +9,13 @@
 namespace {
 
 // Cost of the traffic to another data centre, in ms of wait that it is worth avoiding for it.
-constexpr double remoteCostMs = 60;
-// Part of the reading time that counts while servers are idle: only this caller waits for it.
-constexpr double idleReadingWeight = 0.3;
+constexpr double remoteCostMs = 12;
+// Part of the reading time that counts while servers are idle: only this caller waits for it, and
+// reading takes engine time that a burst may need.
+constexpr double idleReadingWeight = 1;
 // With waits of this length, reading a prompt again costs other callers as much as this one.
 constexpr double busyWaitMs = 100;
-constexpr double maxReadingWeight = 2.3;
+constexpr double maxReadingWeight = 3;
 // Spread of the preference among servers that are alike, below the cost of a remote one.
 constexpr double preferenceMs = 20;
 // An answer that fails costs its caller about the objective twice: once lost, once repeated.
--- a/src/placing/ServerModel.cpp
+++ b/src/placing/ServerModel.cpp
@@ -1,25 +1,25 @@
 #include "placing/ServerModel.h"
 
 #include <algorithm>
-#include <cassert>
+#include <cmath>
 
 namespace lovagecourse {
 
 namespace {
 
-// Step of the speed's correction per answer: half of the way takes about 5 answers.
-constexpr double learningStep = 0.15;
-// Scale of tokens in the correction: a usual chunk of prompt reading.
-constexpr double tokenScale = 4096;
-constexpr double minBaseMs = 1;
-constexpr double maxBaseMs = 5000;
-constexpr double minMsPerToken = 0.0005;
-constexpr double maxMsPerToken = 1;
-// An error of a prediction counts at most this much, so that one lost packet isn't a slow server.
-constexpr double maxErrorMs = 1500;
-// Predictions are off by a factor of 2 in normal operation; later than that, the server stalls.
-constexpr double overdueFactor = 2;
-constexpr double overdueSlackMs = 100;
+// Answers later than this are late for a reason that the prediction does not know.
+constexpr double overdueShare = 0.3;
+constexpr double overdueSlackMs = 40;
+// Only answers with a short wait teach the speed; errors of longer waits would hide it.
+constexpr double maxTeachingWaitMs = 60;
+// Other programs on a server's host come and go within this time.
+constexpr milliseconds slownessMemory{600};
+// Weight of one told slowness in the server's mean.
+constexpr double meanWeight = 0.05;
+// Weight of one answer in the slowness that a server does not tell, and its range.
+constexpr double hiddenWeight = 0.15;
+constexpr double minHidden = 0.8;
+constexpr double maxHidden = 10;
 // Weight of one outcome in failureShare().
 constexpr double outcomeWeight = 0.05;
 // A crashed server is back after some seconds; refused connections cost nothing but the try.
@@ -33,106 +33,112 @@
 
 } // namespace
 
-ServerModel::ServerModel(ServerSpeed initial)
-    : speed_(initial)
-{}
-
-double ServerModel::backlogTokens(TimePoint now) const
+double ServerModel::slowness(TimePoint now) const
 {
-    // The server reads the daemons' prompts in turn, each at its part of the speed.
-    const double total = backlogTokens_ + peerBacklogTokens_;
-    if (total <= 0)
-        return 0;
-    const double read = toMs(now - drainedAt_) / speed_.msPerToken * (backlogTokens_ / total);
-    return std::max(0., backlogTokens_ - read);
+    if (slownessTold_ == TimePoint())
+        return hiddenSlowness_;
+    const double age = toMs(now - slownessTold_) / static_cast<double>(slownessMemory.count());
+    const double told = meanSlowness_ + (toldSlowness_ - meanSlowness_) * std::exp(-age);
+    return told * hiddenSlowness_;
 }
 
-void ServerModel::drain(TimePoint now)
+const ServerModel::Send *ServerModel::oldestWaiting() const
 {
-    backlogTokens_ = backlogTokens(now);
-    drainedAt_ = now;
+    for (const auto &[number, send] : sends_) {
+        if (!send.begun)
+            return &send;
+    }
+    return nullptr;
 }
 
 double ServerModel::overdueMs(TimePoint now) const
 {
+    const Send *oldest = oldestWaiting();
+    if (!oldest)
+        return 0;
+    const double allowed = (1 + overdueShare) * oldest->predictedMs + overdueSlackMs;
+    return std::max(0., toMs(now - oldest->sentAt) - allowed);
+}
+
+double ServerModel::backlogMs(TimePoint now) const
+{
+    const bool stalls = overdueMs(now) > 0;
+    double sum = 0;
     for (const auto &[number, send] : sends_) {
         if (send.begun)
             continue;
-        const double late =
-                toMs(now - send.sentAt) - overdueFactor * send.predictedMs - overdueSlackMs;
-        return std::max(0., late);
+        if (stalls) {
+            sum += send.readMs;
+            continue;
+        }
+        // A prompt is read in the last part of its predicted wait.
+        const double left = send.waitMs + send.readMs * send.slowness - toMs(now - send.sentAt);
+        sum += std::clamp(left / send.slowness, 0., send.readMs);
     }
-    return 0;
+    return sum;
 }
 
-double ServerModel::waitMs(const PeerLoad &peers, unsigned slots, TimePoint now) const
+double ServerModel::waitMs(const ReadingSpeed &speed, const PeerLoad &peers, unsigned slots,
+                           TimePoint now) const
 {
-    const double reading = (backlogTokens(now) + peers.backlogTokens) * speed_.msPerToken;
+    const double slow = slowness(now);
+    const double reading = (backlogMs(now) + peers.backlogMs) * slow;
+    const double overdue = std::max(overdueMs(now), peers.overdueMs);
     double queueing = 0;
     const unsigned running = this->running() + peers.running;
     if (slots > 0 && running >= slots)
-        queueing = speed_.baseMs * (running - slots + 1) / slots;
-    return reading + queueing + overdueMs(now);
-}
-
-double ServerModel::firstByteMs(double unreadTokens, const PeerLoad &peers, unsigned slots,
-                                TimePoint now) const
-{
-    return waitMs(peers, slots, now) + speed_.baseMs + unreadTokens * speed_.msPerToken;
+        queueing = speed.baseMs() * slow * (running - slots + 1) / slots;
+    return reading + overdue + queueing;
 }
 
-SendNumber ServerModel::onSent(double unreadTokens, const PeerLoad &peers, unsigned slots,
-                               TimePoint now)
+SendNumber ServerModel::onSent(const ReadingSpeed &speed, const PromptWork &work,
+                               const PeerLoad &peers, unsigned slots, TimePoint now)
 {
     Send send;
     send.sentAt = now;
-    send.unreadTokens = unreadTokens;
-    send.predictedMs = firstByteMs(unreadTokens, peers, slots, now);
-    drain(now);
-    peerBacklogTokens_ = peers.backlogTokens;
-    send.tokensAhead = backlogTokens_ + peers.backlogTokens + unreadTokens;
-    backlogTokens_ += unreadTokens;
+    send.work = work;
+    send.slowness = slowness(now);
+    send.readMs = speed.readMs(work);
+    send.waitMs = waitMs(speed, peers, slots, now);
+    send.predictedMs = send.waitMs + (speed.baseMs() + send.readMs) * send.slowness;
     sends_.emplace(++lastNumber_, send);
     return lastNumber_;
 }
 
-void ServerModel::learn(const Send &send, double tookMs)
-{
-    const double tokens = send.tokensAhead / tokenScale;
-    const double predicted = speed_.baseMs + send.tokensAhead * speed_.msPerToken;
-    const double error = std::clamp(tookMs - predicted, -maxErrorMs, maxErrorMs);
-    const double step = learningStep * error / (1 + tokens * tokens);
-    speed_.baseMs = std::clamp(speed_.baseMs + step, minBaseMs, maxBaseMs);
-    speed_.msPerToken = std::clamp(speed_.msPerToken + step * tokens / tokenScale, minMsPerToken,
-                                   maxMsPerToken);
-}
-
-void ServerModel::onFirstByte(SendNumber number, TimePoint now)
+void ServerModel::onFirstByte(ReadingSpeed &speed, SendNumber number, TimePoint now)
 {
     const auto found = sends_.find(number);
     if (found == sends_.end() || found->second.begun)
         return;
-    drain(now);
-    learn(found->second, toMs(now - found->second.sentAt));
-    found->second.begun = true;
-    // Everything sent before this request has been read, too.
-    double sentLater = 0;
-    for (auto later = std::next(found); later != sends_.end(); ++later) {
-        if (!later->second.begun)
-            sentLater += later->second.unreadTokens;
-    }
-    backlogTokens_ = std::min(backlogTokens_, sentLater);
+    Send &send = found->second;
+    send.begun = true;
+    // What was sent before has been read, too, or never will be.
+    for (auto earlier = sends_.begin(); earlier != found; ++earlier)
+        earlier->second.begun = true;
+    if (send.waitMs > maxTeachingWaitMs)
+        return;
+    const double ownMs = std::max(0., toMs(now - send.sentAt) - send.waitMs);
+    const double told = send.slowness / hiddenSlowness_;
+    speed.learn(send.work, ownMs / std::max(told, 1e-3) / hiddenSlowness_);
+    const double expected = (speed.baseMs() + speed.readMs(send.work)) * told;
+    const double ratio = std::clamp(ownMs / std::max(expected, 1.), minHidden, maxHidden);
+    hiddenSlowness_ *= std::pow(ratio / hiddenSlowness_, hiddenWeight);
 }
 
-void ServerModel::onEnded(SendNumber number, TimePoint now)
+void ServerModel::onEnded(SendNumber number)
 {
-    const auto found = sends_.find(number);
-    if (found == sends_.end())
+    sends_.erase(number);
+}
+
+void ServerModel::onSlowness(double slowness, TimePoint told)
+{
+    if (told <= slownessTold_ || slowness <= 0)
         return;
-    drain(now);
-    if (!found->second.begun)
-        backlogTokens_ = std::max(0., backlogTokens_ - found->second.unreadTokens);
-    sends_.erase(found);
+    meanSlowness_ = slownessTold_ == TimePoint()
+                            ? slowness
+                            : meanSlowness_ + meanWeight * (slowness - meanSlowness_);
+    toldSlowness_ = slowness;
+    slownessTold_ = told;
 }
 
 void ServerModel::onOutcome(bool failed)
@@ -152,4 +158,11 @@
     avoidedUntil_ = TimePoint();
 }
 
+void ServerModel::onRestarted()
+{
+    onReachable();
+    hiddenSlowness_ = 1;
+    failureShare_ = 0;
+}
+
 } // namespace lovagecourse
--- a/src/placing/ServerModel.h
+++ b/src/placing/ServerModel.h
@@ -1,88 +1,88 @@
 #pragma once
 
 #include "core/Clock.h"
+#include "placing/ReadingSpeed.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 
 namespace lovagecourse {
 
-/// One request that was sent and whose answer has not begun.
+/// One request that was sent to a server.
 using SendNumber = std::uint64_t;
 
-/// Speed of a server as learned from the answers to this daemon's requests.
-struct ServerSpeed
-{
-    /// Time to the first byte of an answer without a prompt to read, in ms.
-    double baseMs = 0;
-    /// Time to read one token of a prompt, in ms.
-    double msPerToken = 0;
-};
-
-/// Work of the other daemons at a server, as they reported it.
+/// What other daemons report of their requests at a server.
 struct PeerLoad
 {
-    /// Prompt tokens sent and not yet read.
-    double backlogTokens = 0;
+    /// Time to read what was sent and is not read yet, in ms at the usual speed.
+    double backlogMs = 0;
+    /// Longest time by which an answer is later than predicted, in ms.
+    double overdueMs = 0;
     unsigned running = 0;
 };
 
-/// Predicts when one server would begin to answer one more request. Engines read prompts in
-/// order of arrival, so the wait is the unread tokens before it times the reading time, and
-/// answers that have begun show how far reading has come.
+/// Predicts when one server would begin to answer one more request. Engines read prompts in order
+/// of arrival, so the wait is the reading time of what was sent before. Answers that are late show
+/// that the server stalls: then nothing sent counts as read.
 class ServerModel
 {
 public:
-    explicit ServerModel(ServerSpeed initial);
-
     /// Wait before an added request's own prompt is read, in ms.
-    double waitMs(const PeerLoad &peers, unsigned slots, TimePoint now) const;
-    /// Time to the first byte of the answer for this many unread tokens, in ms.
-    double firstByteMs(double unreadTokens, const PeerLoad &peers, unsigned slots,
-                       TimePoint now) const;
+    double waitMs(const ReadingSpeed &speed, const PeerLoad &peers, unsigned slots,
+                  TimePoint now) const;
 
-    SendNumber onSent(double unreadTokens, const PeerLoad &peers, unsigned slots, TimePoint now);
-    /// The answer began; corrects speed and backlog.
-    void onFirstByte(SendNumber number, TimePoint now);
+    SendNumber onSent(const ReadingSpeed &speed, const PromptWork &work, const PeerLoad &peers,
+                      unsigned slots, TimePoint now);
+    /// The answer began; teaches the speed.
+    void onFirstByte(ReadingSpeed &speed, SendNumber number, TimePoint now);
     /// The request ended; also when its answer never began.
-    void onEnded(SendNumber number, TimePoint now);
+    void onEnded(SendNumber number);
+    /// The server told how slow it is, relative to the usual speed.
+    void onSlowness(double slowness, TimePoint told);
     /// The server failed or answered well; drives failureShare().
     void onOutcome(bool failed);
     /// The connection broke or could not be made: leaves the server alone for a growing time.
     void onUnreachable(TimePoint now);
     /// The server answered, so it can be reached.
     void onReachable();
+    /// The server restarted and knows nothing of before.
+    void onRestarted();
 
+    /// Expected slowness now: what was told last, and the server's mean the more time has passed.
+    double slowness(TimePoint now) const;
+    TimePoint slownessTold() const { return slownessTold_; }
+    double toldSlowness() const { return toldSlowness_; }
     bool isAvoided(TimePoint now) const { return now < avoidedUntil_; }
     /// Share of failed requests, over about the last 20.
     double failureShare() const { return failureShare_; }
-    /// Tokens of this daemon's requests that the server has not read.
-    double backlogTokens(TimePoint now) const;
+    /// What this daemon sent and the server has not read, in ms at the usual speed.
+    double backlogMs(TimePoint now) const;
+    /// Time by which the oldest answer is later than predicted, in ms.
+    double overdueMs(TimePoint now) const;
     unsigned running() const { return static_cast<unsigned>(sends_.size()); }
-    const ServerSpeed &speed() const { return speed_; }
 
 private:
     struct Send
     {
         TimePoint sentAt;
-        double unreadTokens = 0;
-        /// Tokens to read up to and with this request, of all daemons.
-        double tokensAhead = 0;
+        PromptWork work;
+        /// At the usual speed.
+        double readMs = 0;
+        double waitMs = 0;
         double predictedMs = 0;
+        double slowness = 1;
         bool begun = false;
     };
 
-    double overdueMs(TimePoint now) const;
-    void learn(const Send &send, double tookMs);
-    void drain(TimePoint now);
+    const Send *oldestWaiting() const;
 
-    ServerSpeed speed_;
     std::map<SendNumber, Send> sends_;
     SendNumber lastNumber_ = 0;
-    double backlogTokens_ = 0;
-    double peerBacklogTokens_ = 0;
-    TimePoint drainedAt_;
+    double toldSlowness_ = 1;
+    double meanSlowness_ = 1;
+    TimePoint slownessTold_;
+    /// Slowness beyond what the server tells.
+    double hiddenSlowness_ = 1;
     double failureShare_ = 0;
     TimePoint avoidedUntil_;
     milliseconds avoidance_{0};
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -408,16 +408,21 @@
 {
     /// Hash of the server's id.
     std::uint32_t server = 0;
-    /// Prompt tokens that this router sent there and that are not read yet.
-    std::uint32_t backlogTokens = 0;
+    /// Reading time of what this router sent there and is not read, in ms at the usual speed.
+    std::uint32_t backlogMs = 0;
+    /// Time by which this router's oldest answer is late.
+    std::uint32_t overdueMs = 0;
     /// Tokens that this router sent there and that were not kept, since its start.
     std::uint64_t sentTokens = 0;
     std::uint16_t running = 0;
+    /// What the server told last, in per cent of the usual duration of work; 0 when nothing.
+    std::uint16_t slownessPercent = 0;
+    std::uint16_t slownessAgeMs = 0;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(server, backlogTokens, sentTokens, running);
+        archive(server, backlogMs, overdueMs, sentTokens, running, slownessPercent, slownessAgeMs);
     }
 };
 
