Reload settings; bound the memory of idle callers' connections

Ruled out: streams and prompts in flight (about 300 of 150 KB each). Change: SIGHUP and a changed file reload what can change while the process runs; idle connections end a second after the configured limit; refusals end their connection; libcurl's buffers are smaller and a request's body is copied once less.

--- a/src/direct/DirectConfiguration.h
+++ b/src/direct/DirectConfiguration.h
@@ -74,6 +74,8 @@
     bool hasAccounts = false;
     std::size_t maxHeaderBytes = 0;
     std::size_t maxBodyBytes = 0;
+    /// Idle time after which a caller's connection may be closed; 0 when unknown.
+    milliseconds idleTimeout{0};
     /// Tokens that all engines together read and generate in a second; 0 when unknown.
     double fleetTokensPerSecond = 0;
 };
--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -38,6 +38,9 @@
 // Retry-After of a router that can't take requests now; the caller's next try reaches another one.
 constexpr milliseconds elsewhereRetry{50};
 
+// A refused caller comes back on a new connection, so its old one would only hold memory.
+const HeaderList::value_type closeHeader{"connection", "close"};
+
 constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
 constexpr int statusTooLarge = 413;
@@ -140,8 +143,10 @@
 {
     context.metrics.count("lovagecourse_refusals_total", toString(reason));
     HeaderList headers{{"content-type", problemMediaType}};
-    if (status == statusUnavailable)
+    if (status == statusUnavailable) {
         headers.emplace_back("retry-after", retryAfterText(elsewhereRetry));
+        headers.push_back(closeHeader);
+    }
     gateway->answer(caller, status, headers, makeProblemBody(Refusal{reason, Ran::No}));
 }
 
@@ -314,7 +319,7 @@
     };
     exchange.predictedMs = attempt->placement.prediction.firstByteMs();
     exchange.attempt = std::move(attempt);
-    exchange.attempt->transfer = context.http.start(request, std::move(handlers));
+    exchange.attempt->transfer = context.http.start(std::move(request), std::move(handlers));
     armStallTimer(exchange);
 }
 
@@ -606,6 +611,13 @@
     impl_->configuration = std::move(configuration);
 }
 
+void DirectRouter::setRepeatLimits(const RepeatLimits &limits)
+{
+    impl_->context.repeatLimits = limits;
+    for (auto &[service, budget] : impl_->budgets)
+        budget.setLimits(limits);
+}
+
 void DirectRouter::onRequest(CallerRequest &&request)
 {
     impl_->receive(std::move(request));
--- a/src/direct/DirectRouter.h
+++ b/src/direct/DirectRouter.h
@@ -42,6 +42,8 @@
     /// Must come before the first request.
     void setGateway(HttpGateway &gateway);
     void setConfiguration(std::shared_ptr<const DirectConfiguration> configuration);
+    /// Keeps what was used of the former limits.
+    void setRepeatLimits(const RepeatLimits &limits);
     void onRequest(CallerRequest &&request);
     void onCallerLeft(CallerId caller);
     void onConsumed(CallerId caller, std::size_t bytes);
--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <csignal>
 #include <optional>
+#include <utility>
 
 namespace lovagecourse {
 
@@ -26,15 +27,19 @@
 // routers and not with its square.
 constexpr std::size_t peersPerInterval = 6;
 constexpr milliseconds housekeepingInterval{50};
+constexpr seconds settingsInterval{2};
 // What a router believes of the servers, for explaining a decision afterwards.
 constexpr seconds stateLogInterval{5};
 constexpr milliseconds listRetryInterval{500};
 constexpr milliseconds listTimeout{1000};
-// Larger than platforms allow; the configuration's own limits are checked behind it.
+// Larger than platforms allow; the configuration's own limit is checked behind it.
 constexpr std::size_t gatewayBodyBytes = 64U << 20;
-constexpr std::size_t gatewayHeaderBytes = 24U << 10;
-// Longer than platforms let callers keep an idle connection, so that the callers close first.
-constexpr seconds gatewayIdleTimeout{120};
+// Each connection keeps a buffer of about three times this size.
+constexpr std::size_t gatewayHeaderBytes = 16U << 10;
+// Until a configuration tells the limit.
+constexpr seconds gatewayIdleTimeout{30};
+// A caller that keeps to the limit never meets the close.
+constexpr seconds idleTimeoutSlack{1};
 // The process ends by itself this long before the platform would kill it.
 constexpr milliseconds exitReserve{400};
 constexpr int statusOk = 200;
@@ -62,6 +67,7 @@
     std::optional<SocketFailure> openSockets();
     void start();
     DirectContext routerContext();
+    RepeatLimits repeatLimits() const;
     HttpGateway::Handlers gatewayHandlers();
     void answerAdmin(HttpGateway &gateway, const CallerRequest &request);
 
@@ -77,6 +83,8 @@
     void onDatagram(const DaemonId &sender, const Message &message);
 
     bool isReady() const;
+    void reloadSettings();
+    void restartFollowers();
     void onTerminate();
     void onTick();
 
@@ -110,6 +118,8 @@
     Timer stateLogTimer;
     SignalWatcher onTerm;
     SignalWatcher onInterrupt;
+    SignalWatcher onHangUp;
+    Timer settingsTimer;
 };
 
 RouterNode::Impl::Impl(EventLoop &eventLoop, const Clock &nodeClock, RouterSettings nodeSettings,
@@ -121,7 +131,6 @@
     , fleetKey(settings.fleetKey)
     , wire{loop, clock, metrics, fleetKey, makeHello(settings, clock)}
     , http(loop)
-    , store(platform.openStore(http, settings.platformUrl))
     , pool(settings.dataCentre)
     , router(std::make_unique<DirectRouter>(routerContext()))
     , tick(loop, [this] { onTick(); })
@@ -131,15 +140,21 @@
     , stateLogTimer(loop, [this] { pool.logState(clock.now()); })
     , onTerm(loop, SIGTERM, [this] { onTerminate(); })
     , onInterrupt(loop, SIGINT, [this] { onTerminate(); })
+    , onHangUp(loop, SIGHUP, [this] { reloadSettings(); })
+    , settingsTimer(loop, [this] { reloadSettings(); })
 {}
 
 DirectContext RouterNode::Impl::routerContext()
 {
-    const RepeatLimits limits{settings.repeatRatio, settings.repeatSlack, settings.repeatWindow};
-    return DirectContext{
-            loop, clock, metrics, http, *platform.requests, pool, shares, limits, [this] {
-                return peers.liveCount(clock.now());
-            }};
+    return DirectContext{loop,
+                         clock,
+                         metrics,
+                         http,
+                         *platform.requests,
+                         pool,
+                         shares,
+                         repeatLimits(),
+                         [this] { return peers.liveCount(clock.now()); }};
 }
 
 HttpGateway::Handlers RouterNode::Impl::gatewayHandlers()
@@ -190,8 +205,9 @@
     return openAdmin(settings.admin, adminGateway);
 }
 
-void RouterNode::Impl::start()
+void RouterNode::Impl::restartFollowers()
 {
+    store = platform.openStore(http, settings.platformUrl);
     StoreFollower::Handlers forConfiguration;
     forConfiguration.onAll = [this](const auto &records) { onConfigurationRecords(records); };
     forConfiguration.onChanges = forConfiguration.onAll;
@@ -207,11 +223,52 @@
                                                       serversPace, std::move(forServers));
     configurationFollower->start();
     serversFollower->start();
+}
+
+void RouterNode::Impl::start()
+{
+    restartFollowers();
     listSelf();
     readRouters();
     tick.startRepeating(housekeepingInterval);
     reportTimer.startOnce(reportInterval);
     stateLogTimer.startRepeating(stateLogInterval);
+    settingsTimer.startRepeating(settingsInterval);
+}
+
+/// Takes over what can change while the process runs; the file may change without a signal.
+void RouterNode::Impl::reloadSettings()
+{
+    const RouterSettingsResult read = readRouterSettings(settings.file);
+    if (const auto *faults = std::get_if<std::vector<SettingsFault>>(&read)) {
+        // The file may be read in the middle of being replaced; the former settings hold.
+        metrics.count("lovagecourse_settings_faults_total");
+        logWarning(LogPart::App, "event=settings-unusable fault=", toString(faults->front()));
+        return;
+    }
+    const auto &next = std::get<RouterSettings>(read);
+    if (next == settings)
+        return;
+    const bool storeMoved = next.platformUrl != settings.platformUrl;
+    const bool addressesMoved = next.callers != settings.callers || next.ready != settings.ready
+                                || next.admin != settings.admin
+                                || next.datagrams != settings.datagrams;
+    logInfo(LogPart::App, "event=settings-reloaded store_moved=", storeMoved,
+            " addresses_moved_need_restart=", addressesMoved);
+    const RouterSettings before = std::exchange(settings, next);
+    settings.callers = before.callers;
+    settings.ready = before.ready;
+    settings.admin = before.admin;
+    settings.datagrams = before.datagrams;
+    startLog(settings.logLevel, LogFormat::Text, settings.name.value);
+    router->setRepeatLimits(repeatLimits());
+    if (storeMoved)
+        restartFollowers();
+}
+
+RepeatLimits RouterNode::Impl::repeatLimits() const
+{
+    return RepeatLimits{settings.repeatRatio, settings.repeatSlack, settings.repeatWindow};
 }
 
 void RouterNode::Impl::onConfigurationRecords(const std::vector<KeyedRecord> &records)
@@ -236,6 +293,9 @@
         configuration = std::make_shared<const DirectConfiguration>(std::move(next));
         pool.setConfiguration(configuration);
         router->setConfiguration(configuration);
+        if (configuration->idleTimeout.count() > 0)
+            gateway->setIdleTimeout(
+                    std::chrono::ceil<seconds>(configuration->idleTimeout) + idleTimeoutSlack);
     }
 }
 
--- a/src/gateway/HttpGateway.cpp
+++ b/src/gateway/HttpGateway.cpp
@@ -173,10 +173,13 @@
     exchange.status = valid ? status : MHD_HTTP_BAD_GATEWAY;
     exchange.noBody = hasNoBody(exchange.request.method, exchange.status);
     exchange.response = response;
-    for (const auto &[name, value] : headers)
+    bool closes = closesAfterAnswers || exchange.isAmbiguous;
+    for (const auto &[name, value] : headers) {
+        closes = closes || (name == "connection" && value == "close");
         if (!isHopByHop(name))
             MHD_add_response_header(response, name.c_str(), value.c_str());
-    if (closesAfterAnswers || exchange.isAmbiguous)
+    }
+    if (closes)
         MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
 }
 
@@ -281,6 +284,11 @@
     impl_->closesAfterAnswers = true;
 }
 
+void HttpGateway::setIdleTimeout(seconds timeout)
+{
+    impl_->limits.idleTimeout = timeout;
+}
+
 std::size_t HttpGateway::openRequests() const
 {
     return impl_->exchanges.size();
--- a/src/gateway/HttpGateway.h
+++ b/src/gateway/HttpGateway.h
@@ -63,7 +63,7 @@
     HttpGateway(const HttpGateway &) = delete;
     HttpGateway &operator=(const HttpGateway &) = delete;
 
-    /// Whole answer at once. Calls for callers that left are ignored, here and below.
+    /// Whole answer at once; a header "connection: close" ends the connection behind it. Calls for callers that left are ignored, here and below.
     void answer(CallerId caller, int status, const HeaderList &headers, const std::string &body);
     /// Refusal as application/problem+json with type, title, status and ran; counts its reason in
     /// lovagecourse_refusals_total.
@@ -77,6 +77,9 @@
     void abortStream(CallerId caller);
     /// From now on, each answer ends its connection.
     void closeAfterAnswers();
+    /// Idle time after which a connection is closed; counts for connections from their next
+    /// request on.
+    void setIdleTimeout(seconds timeout);
     /// Requests that have begun to arrive and whose answer has not ended.
     std::size_t openRequests() const;
     /// Closes the listening socket; open requests go on.
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr long maxIdleConnections = 256;
+// Per transfer; libcurl's defaults of 16 KB and 64 KB add up with hundreds of transfers.
+constexpr long receiveBufferBytes = 8L << 10;
+constexpr long sendBufferBytes = 16L << 10;
 
 std::string_view trim(std::string_view text)
 {
@@ -248,12 +251,12 @@
 
 HttpClient::~HttpClient() = default;
 
-HttpTransferId HttpClient::start(const HttpRequest &request, Handlers handlers)
+HttpTransferId HttpClient::start(HttpRequest request, Handlers handlers)
 {
     auto transfer = std::make_unique<Transfer>();
     transfer->id = HttpTransferId(++impl_->lastId);
     transfer->easy = curl_easy_init();
-    transfer->body = request.body;
+    transfer->body = std::move(request.body);
     transfer->handlers = std::move(handlers);
     for (const auto &[name, value] : request.headers)
         transfer->headerLines = curl_slist_append(
@@ -272,6 +275,8 @@
     curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, receiveBufferBytes);
+    curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, sendBufferBytes);
     curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
@@ -287,7 +292,7 @@
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request.freshConnection ? 1L : 0L);
     if (request.method == "HEAD") {
         curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
-    } else if (!request.body.empty() || request.method == "POST") {
+    } else if (!transfer->body.empty() || request.method == "POST") {
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                          static_cast<curl_off_t>(transfer->body.size()));
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -70,7 +70,7 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    HttpTransferId start(const HttpRequest &request, Handlers handlers);
+    HttpTransferId start(HttpRequest request, Handlers handlers);
     /// Ends a transfer and closes its connection; no handler is called any more.
     void cancel(HttpTransferId transfer);
     /// Stops reading from the server until resume(); unknown ids are ignored.
--- a/src/placing/RepeatBudget.h
+++ b/src/placing/RepeatBudget.h
@@ -25,6 +25,8 @@
 public:
     explicit RepeatBudget(const RepeatLimits &limits);
 
+    /// Keeps what was used, as long as the window stays the same.
+    void setLimits(const RepeatLimits &limits) { limits_ = limits; }
     void onRequest(TimePoint now);
     /// Takes one second send; false when the part is used up. daemons: all of the fleet.
     bool tryTake(std::size_t daemons, TimePoint now);
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -28,6 +28,7 @@
         return std::vector<SettingsFault>{*fault};
     std::vector<SettingsFault> faults;
     RouterSettings settings;
+    settings.file = file;
     SettingsReader root(&std::get<toml::table>(parsed), "", file, faults);
     root.readText("name", settings.name.value);
     root.readText("data_centre", settings.dataCentre.value);
--- a/src/settings/RouterSettings.h
+++ b/src/settings/RouterSettings.h
@@ -15,6 +15,8 @@
 /// Settings of a router, from its TOML file.
 struct RouterSettings
 {
+    /// Where they were read.
+    std::string file;
     DaemonId name;
     DataCentreId dataCentre;
     /// Shared by all routers; at least 16 bytes.
@@ -40,6 +42,8 @@
     /// Time after SIGTERM in which the platform may still send callers: two unanswered questions,
     /// a second apart, and some slack.
     milliseconds balancerGrace{2500};
+
+    bool operator==(const RouterSettings &) const = default;
 };
 
 using RouterSettingsResult = std::variant<RouterSettings, std::vector<SettingsFault>>;
