--- /dev/null
+++ b/tests/direct/DirectRouterTest.cpp
@@ -0,0 +1,453 @@
+#include "direct/DirectRouter.h"
+
+#include "direct/ScriptedServer.h"
+#include "platform/HeaderCodec.h"
+
+#include <catch2/catch.hpp>
+#include <unistd.h>
+
+#include <optional>
+
+using namespace lovagecourse;
+using test::headerOf;
+using test::ScriptedServer;
+
+namespace {
+
+/// What a caller got.
+struct CallerAnswer
+{
+    bool isDone = false;
+    bool isWhole = false;
+    int status = 0;
+    HeaderList headers;
+    std::string body;
+};
+
+struct DirectRouterFixture
+{
+    EventLoop loop;
+    SystemClock clock;
+    Metrics metrics;
+    HttpClient serverSide{loop};
+    HttpClient callerSide{loop};
+    platform::HeaderCodec codec;
+    ServerPool pool{DataCentreId("a")};
+    FairShares shares;
+    std::unique_ptr<DirectRouter> router;
+    std::unique_ptr<HttpGateway> gateway;
+    Endpoint callers;
+    std::vector<std::unique_ptr<ScriptedServer>> servers;
+    std::shared_ptr<DirectConfiguration> configuration = std::make_shared<DirectConfiguration>();
+
+    DirectRouterFixture()
+    {
+        router = std::make_unique<DirectRouter>(
+                DirectContext{loop, clock, metrics, serverSide, codec, pool, shares,
+                              RepeatLimits{0.2, 50, seconds(10)}, [] { return std::size_t(1); }});
+        HttpGateway::Handlers handlers;
+        handlers.onRequest = [this](CallerRequest &&request) {
+            router->onRequest(std::move(request));
+        };
+        handlers.onCallerLeft = [this](CallerId caller) { router->onCallerLeft(caller); };
+        handlers.onConsumed = [this](CallerId caller, std::size_t bytes) {
+            router->onConsumed(caller, bytes);
+        };
+        for (unsigned attempt = 0; !gateway && attempt < 100; ++attempt) {
+            callers = Endpoint{"127.0.0.1", static_cast<std::uint16_t>(
+                                                    23100 + (getpid() + attempt * 7) % 900)};
+            auto opened = HttpGateway::open(loop, metrics, callers, GatewayLimits{}, handlers);
+            if (auto *ready = std::get_if<std::unique_ptr<HttpGateway>>(&opened))
+                gateway = std::move(*ready);
+        }
+        REQUIRE(gateway);
+        router->setGateway(*gateway);
+        addRoute("/safe/", RequestKind::Safe, 2);
+        addRoute("/unsafe/", RequestKind::Unsafe, 1);
+        addRoute("/stream/", RequestKind::Stream, 1);
+        addRoute("/resume/", RequestKind::ResumableStream, 2);
+        configuration->hasAccounts = true;
+        configuration->accounts["secret"] = AccountId("museum");
+        configure();
+    }
+
+    void addRoute(const std::string &prefix, RequestKind kind, unsigned maxServers)
+    {
+        Route route;
+        route.name = prefix;
+        route.host = "shop.example";
+        route.pathPrefix = prefix;
+        route.kind = kind;
+        route.timeout = milliseconds(600);
+        route.objective = milliseconds(300);
+        route.maxServers = maxServers;
+        route.services = {{ServiceId("desk"), 1}};
+        configuration->routes[route.host].push_back(route);
+    }
+
+    void configure() { router->setConfiguration(configuration); }
+
+    ScriptedServer &addServer(ScriptedServer::Handler handler)
+    {
+        servers.push_back(std::make_unique<ScriptedServer>(loop, std::move(handler)));
+        ServerEntry entry;
+        entry.id = ServerId("s" + std::to_string(servers.size()));
+        entry.service = ServiceId("desk");
+        entry.address = servers.back()->address();
+        entry.dataCentre = DataCentreId("a");
+        entry.slots = 8;
+        pool.apply(ServerChange{entry.id, entry});
+        return *servers.back();
+    }
+
+    static std::string answer(const std::string &request, int status, const std::string &body,
+                              const std::string &extra = "X-Lovagecourse-Server-Stamp: st\r\n")
+    {
+        return "HTTP/1.1 " + std::to_string(status) + " Status\r\nX-Lovagecourse-Attempt-Id: "
+               + headerOf(request, "x-lovagecourse-attempt-id") + "\r\n" + extra
+               + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    static std::string streamHead(const std::string &request)
+    {
+        return "HTTP/1.1 200 OK\r\nX-Lovagecourse-Attempt-Id: "
+               + headerOf(request, "x-lovagecourse-attempt-id")
+               + "\r\nX-Lovagecourse-Server-Stamp: st\r\nContent-Type: text/event-stream\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n";
+    }
+
+    static std::string chunk(const std::string &bytes)
+    {
+        char length[20];
+        std::snprintf(length, sizeof(length), "%zx\r\n", bytes.size());
+        return length + bytes + "\r\n";
+    }
+
+    static std::string event(int id)
+    {
+        return "id: " + std::to_string(id) + "\ndata: " + std::to_string(id) + "\n\n";
+    }
+
+    std::shared_ptr<CallerAnswer> start(const std::string &method, const std::string &target,
+                                        HeaderList headers = {}, const std::string &body = {})
+    {
+        auto result = std::make_shared<CallerAnswer>();
+        HttpRequest request;
+        request.method = method;
+        request.url = "http://" + toString(callers) + "/";
+        request.target = target;
+        request.headers = {{"host", "shop.example"},
+                           {"x-lovagecourse-attempt-id", "id-1"},
+                           {"x-lovagecourse-deadline-ms", "2000"},
+                           {"authorization", "Token secret"}};
+        for (auto &header : headers) {
+            std::erase_if(request.headers,
+                          [&](const auto &own) { return own.first == header.first; });
+            request.headers.push_back(std::move(header));
+        }
+        request.body = body;
+        request.freshConnection = true;
+        HttpClient::Handlers handlers;
+        handlers.onHead = [result](int status, const HeaderList &list) {
+            result->status = status;
+            result->headers = list;
+        };
+        handlers.onData = [result](std::string_view bytes) { result->body.append(bytes); };
+        handlers.onDone = [this, result](const std::optional<HttpFailure> &failure) {
+            result->isDone = true;
+            result->isWhole = !failure;
+            loop.stop();
+        };
+        lastTransfer = callerSide.start(std::move(request), std::move(handlers));
+        return result;
+    }
+
+    void runFor(milliseconds time)
+    {
+        Timer timer(loop, [this] { loop.stop(); });
+        timer.startOnce(time);
+        loop.run();
+    }
+
+    CallerAnswer call(const std::string &method, const std::string &target,
+                      HeaderList headers = {}, const std::string &body = {})
+    {
+        const auto result = start(method, target, std::move(headers), body);
+        const TimePoint limit = clock.now() + seconds(5);
+        while (!result->isDone && clock.now() < limit)
+            runFor(milliseconds(100));
+        REQUIRE(result->isDone);
+        return *result;
+    }
+
+    HttpTransferId lastTransfer;
+};
+
+} // namespace
+
+// Guards against requests that change on their way, and against headers only the system may set.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, sound request, is passed on unchanged")
+{
+    ScriptedServer &server = addServer([](auto &connection, const std::string &request) {
+        connection.send(answer(request, 200, "whole"));
+    });
+    const CallerAnswer got =
+            call("POST", "/unsafe/..//x%2fy?a=%20b",
+                 {{"x-lovagecourse-tenant", "forged"}, {"kv-from", "forged"}, {"x-own", "kept"}},
+                 "body");
+    CHECK(got.status == 200);
+    CHECK(got.body == "whole");
+    CHECK(findHeader(got.headers, "x-lovagecourse-server-stamp") == "st");
+    REQUIRE(server.requests().size() == 1);
+    const std::string &request = server.requests().front();
+    CHECK(request.starts_with("POST /unsafe/..//x%2fy?a=%20b HTTP/1.1\r\n"));
+    CHECK(request.ends_with("\r\n\r\nbody"));
+    CHECK(headerOf(request, "host") == "shop.example");
+    CHECK(headerOf(request, "x-own") == "kept");
+    CHECK(headerOf(request, "x-lovagecourse-tenant") == "museum");
+    CHECK(headerOf(request, "x-lovagecourse-expect-instance") == "s1");
+    CHECK(headerOf(request, "authorization").empty());
+    CHECK(headerOf(request, "kv-from").empty());
+    CHECK(headerOf(request, "accept").empty());
+    const int left = std::stoi(headerOf(request, "x-lovagecourse-deadline-ms"));
+    CHECK(left > 0);
+    CHECK(left <= 600);
+}
+
+// Guards against keys that open nothing and routes that do not exist.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, unknown key or route, rejects by itself")
+{
+    ScriptedServer &server = addServer([](auto &, const std::string &) {});
+    CHECK(call("GET", "/safe/x", {{"authorization", "Token wrong"}}).status == 401);
+    CHECK(call("GET", "/nowhere/x").status == 404);
+    CHECK(server.requests().empty());
+}
+
+// Guards against a second run of a request that may run once.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, unsafe answer lost, says that it may have run")
+{
+    ScriptedServer &server =
+            addServer([](auto &connection, const std::string &) { connection.reset(); });
+    ScriptedServer &other =
+            addServer([](auto &connection, const std::string &) { connection.reset(); });
+    CHECK(call("POST", "/unsafe/x", {}, "b").status == 502);
+    CHECK(server.requests().size() + other.requests().size() == 1);
+}
+
+// Guards against a repeat that libcurl makes by itself on a kept connection.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, kept connection dies, sends unsafe once")
+{
+    int calls = 0;
+    ScriptedServer &server = addServer([&](auto &connection, const std::string &request) {
+        if (++calls == 1)
+            connection.send(answer(request, 200, "first"));
+        else
+            connection.close();
+    });
+    CHECK(call("POST", "/unsafe/x", {}, "b").status == 200);
+    CHECK(call("POST", "/unsafe/x", {}, "b").status == 502);
+    CHECK(server.requests().size() == 2);
+}
+
+// Guards against giving up safe requests that another server can answer.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, safe answer lost, asks another server")
+{
+    const auto handler = [this](auto &connection, const std::string &request) {
+        if (servers[0]->requests().size() + servers[1]->requests().size() == 1)
+            connection.reset();
+        else
+            connection.send(answer(request, 200, "second"));
+    };
+    addServer(handler);
+    addServer(handler);
+    CHECK(call("GET", "/safe/x").body == "second");
+    CHECK(servers[0]->requests().size() == 1);
+    CHECK(servers[1]->requests().size() == 1);
+}
+
+// Guards against a safe request that waits for a silent server until its time is over.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, safe request unanswered, asks another server")
+{
+    const auto handler = [this](auto &connection, const std::string &request) {
+        if (servers[0]->requests().size() + servers[1]->requests().size() == 2)
+            connection.send(answer(request, 200, "second"));
+    };
+    addServer(handler);
+    addServer(handler);
+    CHECK(call("GET", "/safe/x").body == "second");
+}
+
+// Guards against "not run" for a request that ran, and for its being asked of a full server only.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, server is full, refuses as not run")
+{
+    ScriptedServer &server = addServer([](auto &connection, const std::string &request) {
+        connection.send(answer(request, 503, "", "X-Lovagecourse-Not-Executed: 1\r\n"));
+    });
+    const CallerAnswer got = call("POST", "/unsafe/x", {}, "b");
+    CHECK(got.status == 503);
+    CHECK_FALSE(findHeader(got.headers, "retry-after").empty());
+    CHECK(findHeader(got.headers, "x-lovagecourse-server-stamp").empty());
+    CHECK(server.requests().size() == 1);
+}
+
+// Guards against requests lost because one server has just crashed.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, connection refused, goes to another server")
+{
+    ScriptedServer &first = addServer([](auto &, const std::string &) {});
+    ScriptedServer &second = addServer([](auto &connection, const std::string &request) {
+        connection.send(answer(request, 200, "alive"));
+    });
+    first.crash();
+    for (int i = 0; i < 4; ++i)
+        CHECK(call("POST", "/unsafe/x", {}, "b").body == "alive");
+    CHECK(second.requests().size() == 4);
+}
+
+// Guards against the answer of another request, and against bytes without the server's signature.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, foreign or unsigned answer, is not passed on")
+{
+    std::string bytes;
+    addServer([&](auto &connection, const std::string &) { connection.send(bytes); });
+    bytes = "HTTP/1.1 200 OK\r\nX-Lovagecourse-Attempt-Id: other\r\n"
+            "X-Lovagecourse-Server-Stamp: st\r\nContent-Length: 5\r\n\r\nwrong";
+    CHECK(call("POST", "/unsafe/x", {}, "b").status == 502);
+    bytes = "HTTP/1.1 200 OK\r\nX-Lovagecourse-Attempt-Id: id-1\r\nContent-Length: 5\r\n\r\nwrong";
+    CHECK(call("POST", "/unsafe/x", {}, "b").status == 502);
+}
+
+// Guards against a second answer that is taken for the next request's.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, bytes behind an answer, reuses no connection")
+{
+    int calls = 0;
+    addServer([&](auto &connection, const std::string &request) {
+        ++calls;
+        const std::string own = answer(request, 200, "own" + std::to_string(calls));
+        connection.send(calls == 1 ? own + answer(request, 200, "surplus") : own);
+    });
+    CHECK(call("POST", "/unsafe/x", {}, "b").body == "own1");
+    CHECK(call("POST", "/unsafe/x", {}, "b").body == "own2");
+}
+
+// Guards against a cut answer that looks whole.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, answer shorter than announced, is a failure")
+{
+    addServer([](auto &connection, const std::string &request) {
+        std::string bytes = answer(request, 200, "whole answer");
+        bytes.resize(bytes.size() - 4);
+        connection.send(bytes);
+        connection.close();
+    });
+    CHECK(call("POST", "/unsafe/x", {}, "b").status == 502);
+}
+
+// Guards against answers without length that are lost or cut.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, answer ends with its connection, is whole")
+{
+    addServer([](auto &connection, const std::string &request) {
+        connection.send("HTTP/1.1 200 OK\r\nX-Lovagecourse-Attempt-Id: "
+                        + headerOf(request, "x-lovagecourse-attempt-id")
+                        + "\r\nX-Lovagecourse-Server-Stamp: st\r\n\r\nto the end");
+        connection.close();
+    });
+    CHECK(call("POST", "/unsafe/x", {}, "b").body == "to the end");
+}
+
+// Guards against the same for a connection that is reset in the middle.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, answer without length is reset, is a failure")
+{
+    addServer([this](auto &connection, const std::string &request) {
+        connection.send("HTTP/1.1 200 OK\r\nX-Lovagecourse-Attempt-Id: "
+                        + headerOf(request, "x-lovagecourse-attempt-id")
+                        + "\r\nX-Lovagecourse-Server-Stamp: st\r\n\r\nto the");
+        auto timer = std::make_shared<std::unique_ptr<Timer>>();
+        *timer = std::make_unique<Timer>(loop, [&connection, timer] { connection.reset(); });
+        (*timer)->startOnce(milliseconds(50));
+    });
+    CHECK(call("POST", "/unsafe/x", {}, "b").status == 502);
+}
+
+// Guards against events that are held back or lost.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, event stream, passes every event on")
+{
+    addServer([](auto &connection, const std::string &request) {
+        connection.send(streamHead(request) + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n");
+    });
+    const CallerAnswer got = call("POST", "/stream/x", {}, "b");
+    CHECK(got.isWhole);
+    CHECK(got.body == event(1) + event(2));
+}
+
+// Guards against a broken stream that looks complete.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, stream breaks, caller sees that it is broken")
+{
+    addServer([](auto &connection, const std::string &request) {
+        connection.send(streamHead(request) + chunk(event(1)));
+        connection.close();
+    });
+    const CallerAnswer got = call("POST", "/stream/x", {}, "b");
+    CHECK_FALSE(got.isWhole);
+}
+
+// Guards against events that are missing or come twice when another server goes on.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, resumable stream breaks, goes on elsewhere")
+{
+    const auto handler = [](auto &connection, const std::string &request) {
+        if (headerOf(request, "last-event-id").empty()) {
+            connection.send(streamHead(request) + chunk(event(1) + event(2))
+                            + chunk(event(3).substr(0, 4)));
+            connection.close();
+        } else {
+            connection.send(streamHead(request) + chunk(event(3) + event(4)) + "0\r\n\r\n");
+        }
+    };
+    ScriptedServer &first = addServer(handler);
+    ScriptedServer &second = addServer(handler);
+    const CallerAnswer got = call("POST", "/resume/x", {}, "b");
+    CHECK(got.isWhole);
+    CHECK(got.body == event(1) + event(2) + event(3) + event(4));
+    REQUIRE(first.requests().size() == 1);
+    REQUIRE(second.requests().size() == 1);
+    const std::string ids = headerOf(first.requests()[0], "last-event-id")
+                            + headerOf(second.requests()[0], "last-event-id");
+    CHECK(ids == "2");
+}
+
+// Guards against requests that are held beyond what the operator allows.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, server silent, answers at the route's limit")
+{
+    addServer([](auto &, const std::string &) {});
+    const TimePoint begun = clock.now();
+    CHECK(call("POST", "/unsafe/x", {}, "b").status == 504);
+    CHECK(clock.now() - begun >= milliseconds(590));
+    CHECK(clock.now() - begun < milliseconds(1000));
+}
+
+// Guards against servers that work for callers who have gone.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, caller leaves, server sees it at once")
+{
+    ScriptedServer &server = addServer([](auto &, const std::string &) {});
+    start("POST", "/unsafe/x", {}, "b");
+    runFor(milliseconds(100));
+    REQUIRE(server.requests().size() == 1);
+    callerSide.cancel(lastTransfer);
+    runFor(milliseconds(200));
+    CHECK(server.closedByPeer() == 1);
+    CHECK(router->openRequests() == 0);
+}
+
+// Guards against requests that a process takes shortly before it ends and can't finish.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, process ends soon, refuses as not run")
+{
+    ScriptedServer &server = addServer([](auto &, const std::string &) {});
+    router->refuseNewRequests();
+    CHECK(call("POST", "/unsafe/x", {}, "b").status == 503);
+    CHECK(server.requests().empty());
+}
+
+// Guards against requests that wait for a server that nobody knows to come.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, no server, refuses at once as not run")
+{
+    const TimePoint begun = clock.now();
+    CHECK(call("POST", "/unsafe/x", {}, "b").status == 503);
+    CHECK(clock.now() - begun < milliseconds(100));
+}
