Bound callers' connections; drop requests whose callers left before they were read

Ruled out: processor time (0.125 of 0.19 cores at most) and the choked link. Change: above 35% of the sockets each answer ends its connection, 70% are the limit; before a request is passed on, a closed connection is noticed. Requests without a prompt prefer no server.

--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -36,6 +36,10 @@
 constexpr std::size_t gatewayBodyBytes = 64U << 20;
 // Each connection keeps a buffer of about three times this size.
 constexpr std::size_t gatewayHeaderBytes = 16U << 10;
+// Parts of the sockets for callers: at most, and from where on no idle connection is kept. The rest
+// is for backend servers.
+constexpr unsigned callerSocketsPercent = 70;
+constexpr unsigned keptSocketsPercent = 35;
 // Until a configuration tells the limit.
 constexpr seconds gatewayIdleTimeout{30};
 // A caller that keeps to the limit never meets the close.
@@ -146,15 +150,10 @@
 
 DirectContext RouterNode::Impl::routerContext()
 {
-    return DirectContext{loop,
-                         clock,
-                         metrics,
-                         http,
-                         *platform.requests,
-                         pool,
-                         shares,
-                         repeatLimits(),
-                         [this] { return peers.liveCount(clock.now()); }};
+    return DirectContext{
+            loop, clock, metrics, http, *platform.requests, pool, shares, repeatLimits(), [this] {
+                return peers.liveCount(clock.now());
+            }};
 }
 
 HttpGateway::Handlers RouterNode::Impl::gatewayHandlers()
@@ -181,6 +180,8 @@
     limits.maxBodyBytes = gatewayBodyBytes;
     limits.maxHeaderBytes = gatewayHeaderBytes;
     limits.idleTimeout = gatewayIdleTimeout;
+    limits.maxConnections = settings.maxSockets * callerSocketsPercent / 100;
+    limits.maxKeptConnections = settings.maxSockets * keptSocketsPercent / 100;
     auto opened = HttpGateway::open(loop, metrics, settings.callers, limits, gatewayHandlers());
     if (const auto *failure = std::get_if<SocketFailure>(&opened))
         return *failure;
@@ -294,8 +295,8 @@
         pool.setConfiguration(configuration);
         router->setConfiguration(configuration);
         if (configuration->idleTimeout.count() > 0)
-            gateway->setIdleTimeout(
-                    std::chrono::ceil<seconds>(configuration->idleTimeout) + idleTimeoutSlack);
+            gateway->setIdleTimeout(std::chrono::ceil<seconds>(configuration->idleTimeout)
+                                    + idleTimeoutSlack);
     }
 }
 
--- a/src/gateway/CallerExchange.cpp
+++ b/src/gateway/CallerExchange.cpp
@@ -1,6 +1,8 @@
 #include "gateway/GatewayImpl.h"
 #include "gateway/Problem.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cstring>
@@ -22,6 +24,13 @@
     return lower;
 }
 
+/// The peer has closed its side and sent nothing more.
+bool hasHungUp(int descriptor)
+{
+    char byte = 0;
+    return recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 } // namespace
 
 void *HttpGateway::Impl::onRequestLine(void *self, const char *uri, MHD_Connection *connection)
@@ -130,6 +139,12 @@
         metrics.count("lovagecourse_caller_requests_total");
         const MHD_ConnectionInfo *info =
                 MHD_get_connection_info(exchange.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        // A request that waited long in the socket may have been given up meanwhile.
+        if (hasHungUp(info->connect_fd)) {
+            metrics.count("lovagecourse_callers_left_unread_total");
+            exchange.left = true;
+            return MHD_NO;
+        }
         hangUps.add(exchange.request.id.value, info->connect_fd);
         CallerRequest request = std::move(exchange.request);
         exchange.request.id = request.id;
--- a/src/gateway/GatewayImpl.h
+++ b/src/gateway/GatewayImpl.h
@@ -90,6 +90,7 @@
     ssize_t takeUnsent(Exchange &exchange, char *buffer, std::size_t size);
     void prepareRefusal(Exchange &exchange, const Refusal &refusal);
     void onHangUp(CallerId caller);
+    bool isCrowded() const;
     void runSoon();
     void resume(Exchange &exchange);
     Exchange *find(CallerId caller);
--- a/src/gateway/HttpGateway.cpp
+++ b/src/gateway/HttpGateway.cpp
@@ -143,6 +143,12 @@
     timer.startOnce(std::chrono::nanoseconds(0));
 }
 
+bool HttpGateway::Impl::isCrowded() const
+{
+    const MHD_DaemonInfo *info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+    return info && info->num_connections > limits.maxKeptConnections;
+}
+
 HttpGateway::Impl::Exchange *HttpGateway::Impl::find(CallerId caller)
 {
     const auto found = exchanges.find(caller);
@@ -173,7 +179,7 @@
     exchange.status = valid ? status : MHD_HTTP_BAD_GATEWAY;
     exchange.noBody = hasNoBody(exchange.request.method, exchange.status);
     exchange.response = response;
-    bool closes = closesAfterAnswers || exchange.isAmbiguous;
+    bool closes = closesAfterAnswers || exchange.isAmbiguous || isCrowded();
     for (const auto &[name, value] : headers) {
         closes = closes || (name == "connection" && value == "close");
         if (!isHopByHop(name))
--- a/src/gateway/HttpGateway.h
+++ b/src/gateway/HttpGateway.h
@@ -22,6 +22,8 @@
     std::size_t maxBodyBytes = 1U << 20;
     std::size_t maxHeaderBytes = 16U << 10;
     unsigned maxConnections = 10000;
+    /// With more open connections than this, each answer ends its connection.
+    unsigned maxKeptConnections = 5000;
     seconds idleTimeout{60};
 };
 
@@ -63,7 +65,8 @@
     HttpGateway(const HttpGateway &) = delete;
     HttpGateway &operator=(const HttpGateway &) = delete;
 
-    /// Whole answer at once; a header "connection: close" ends the connection behind it. Calls for callers that left are ignored, here and below.
+    /// Whole answer at once; a header "connection: close" ends the connection behind it. Calls for
+    /// callers that left are ignored, here and below.
     void answer(CallerId caller, int status, const HeaderList &headers, const std::string &body);
     /// Refusal as application/problem+json with type, title, status and ran; counts its reason in
     /// lovagecourse_refusals_total.
--- a/src/placing/Admission.cpp
+++ b/src/placing/Admission.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-// Part of the objective that the predicted first byte may take for an account at its fair share. One
-// prediction in ten is short by half of its value, because other routers' last sends are not known
-// yet.
+// Part of the objective that the predicted first byte may take for an account at its fair share.
+// One prediction in ten is short by half of its value, because other routers' last sends are not
+// known yet.
 constexpr double fairAllowance = 0.65;
 // The allowance falls with this power of the account's standing, so that an account at twice its
 // share leaves the servers to the others well before those are refused.
--- a/src/placing/PlacementChoice.cpp
+++ b/src/placing/PlacementChoice.cpp
@@ -26,6 +26,9 @@
 /// In [0, 1), the same in all daemons.
 double preferenceOf(const ServerId &server, std::uint64_t promptHash)
 {
+    // Requests without a prompt share nothing, so routers must not gather at one server.
+    if (promptHash == 0)
+        return 0;
     constexpr double range = 4294967296.;
     const std::uint64_t hash = XXH64(server.value.data(), server.value.size(), promptHash);
     return static_cast<double>(hash >> 32) / range;
--- a/src/placing/PlacementChoice.h
+++ b/src/placing/PlacementChoice.h
@@ -32,7 +32,7 @@
 /// its first one grows; a slow or failing server gets less. While servers have time to spare, a
 /// prompt is read once more in the caller's data centre rather than sent to another one.
 /// Returns the index of the best; empty when there is no candidate. promptHash makes all daemons
-/// prefer the same server for a prompt that none keeps yet.
+/// prefer the same server for a prompt that none keeps yet; 0 stands for no prompt.
 std::optional<std::size_t> choosePlacement(const std::vector<PlacementCandidate> &candidates,
                                            std::uint64_t promptHash, double objectiveMs);
 
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -10,6 +10,8 @@
 constexpr double maxRatio = 10;
 constexpr double maxSlack = 1e6;
 constexpr std::int64_t maxWindowSeconds = 3600;
+constexpr std::int64_t minSockets = 256;
+constexpr std::int64_t maxSocketsLimit = 1 << 20;
 constexpr double maxSeconds = 3600;
 
 void readTime(SettingsReader &reader, std::string_view name, milliseconds &value)
@@ -39,6 +41,10 @@
     root.readEndpoint("admin", settings.admin);
     root.readEndpoint("datagrams", settings.datagrams);
 
+    std::int64_t maxSockets = settings.maxSockets;
+    if (root.readInteger("max_sockets", maxSockets, minSockets, maxSocketsLimit))
+        settings.maxSockets = static_cast<unsigned>(maxSockets);
+
     SettingsReader log(root.readTable("log"), "log", file, faults);
     log.readWord<LogLevel>("level", settings.logLevel, logLevels);
     log.reportUnknown();
--- a/src/settings/RouterSettings.h
+++ b/src/settings/RouterSettings.h
@@ -31,6 +31,8 @@
     Endpoint admin;
     /// UDP address for reports between routers.
     Endpoint datagrams;
+    /// Sockets that the process may have open at once.
+    unsigned maxSockets = 8192;
     LogLevel logLevel = LogLevel::Info;
     /// Second sends of requests that the whole fleet may make to one service, per request and
     /// beyond that in each window.
