--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -56,6 +56,7 @@
     logInfo(LogPart::App, "started");
     loop.run();
     logInfo(LogPart::App, "stopped");
+    flushLog();
     return 0;
 }
 
@@ -116,7 +117,7 @@
     const auto &checked = std::get<RouterSettings>(settings);
     if (options->onlyCheck)
         return 0;
-    startLog(checked.logLevel, LogFormat::Text, checked.name.value);
+    startLog(checked.logLevel, LogFormat::Events, checked.name.value);
     return runNode<RouterNode>(checked, platform::makeBinding());
 }
 
--- a/src/core/Log.cpp
+++ b/src/core/Log.cpp
@@ -1,5 +1,7 @@
 #include "core/Log.h"
 
+#include "core/BoundedWriter.h"
+
 #include <boost/log/attributes/mutable_constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
@@ -8,6 +10,7 @@
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 #include <array>
 #include <chrono>
@@ -30,6 +33,7 @@
     std::string daemonName;
     boost::log::sources::logger logger;
     bool hasSink = false;
+    BoundedWriter events{STDOUT_FILENO};
 };
 
 LogState &logState()
@@ -81,6 +85,10 @@
     state.daemonName = daemonName;
     if (state.hasSink)
         return;
+    if (format == LogFormat::Events) {
+        state.hasSink = true;
+        return;
+    }
     using Backend = boost::log::sinks::text_ostream_backend;
     auto backend = boost::make_shared<Backend>();
     backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream *) {}));
@@ -97,7 +105,20 @@
 
 void writeLog(LogPart part, LogLevel level, const std::string &line)
 {
-    BOOST_LOG(logState().logger) << formatLine(part, level, line);
+    LogState &state = logState();
+    if (state.format == LogFormat::Events) {
+        state.events.writeLine(formatLine(part, level, line), std::chrono::steady_clock::now());
+        return;
+    }
+    BOOST_LOG(state.logger) << formatLine(part, level, line);
+}
+
+void flushLog()
+{
+    LogState &state = logState();
+    if (const std::uint64_t dropped = state.events.takeDropped())
+        logWarning(LogPart::App, "event=log-lines-dropped count=", dropped);
+    state.events.flush();
 }
 
 } // namespace lovagecourse
--- a/src/core/Log.h
+++ b/src/core/Log.h
@@ -26,8 +26,9 @@
 /// Severity of a log line, least first.
 enum class LogLevel : std::uint8_t { Debug, Info, Warning, Error };
 
-/// Form of a log line on standard error.
-enum class LogFormat : std::uint8_t { Text, Json };
+/// Form of a log. Text and Json go to standard error. Events go to standard output, one line for
+/// each decision with fields "name=value"; they never block and their rate is bounded.
+enum class LogFormat : std::uint8_t { Text, Json, Events };
 
 /// Sets up the process's log; lines below the level are dropped.
 void startLog(LogLevel level, LogFormat format, const std::string &daemonName);
@@ -36,6 +37,9 @@
 /// Writes one finished line.
 void writeLog(LogPart part, LogLevel level, const std::string &line);
 
+/// Hands over what a log of events holds back; tells of lines that were dropped.
+void flushLog();
+
 /// Joins the parts of a short sentence and writes it.
 template <class... Parts>
 void logLine(LogPart part, LogLevel level, const Parts &...parts)
--- a/src/direct/DirectExchange.h
+++ b/src/direct/DirectExchange.h
@@ -6,6 +6,8 @@
 #include "direct/ServerPool.h"
 #include "gateway/HttpGateway.h"
 #include "http/HttpClient.h"
+#include "placing/Admission.h"
+#include "placing/FairShares.h"
 
 #include <memory>
 #include <optional>
@@ -56,6 +58,9 @@
     /// Servers that got it or could not be reached.
     std::set<ServerId> tried;
     unsigned sends = 0;
+    /// What the admission was decided on, and the number of servers that were compared.
+    AdmissionInput decision;
+    std::size_t candidates = 0;
     /// Time from arrival to the first byte of an answer; 0 when none began.
     double firstByteMs = 0;
     /// What the last attempt was predicted to take to its first byte.
--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -247,13 +247,11 @@
     input.objectiveMs = static_cast<double>(exchange.route->objective.count());
     input.leftMs = toMs(exchange.deadline - now());
     input.standing = context.shares.standing(exchange.accountHash, now());
+    exchange.candidates = placement.candidates;
+    exchange.decision = input;
     const AdmissionVerdict verdict = decideAdmission(input);
     if (const auto *refused = std::get_if<RefusedForNow>(&verdict)) {
-        logInfo(LogPart::Routing, "event=not-admitted request=", exchange.client.attemptId,
-                " service=", exchange.service, " best=", placement.server,
-                " wait_ms=", input.waitMs, " first_byte_ms=", input.firstByteMs,
-                " objective_ms=", input.objectiveMs, " standing=", input.standing,
-                " servers=", placement.candidates);
+        exchange.predictedMs = input.firstByteMs;
         refuse(exchange, "overload", refused->retryAfter);
         return false;
     }
@@ -588,10 +586,14 @@
 {
     context.metrics.count("lovagecourse_requests_total", outcome);
     context.metrics.latency("lovagecourse_request_seconds", now() - exchange.arrived);
+    const AdmissionInput &decision = exchange.decision;
     logInfo(LogPart::Routing, "event=", outcome, " request=", exchange.client.attemptId,
             " status=", status, " reason=", reason, " sends=", exchange.sends,
-            " predicted_ms=", exchange.predictedMs, " first_byte_ms=", exchange.firstByteMs,
-            " took_ms=", toMs(now() - exchange.arrived));
+            " route=", exchange.route->name, " account=", exchange.account,
+            " configuration=", exchange.configuration->version, " standing=", decision.standing,
+            " wait_ms=", decision.waitMs, " objective_ms=", decision.objectiveMs,
+            " servers=", exchange.candidates, " predicted_ms=", exchange.predictedMs,
+            " first_byte_ms=", exchange.firstByteMs, " took_ms=", toMs(now() - exchange.arrived));
     exchanges.erase(exchange.caller);
 }
 
--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -25,7 +25,9 @@
 constexpr milliseconds reportInterval{100};
 // Above this number of peers, reports are rarer, so that their traffic grows with the number of
 // routers and not with its square.
-constexpr std::size_t peersPerInterval = 6;
+constexpr std::size_t peersPerInterval = 10;
+// Fit into one datagram of 1,400 bytes.
+constexpr std::size_t maxReportedAccounts = 96;
 constexpr milliseconds housekeepingInterval{50};
 constexpr seconds settingsInterval{2};
 // What a router believes of the servers, for explaining a decision afterwards.
@@ -228,6 +230,8 @@
 
 void RouterNode::Impl::start()
 {
+    logInfo(LogPart::App, "event=started data_centre=", settings.dataCentre,
+            " callers=", toString(settings.callers), " platform=", settings.platformUrl);
     restartFollowers();
     listSelf();
     readRouters();
@@ -261,7 +265,7 @@
     settings.ready = before.ready;
     settings.admin = before.admin;
     settings.datagrams = before.datagrams;
-    startLog(settings.logLevel, LogFormat::Text, settings.name.value);
+    startLog(settings.logLevel, LogFormat::Events, settings.name.value);
     router->setRepeatLimits(repeatLimits());
     if (storeMoved)
         restartFollowers();
@@ -334,7 +338,7 @@
 void RouterNode::Impl::applyChanges(const std::vector<ServerChange> &changes)
 {
     for (const ServerChange &change : changes)
-        pool.apply(change);
+        pool.apply(change, clock.now());
     metrics.gauge("lovagecourse_servers", static_cast<double>(directory.size()));
 }
 
@@ -370,43 +374,47 @@
 void RouterNode::Impl::sendReport()
 {
     const TimePoint now = clock.now();
-    RouterReport report;
-    report.datagrams = settings.datagrams;
-    report.isLeaving = terminated.has_value();
-    pool.fillReport(report, now);
+    RouterShares accounts;
     for (const auto &[account, tokens] : shares.own(now))
-        report.accounts.push_back({account, static_cast<std::uint32_t>(tokens.asked),
-                                   static_cast<std::uint32_t>(tokens.served)});
+        accounts.accounts.push_back({account, static_cast<std::uint32_t>(tokens.asked),
+                                     static_cast<std::uint32_t>(tokens.served)});
     // Accounts that ask for most decide the fair share.
-    constexpr std::size_t maxAccounts = 32;
-    std::sort(report.accounts.begin(), report.accounts.end(),
+    std::sort(accounts.accounts.begin(), accounts.accounts.end(),
               [](const auto &left, const auto &right) { return left.asked > right.asked; });
-    if (report.accounts.size() > maxAccounts)
-        report.accounts.resize(maxAccounts);
+    if (accounts.accounts.size() > maxReportedAccounts)
+        accounts.accounts.resize(maxReportedAccounts);
+    std::vector<RouterReport> reports = pool.makeReports(now);
+    for (RouterReport &report : reports) {
+        report.datagrams = settings.datagrams;
+        report.isLeaving = terminated.has_value();
+    }
     const std::vector<Endpoint> targets = peers.targets(now);
-    for (const Endpoint &target : targets)
-        datagrams->send(target, report);
+    for (const Endpoint &target : targets) {
+        for (const RouterReport &report : reports)
+            datagrams->send(target, report);
+        datagrams->send(target, accounts);
+    }
     const std::size_t slower = std::max<std::size_t>(1, targets.size() / peersPerInterval);
     reportTimer.startOnce(reportInterval * slower);
 }
 
 void RouterNode::Impl::onDatagram(const DaemonId &sender, const Message &message)
 {
-    const auto *report = std::get_if<RouterReport>(&message);
-    if (!report) {
+    const TimePoint now = clock.now();
+    if (const auto *report = std::get_if<RouterReport>(&message)) {
+        peers.onHeard(sender, report->datagrams, now);
+        if (report->isLeaving)
+            peers.onLeaving(sender);
+        pool.applyReport(sender.value, *report, now);
+    } else if (const auto *reported = std::get_if<RouterShares>(&message)) {
+        std::vector<std::pair<AccountHash, AccountTokens>> accounts;
+        for (const RouterAccountLoad &load : reported->accounts)
+            accounts.emplace_back(load.account, AccountTokens{static_cast<double>(load.asked),
+                                                              static_cast<double>(load.served)});
+        shares.setPeer(sender.value, std::move(accounts), now);
+    } else {
         metrics.count("lovagecourse_unexpected_messages_total");
-        return;
     }
-    const TimePoint now = clock.now();
-    peers.onHeard(sender, report->datagrams, now);
-    if (report->isLeaving)
-        peers.onLeaving(sender);
-    pool.applyReport(sender.value, *report, now);
-    std::vector<std::pair<AccountHash, AccountTokens>> accounts;
-    for (const RouterAccountLoad &load : report->accounts)
-        accounts.emplace_back(load.account, AccountTokens{static_cast<double>(load.asked),
-                                                          static_cast<double>(load.served)});
-    shares.setPeer(sender.value, std::move(accounts), now);
 }
 
 bool RouterNode::Impl::isReady() const
@@ -439,6 +447,7 @@
 {
     const TimePoint now = clock.now();
     applyChanges(directory.expire(now));
+    flushLog();
     if (!terminated)
         return;
     const auto since = now - *terminated;
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -12,10 +12,13 @@
 
 // Reports of peers older than this say nothing about the load now.
 constexpr milliseconds reportTimeout{1000};
-constexpr double maxReportedAgeMs = 60000;
 constexpr double perCent = 100;
-// Reports must fit into one datagram.
-constexpr std::size_t maxReportedPrefixes = 24;
+// Reports must fit into one datagram of 1,400 bytes; a server takes 18 and a prefix 12 bytes.
+constexpr std::size_t serversPerReport = 48;
+constexpr std::size_t prefixesPerReport = 24;
+// More than a router sends to one server between two reports.
+constexpr std::uint32_t maxTokensBetweenReports = 1U << 24;
+constexpr double maxReportedMs = 65535;
 
 } // namespace
 
@@ -66,11 +69,13 @@
     return speeds_.emplace(service, ReadingSpeed(perSecond / servers / 1000)).first->second;
 }
 
-void ServerPool::apply(const ServerChange &change)
+void ServerPool::apply(const ServerChange &change, TimePoint now)
 {
     Server *server = find(change.id);
     if (!change.entry) {
         if (server) {
+            logInfo(LogPart::Membership, "event=server-gone server=", change.id,
+                    " running=", server->model.running());
             byHash_.erase(reportHash(change.id.value));
             servers_.erase(change.id);
         }
@@ -78,7 +83,10 @@
     }
     const ServerEntry &entry = *change.entry;
     if (!server) {
-        servers_.emplace(change.id, Server{entry, {}, {}, 0, {}});
+        logInfo(LogPart::Membership, "event=server-added server=", change.id,
+                " service=", entry.service, " address=", toString(entry.address),
+                " draining=", entry.isDraining);
+        servers_.emplace(change.id, Server{entry, {}, {}, 0, false, {}});
         byHash_[reportHash(change.id.value)] = change.id;
         return;
     }
@@ -88,6 +96,10 @@
         server->cache.clear();
         server->model.onRestarted();
     }
+    if (restarted || server->entry.isDraining != entry.isDraining)
+        logInfo(LogPart::Membership, "event=server-changed server=", change.id,
+                " restarted=", restarted, " draining=", entry.isDraining,
+                " backlog_ms=", server->model.backlogMs(now));
     server->entry = entry;
 }
 
@@ -112,8 +124,11 @@
         if (!server)
             continue;
         PeerReport &last = server->peers[peer];
-        if (last.sentTokens != 0 && load.sentTokens > last.sentTokens)
-            server->cache.advance(static_cast<double>(load.sentTokens - last.sentTokens));
+        // The count wraps around; a router that restarted begins at 0.
+        const std::uint32_t sent = load.sentTokens - last.sentTokens;
+        if (last.isKnown && sent < maxTokensBetweenReports)
+            server->cache.advance(sent);
+        last.isKnown = true;
         last.received = now;
         last.load.backlogMs = load.backlogMs;
         last.load.overdueMs = load.overdueMs;
@@ -130,32 +145,42 @@
     }
 }
 
-void ServerPool::fillReport(RouterReport &report, TimePoint now)
+std::vector<RouterReport> ServerPool::makeReports(TimePoint now)
 {
+    std::vector<RouterReport> reports(1);
     for (auto &[id, server] : servers_) {
-        if (server.sentTokens == 0 && server.model.running() == 0)
+        const double age =
+                std::chrono::duration<double, std::milli>(now - server.model.slownessTold())
+                        .count();
+        const bool isFresh = server.model.slownessTold() != TimePoint()
+                             && age < static_cast<double>(reportTimeout.count());
+        const bool isBusy = server.model.running() > 0 || isFresh;
+        // Named once more when it is idle again, so that others forget its load.
+        if (!isBusy && !server.wasReported)
             continue;
+        server.wasReported = isBusy;
         RouterServerLoad load;
         load.server = reportHash(id.value);
-        load.backlogMs = static_cast<std::uint32_t>(server.model.backlogMs(now));
-        load.overdueMs = static_cast<std::uint32_t>(server.model.overdueMs(now));
-        if (server.model.slownessTold() != TimePoint()) {
-            const double age =
-                    std::chrono::duration<double, std::milli>(now - server.model.slownessTold())
-                            .count();
-            load.slownessAgeMs = static_cast<std::uint16_t>(std::min(age, maxReportedAgeMs));
+        load.backlogMs =
+                static_cast<std::uint16_t>(std::min(server.model.backlogMs(now), maxReportedMs));
+        load.overdueMs =
+                static_cast<std::uint16_t>(std::min(server.model.overdueMs(now), maxReportedMs));
+        load.sentTokens = server.sentTokens;
+        load.running = static_cast<std::uint16_t>(server.model.running());
+        if (isFresh) {
+            load.slownessAgeMs = static_cast<std::uint16_t>(age);
             load.slownessPercent =
                     static_cast<std::uint16_t>(server.model.toldSlowness() * perCent);
         }
-        load.sentTokens = server.sentTokens;
-        load.running = static_cast<std::uint16_t>(server.model.running());
-        report.servers.push_back(load);
+        if (reports.back().servers.size() == serversPerReport)
+            reports.emplace_back();
+        reports.back().servers.push_back(load);
     }
-    const std::size_t count = std::min(unreported_.size(), maxReportedPrefixes);
-    report.prefixes.assign(unreported_.begin(),
-                           unreported_.begin() + static_cast<std::ptrdiff_t>(count));
-    unreported_.erase(unreported_.begin(),
-                      unreported_.begin() + static_cast<std::ptrdiff_t>(count));
+    const std::size_t count = std::min(unreported_.size(), prefixesPerReport);
+    const auto end = unreported_.begin() + static_cast<std::ptrdiff_t>(count);
+    reports.back().prefixes.assign(unreported_.begin(), end);
+    unreported_.erase(unreported_.begin(), end);
+    return reports;
 }
 
 std::optional<Placement> ServerPool::choose(const PlacementRequest &request, TimePoint now) const
@@ -210,7 +235,7 @@
         }
         server->cache.insert(prompt, capacity);
     }
-    server->sentTokens += static_cast<std::uint64_t>(placement.unreadTokens);
+    server->sentTokens += static_cast<std::uint32_t>(placement.unreadTokens);
     return server->model.onSent(speed(server->entry.service),
                                 PromptWork{placement.unreadTokens, placement.keptTokens},
                                 peerLoad(*server, now), server->entry.slots, now);
--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -48,10 +48,10 @@
 
     /// Takes the capacities of the services.
     void setConfiguration(std::shared_ptr<const DirectConfiguration> configuration);
-    void apply(const ServerChange &change);
+    void apply(const ServerChange &change, TimePoint now);
     void applyReport(const std::string &peer, const RouterReport &report, TimePoint now);
-    /// Fills the servers' part of this daemon's report.
-    void fillReport(RouterReport &report, TimePoint now);
+    /// This daemon's reports, each small enough for one datagram; at least one.
+    std::vector<RouterReport> makeReports(TimePoint now);
 
     std::optional<Placement> choose(const PlacementRequest &request, TimePoint now) const;
     /// Below: calls for servers that are gone are ignored.
@@ -71,7 +71,8 @@
     {
         TimePoint received;
         PeerLoad load;
-        std::uint64_t sentTokens = 0;
+        std::uint32_t sentTokens = 0;
+        bool isKnown = false;
     };
 
     struct Server
@@ -79,7 +80,9 @@
         ServerEntry entry;
         ServerModel model;
         CacheModel cache;
-        std::uint64_t sentTokens = 0;
+        std::uint32_t sentTokens = 0;
+        /// The last report named the server.
+        bool wasReported = false;
         std::unordered_map<std::string, PeerReport> peers;
     };
 
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -409,11 +409,11 @@
     /// Hash of the server's id.
     std::uint32_t server = 0;
     /// Reading time of what this router sent there and is not read, in ms at the usual speed.
-    std::uint32_t backlogMs = 0;
+    std::uint16_t backlogMs = 0;
     /// Time by which this router's oldest answer is late.
-    std::uint32_t overdueMs = 0;
-    /// Tokens that this router sent there and that were not kept, since its start.
-    std::uint64_t sentTokens = 0;
+    std::uint16_t overdueMs = 0;
+    /// Tokens that this router sent there and that were not kept, since its start, modulo 2^32.
+    std::uint32_t sentTokens = 0;
     std::uint16_t running = 0;
     /// What the server told last, in per cent of the usual duration of work; 0 when nothing.
     std::uint16_t slownessPercent = 0;
@@ -455,12 +455,12 @@
     }
 };
 
-/// Datagram, router to router: what it sends and to where.
+/// Datagram, router to router: what it sends to servers. Servers that it does not name are as they
+/// were reported last.
 struct RouterReport
 {
     Endpoint datagrams;
     std::vector<RouterServerLoad> servers;
-    std::vector<RouterAccountLoad> accounts;
     /// Since the last report.
     std::vector<RouterSentPrefix> prefixes;
     /// The router stops and takes no more part.
@@ -469,7 +469,19 @@
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(datagrams, servers, accounts, prefixes, isLeaving);
+        archive(datagrams, servers, prefixes, isLeaving);
+    }
+};
+
+/// Datagram, router to router: what client accounts asked for and got from it.
+struct RouterShares
+{
+    std::vector<RouterAccountLoad> accounts;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(accounts);
     }
 };
 
@@ -477,6 +489,6 @@
 using Message = std::variant<Hello, Offer, OfferWithdraw, OfferRefused, Grant, GrantDecline,
                              GrantAccept, Cancel, Credit, AnswerHead, AnswerData, AnswerEnd,
                              AgentState, SuspectNotice, StateRequest, StateReply, Gossip,
-                             ServiceReport, FairTotals, LeaveNotice, RouterReport>;
+                             ServiceReport, FairTotals, LeaveNotice, RouterReport, RouterShares>;
 
 } // namespace lovagecourse
