Tell the other routers of sends within milliseconds

Cause: on the grown deployment (21 routers) one answer in ten came 364 ms later than predicted with an idle server: reports every 200 ms let all routers choose the same idle server. Change: servers that got something are reported after 20 ms (2 ms per peer with many peers); what peers reported counts as read on since.

--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -21,11 +21,15 @@
 // Heartbeats of all servers would end a long poll many times a second, so entries are read at a
 // pace that leaves half of the drain bound for a second try.
 constexpr FollowPace serversPace{milliseconds(700), milliseconds(0)};
-// Reports between routers: as fresh as the shortest wait that changes a choice.
+// Reports of all that a router knows of its load.
 constexpr milliseconds reportInterval{100};
+// News of sends go out this soon, a part of the time in which an engine reads a usual prompt, and
+// later with many peers, so that a router sends at most 500 datagrams of news a second.
+constexpr milliseconds newsDelay{20};
+constexpr milliseconds newsDelayPerPeer{2};
 // Above this number of peers, reports are rarer, so that their traffic grows with the number of
 // routers and not with its square.
-constexpr std::size_t peersPerInterval = 10;
+constexpr std::size_t peersPerInterval = 8;
 // Fit into one datagram of 1,400 bytes.
 constexpr std::size_t maxReportedAccounts = 96;
 constexpr milliseconds housekeepingInterval{50};
@@ -86,6 +90,9 @@
     void listSelf();
     void readRouters();
     void sendReport();
+    void sendNews();
+    void sendReports(std::vector<RouterReport> reports, const std::vector<Endpoint> &targets);
+    void onRequest(CallerRequest &&request);
     void onDatagram(const DaemonId &sender, const Message &message);
 
     bool isReady() const;
@@ -119,6 +126,7 @@
     std::optional<TimePoint> terminated;
     Timer tick;
     Timer reportTimer;
+    Timer newsTimer;
     Timer listTimer;
     Timer routersTimer;
     Timer stateLogTimer;
@@ -141,6 +149,7 @@
     , router(std::make_unique<DirectRouter>(routerContext()))
     , tick(loop, [this] { onTick(); })
     , reportTimer(loop, [this] { sendReport(); })
+    , newsTimer(loop, [this] { sendNews(); })
     , listTimer(loop, [this] { listSelf(); })
     , routersTimer(loop, [this] { readRouters(); })
     , stateLogTimer(loop, [this] { pool.logState(clock.now()); })
@@ -161,7 +170,7 @@
 HttpGateway::Handlers RouterNode::Impl::gatewayHandlers()
 {
     HttpGateway::Handlers handlers;
-    handlers.onRequest = [this](CallerRequest &&request) { router->onRequest(std::move(request)); };
+    handlers.onRequest = [this](CallerRequest &&request) { onRequest(std::move(request)); };
     handlers.onCallerLeft = [this](CallerId caller) { router->onCallerLeft(caller); };
     handlers.onConsumed = [this](CallerId caller, std::size_t bytes) {
         router->onConsumed(caller, bytes);
@@ -374,6 +383,10 @@
 void RouterNode::Impl::sendReport()
 {
     const TimePoint now = clock.now();
+    const std::vector<Endpoint> targets = peers.targets(now);
+    const std::size_t slower = 1 + targets.size() / peersPerInterval;
+    newsTimer.stop();
+    reportTimer.startOnce(reportInterval * slower);
     RouterShares accounts;
     for (const auto &[account, tokens] : shares.own(now))
         accounts.accounts.push_back({account, static_cast<std::uint32_t>(tokens.asked),
@@ -383,19 +396,35 @@
               [](const auto &left, const auto &right) { return left.asked > right.asked; });
     if (accounts.accounts.size() > maxReportedAccounts)
         accounts.accounts.resize(maxReportedAccounts);
-    std::vector<RouterReport> reports = pool.makeReports(now);
+    sendReports(pool.makeReports(false, now), targets);
+    for (const Endpoint &target : targets)
+        datagrams->send(target, accounts);
+}
+
+/// What was sent to servers a moment ago, so that routers don't all choose the same idle one.
+void RouterNode::Impl::sendNews()
+{
+    sendReports(pool.makeReports(true, clock.now()), peers.heard(clock.now()));
+}
+
+void RouterNode::Impl::sendReports(std::vector<RouterReport> reports,
+                                   const std::vector<Endpoint> &targets)
+{
     for (RouterReport &report : reports) {
         report.datagrams = settings.datagrams;
         report.isLeaving = terminated.has_value();
-    }
-    const std::vector<Endpoint> targets = peers.targets(now);
-    for (const Endpoint &target : targets) {
-        for (const RouterReport &report : reports)
+        for (const Endpoint &target : targets)
             datagrams->send(target, report);
-        datagrams->send(target, accounts);
     }
-    const std::size_t slower = std::max<std::size_t>(1, targets.size() / peersPerInterval);
-    reportTimer.startOnce(reportInterval * slower);
+}
+
+void RouterNode::Impl::onRequest(CallerRequest &&request)
+{
+    router->onRequest(std::move(request));
+    if (!pool.hasNews() || newsTimer.isActive())
+        return;
+    const auto peerCount = static_cast<int>(peers.heard(clock.now()).size());
+    newsTimer.startOnce(std::max(newsDelay, newsDelayPerPeer * peerCount));
 }
 
 void RouterNode::Impl::onDatagram(const DaemonId &sender, const Message &message)
--- a/src/direct/RouterPeers.cpp
+++ b/src/direct/RouterPeers.cpp
@@ -37,10 +37,19 @@
 
 std::vector<Endpoint> RouterPeers::targets(TimePoint now)
 {
-    const bool tryAll = round_++ % roundsPerTry == 0;
+    if (round_++ % roundsPerTry != 0)
+        return heard(now);
+    std::vector<Endpoint> endpoints;
+    for (const auto &[router, peer] : peers_)
+        endpoints.push_back(peer.datagrams);
+    return endpoints;
+}
+
+std::vector<Endpoint> RouterPeers::heard(TimePoint now) const
+{
     std::vector<Endpoint> endpoints;
     for (const auto &[router, peer] : peers_) {
-        if (tryAll || (peer.lastHeard != TimePoint() && now - peer.lastHeard < silence))
+        if (peer.lastHeard != TimePoint() && now - peer.lastHeard < silence)
             endpoints.push_back(peer.datagrams);
     }
     return endpoints;
--- a/src/direct/RouterPeers.h
+++ b/src/direct/RouterPeers.h
@@ -21,6 +21,8 @@
     /// Addresses for the next report: routers that were heard of, and all listed ones in rounds
     /// that try whether the others are back.
     std::vector<Endpoint> targets(TimePoint now);
+    /// Addresses of the routers that were heard of in the last seconds.
+    std::vector<Endpoint> heard(TimePoint now) const;
     /// Routers heard of within the last minute, with this one.
     std::size_t liveCount(TimePoint now) const;
 
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -86,7 +86,7 @@
         logInfo(LogPart::Membership, "event=server-added server=", change.id,
                 " service=", entry.service, " address=", toString(entry.address),
                 " draining=", entry.isDraining);
-        servers_.emplace(change.id, Server{entry, {}, {}, 0, false, {}});
+        servers_.emplace(change.id, Server{entry, {}, {}, 0, false, false, {}});
         byHash_[reportHash(change.id.value)] = change.id;
         return;
     }
@@ -106,13 +106,19 @@
 PeerLoad ServerPool::peerLoad(const Server &server, TimePoint now) const
 {
     PeerLoad sum;
+    double readSince = 0;
     for (const auto &[peer, report] : server.peers) {
         if (now - report.received > reportTimeout)
             continue;
+        const double age = std::chrono::duration<double, std::milli>(now - report.received).count();
         sum.backlogMs += report.load.backlogMs;
+        readSince += report.load.backlogMs * age;
         sum.overdueMs = std::max(sum.overdueMs, report.load.overdueMs);
         sum.running += report.load.running;
     }
+    // The server has read on since the reports, one prompt after the other.
+    if (sum.backlogMs > 0)
+        sum.backlogMs = std::max(0., sum.backlogMs - readSince / sum.backlogMs);
     return sum;
 }
 
@@ -145,8 +151,9 @@
     }
 }
 
-std::vector<RouterReport> ServerPool::makeReports(TimePoint now)
+std::vector<RouterReport> ServerPool::makeReports(bool onlyNews, TimePoint now)
 {
+    hasNews_ = false;
     std::vector<RouterReport> reports(1);
     for (auto &[id, server] : servers_) {
         const double age =
@@ -156,8 +163,9 @@
                              && age < static_cast<double>(reportTimeout.count());
         const bool isBusy = server.model.running() > 0 || isFresh;
         // Named once more when it is idle again, so that others forget its load.
-        if (!isBusy && !server.wasReported)
+        if (onlyNews ? !server.hasNews : !isBusy && !server.wasReported)
             continue;
+        server.hasNews = false;
         server.wasReported = isBusy;
         RouterServerLoad load;
         load.server = reportHash(id.value);
@@ -235,6 +243,8 @@
         }
         server->cache.insert(prompt, capacity);
     }
+    server->hasNews = true;
+    hasNews_ = true;
     server->sentTokens += static_cast<std::uint32_t>(placement.unreadTokens);
     return server->model.onSent(speed(server->entry.service),
                                 PromptWork{placement.unreadTokens, placement.keptTokens},
--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -50,8 +50,11 @@
     void setConfiguration(std::shared_ptr<const DirectConfiguration> configuration);
     void apply(const ServerChange &change, TimePoint now);
     void applyReport(const std::string &peer, const RouterReport &report, TimePoint now);
-    /// This daemon's reports, each small enough for one datagram; at least one.
-    std::vector<RouterReport> makeReports(TimePoint now);
+    /// This daemon's reports, each small enough for one datagram; at least one. Either all busy
+    /// servers, or only those that it sent something since the last report.
+    std::vector<RouterReport> makeReports(bool onlyNews, TimePoint now);
+    /// Something was sent since the last report.
+    bool hasNews() const { return hasNews_; }
 
     std::optional<Placement> choose(const PlacementRequest &request, TimePoint now) const;
     /// Below: calls for servers that are gone are ignored.
@@ -83,6 +86,8 @@
         std::uint32_t sentTokens = 0;
         /// The last report named the server.
         bool wasReported = false;
+        /// Something was sent since the last report.
+        bool hasNews = false;
         std::unordered_map<std::string, PeerReport> peers;
     };
 
@@ -97,6 +102,7 @@
     mutable std::unordered_map<ServiceId, ReadingSpeed> speeds_;
     std::unordered_map<std::uint32_t, ServerId> byHash_;
     std::vector<RouterSentPrefix> unreported_;
+    bool hasNews_ = false;
 };
 
 /// Hash by which daemons name servers and accounts in their reports.
