Read the store at a pace that follows the platform's bounds; news only of longer prompts

Change: the long poll waits as long as the bound of configurations, server entries are read each 0.55 of the bound of leaving; prompts of under 15 ms reading time wait for the next full report.

--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -15,12 +15,9 @@
 
 namespace {
 
-// The configuration must be in force within two seconds of its acknowledgement. A long poll that
-// went silent is noticed after its wait and a second, so the wait is short.
-constexpr FollowPace configurationPace{milliseconds(0), milliseconds(600)};
-// Heartbeats of all servers would end a long poll many times a second, so entries are read at a
-// pace that leaves half of the drain bound for a second try.
-constexpr FollowPace serversPace{milliseconds(700), milliseconds(0)};
+// Heartbeats of all servers would end a long poll many times a second, so their entries are read at
+// a pace. This part of the bound leaves the rest for the answer and a lost packet.
+constexpr double leavingPaceShare = 0.55;
 // Reports of all that a router knows of its load.
 constexpr milliseconds reportInterval{100};
 // News of sends go out this soon, a part of the time in which an engine reads a usual prompt, and
@@ -29,7 +26,7 @@
 constexpr milliseconds newsDelayPerPeer{2};
 // Above this number of peers, reports are rarer, so that their traffic grows with the number of
 // routers and not with its square.
-constexpr std::size_t peersPerInterval = 8;
+constexpr std::size_t peersPerInterval = 5;
 // Fit into one datagram of 1,400 bytes.
 constexpr std::size_t maxReportedAccounts = 96;
 constexpr milliseconds housekeepingInterval{50};
@@ -76,6 +73,8 @@
 
     std::optional<SocketFailure> openSockets();
     void start();
+    FollowPace configurationPace() const;
+    FollowPace serversPace() const;
     DirectContext routerContext();
     RepeatLimits repeatLimits() const;
     HttpGateway::Handlers gatewayHandlers();
@@ -217,6 +216,20 @@
     return openAdmin(settings.admin, adminGateway);
 }
 
+/// A long poll brings changes at once; its wait bounds the time after which a silent connection is
+/// noticed.
+FollowPace RouterNode::Impl::configurationPace() const
+{
+    return FollowPace{milliseconds(0), settings.configurationBound};
+}
+
+FollowPace RouterNode::Impl::serversPace() const
+{
+    const auto pause =
+            std::chrono::duration_cast<milliseconds>(settings.leavingBound * leavingPaceShare);
+    return FollowPace{pause, milliseconds(0)};
+}
+
 void RouterNode::Impl::restartFollowers()
 {
     store = platform.openStore(http, settings.platformUrl);
@@ -226,13 +239,13 @@
     forConfiguration.onReturned = [] {};
     configurationFollower =
             std::make_unique<StoreFollower>(loop, clock, *store, KeyedTopic::Configuration,
-                                            configurationPace, std::move(forConfiguration));
+                                            configurationPace(), std::move(forConfiguration));
     StoreFollower::Handlers forServers;
     forServers.onAll = [this](const auto &records) { onAllServers(records); };
     forServers.onChanges = [this](const auto &records) { onServerRecords(records); };
     forServers.onReturned = [this] { directory.onStoreReturned(clock.now()); };
     serversFollower = std::make_unique<StoreFollower>(loop, clock, *store, KeyedTopic::Servers,
-                                                      serversPace, std::move(forServers));
+                                                      serversPace(), std::move(forServers));
     configurationFollower->start();
     serversFollower->start();
 }
@@ -276,7 +289,9 @@
     settings.datagrams = before.datagrams;
     startLog(settings.logLevel, LogFormat::Events, settings.name.value);
     router->setRepeatLimits(repeatLimits());
-    if (storeMoved)
+    const bool pacesChanged = before.configurationBound != settings.configurationBound
+                              || before.leavingBound != settings.leavingBound;
+    if (storeMoved || pacesChanged)
         restartFollowers();
 }
 
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -16,6 +16,8 @@
 // Reports must fit into one datagram of 1,400 bytes; a server takes 18 and a prefix 12 bytes.
 constexpr std::size_t serversPerReport = 48;
 constexpr std::size_t prefixesPerReport = 24;
+// Shorter prompts change no other router's choice; they go into the next full report.
+constexpr double newsworthyReadMs = 15;
 // More than a router sends to one server between two reports.
 constexpr std::uint32_t maxTokensBetweenReports = 1U << 24;
 constexpr double maxReportedMs = 65535;
@@ -243,12 +245,14 @@
         }
         server->cache.insert(prompt, capacity);
     }
-    server->hasNews = true;
-    hasNews_ = true;
+    const PromptWork work{placement.unreadTokens, placement.keptTokens};
+    if (speed(server->entry.service).readMs(work) >= newsworthyReadMs) {
+        server->hasNews = true;
+        hasNews_ = true;
+    }
     server->sentTokens += static_cast<std::uint32_t>(placement.unreadTokens);
-    return server->model.onSent(speed(server->entry.service),
-                                PromptWork{placement.unreadTokens, placement.keptTokens},
-                                peerLoad(*server, now), server->entry.slots, now);
+    return server->model.onSent(speed(server->entry.service), work, peerLoad(*server, now),
+                                server->entry.slots, now);
 }
 
 void ServerPool::onFirstByte(const ServerId &server, SendNumber number, TimePoint now)
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-// The slowest answers that the platform's pages tell of take a quarter of this.
-constexpr milliseconds answerTimeout{1000};
+// The slowest answers that the platform's pages tell of take a third of this.
+constexpr milliseconds answerTimeout{800};
 // Two tries and an answer fit into the two seconds in which a change must be in force.
 constexpr milliseconds firstRetry{100};
 constexpr milliseconds longestRetry{400};
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -12,8 +12,11 @@
 constexpr std::int64_t maxWindowSeconds = 3600;
 constexpr std::int64_t minSockets = 256;
 constexpr std::int64_t maxSocketsLimit = 1 << 20;
+constexpr std::int64_t minBoundMs = 200;
+constexpr std::int64_t maxBoundMs = 60000;
 constexpr double maxSeconds = 3600;
 
+/// Setting in seconds, which may have a fraction.
 void readTime(SettingsReader &reader, std::string_view name, milliseconds &value)
 {
     double inSeconds = std::chrono::duration<double>(value).count();
@@ -21,6 +24,13 @@
     value = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(inSeconds));
 }
 
+void readMilliseconds(SettingsReader &reader, std::string_view name, milliseconds &value)
+{
+    std::int64_t count = value.count();
+    if (reader.readInteger(name, count, minBoundMs, maxBoundMs))
+        value = milliseconds(count);
+}
+
 } // namespace
 
 RouterSettingsResult readRouterSettings(const std::string &file)
@@ -57,6 +67,11 @@
         settings.repeatWindow = seconds(window);
     repeats.reportUnknown();
 
+    SettingsReader bounds(root.readTable("bounds"), "bounds", file, faults);
+    readMilliseconds(bounds, "configuration_ms", settings.configurationBound);
+    readMilliseconds(bounds, "leaving_ms", settings.leavingBound);
+    bounds.reportUnknown();
+
     SettingsReader shutdown(root.readTable("shutdown"), "shutdown", file, faults);
     readTime(shutdown, "limit_s", settings.shutdownLimit);
     readTime(shutdown, "balancer_s", settings.balancerGrace);
--- a/src/settings/RouterSettings.h
+++ b/src/settings/RouterSettings.h
@@ -39,6 +39,10 @@
     double repeatRatio = 0.1;
     double repeatSlack = 10;
     seconds repeatWindow{10};
+    /// A change of the configuration must be in force this long after it was written.
+    milliseconds configurationBound{2000};
+    /// A server that says it leaves must get no request this long after it was written.
+    milliseconds leavingBound{2000};
     /// The platform kills the process this long after SIGTERM.
     milliseconds shutdownLimit{8000};
     /// Time after SIGTERM in which the platform may still send callers: two unanswered questions,
