Accept callers' connections in the event loop; an overloaded router is not ready

Ruled out: the connection limit (1,183 of 2,870 open), sockets, memory, failures of accept. 64 accepts a turn were not enough either (1,049 new connections, none taken in 6.4 s). Change: the gateway accepts by itself, up to 2,048 in a turn, and drops callers that have left unread; a router whose ticks are 100 ms late on average is not ready until they are in time again.

--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -31,6 +31,14 @@
 constexpr std::size_t maxReportedAccounts = 96;
 constexpr milliseconds housekeepingInterval{50};
 constexpr seconds settingsInterval{2};
+// A tick that comes this late on average delays every event of a stream by as much, which is near
+// what platforms allow for passing one on; half of that is usual for a busy process.
+constexpr double overloadLatenessMs = 100;
+constexpr double calmLatenessMs = 25;
+// A frozen process must not count as overloaded for long after it wakes.
+constexpr double maxLatenessMs = 500;
+// Weight of one tick in the mean: about ten ticks, half a second, count.
+constexpr double latenessWeight = 0.1;
 // What a router believes of the servers, for explaining a decision afterwards.
 constexpr seconds stateLogInterval{5};
 constexpr milliseconds listRetryInterval{500};
@@ -94,10 +102,12 @@
     void onRequest(CallerRequest &&request);
     void onDatagram(const DaemonId &sender, const Message &message);
 
+    void logState();
     bool isReady() const;
     void reloadSettings();
     void restartFollowers();
     void onTerminate();
+    void watchLateness(TimePoint now);
     void onTick();
 
     EventLoop &loop;
@@ -123,6 +133,10 @@
     std::unique_ptr<HttpGateway> readyGateway;
     std::unique_ptr<HttpGateway> adminGateway;
     std::optional<TimePoint> terminated;
+    TimePoint lastTick;
+    /// Mean lateness of the ticks, in ms.
+    double lateness = 0;
+    bool isOverloaded = false;
     Timer tick;
     Timer reportTimer;
     Timer newsTimer;
@@ -151,7 +165,7 @@
     , newsTimer(loop, [this] { sendNews(); })
     , listTimer(loop, [this] { listSelf(); })
     , routersTimer(loop, [this] { readRouters(); })
-    , stateLogTimer(loop, [this] { pool.logState(clock.now()); })
+    , stateLogTimer(loop, [this] { logState(); })
     , onTerm(loop, SIGTERM, [this] { onTerminate(); })
     , onInterrupt(loop, SIGINT, [this] { onTerminate(); })
     , onHangUp(loop, SIGHUP, [this] { reloadSettings(); })
@@ -257,6 +271,7 @@
     restartFollowers();
     listSelf();
     readRouters();
+    lastTick = clock.now();
     tick.startRepeating(housekeepingInterval);
     reportTimer.startOnce(reportInterval);
     stateLogTimer.startRepeating(stateLogInterval);
@@ -461,9 +476,25 @@
     }
 }
 
+void RouterNode::Impl::logState()
+{
+    logInfo(LogPart::Gateway, "event=callers connections=", gateway->openConnections(),
+            " open_requests=", gateway->openRequests(), " routed=", router->openRequests(),
+            " accepted=", metrics.counterValue("lovagecourse_connections_accepted_total"),
+            " left=", metrics.counterValue("lovagecourse_connections_dropped_total", "left"),
+            " full=", metrics.counterValue("lovagecourse_connections_dropped_total", "full"),
+            " accept_failures=", metrics.counterValue("lovagecourse_accept_failures_total"),
+            " left_unread=", metrics.counterValue("lovagecourse_callers_left_unread_total"),
+            " requests=", metrics.counterValue("lovagecourse_caller_requests_total"),
+            " routers=", peers.liveCount(clock.now()));
+    metrics.gauge("lovagecourse_caller_connections",
+                  static_cast<double>(gateway->openConnections()));
+    pool.logState(clock.now());
+}
+
 bool RouterNode::Impl::isReady() const
 {
-    return configuration && serversKnown && !terminated;
+    return configuration && serversKnown && !terminated && !isOverloaded;
 }
 
 void RouterNode::Impl::answerAdmin(HttpGateway &target, const CallerRequest &request)
@@ -487,9 +518,25 @@
     gateway->closeAfterAnswers();
 }
 
+/// A process that is late with everything lets the platform send new callers elsewhere.
+void RouterNode::Impl::watchLateness(TimePoint now)
+{
+    const auto late = now - lastTick - housekeepingInterval;
+    lastTick = now;
+    const double lateMs = std::max(0., std::chrono::duration<double, std::milli>(late).count());
+    lateness += latenessWeight * (std::min(lateMs, maxLatenessMs) - lateness);
+    const bool isLate = lateness > (isOverloaded ? calmLatenessMs : overloadLatenessMs);
+    if (isLate == isOverloaded)
+        return;
+    isOverloaded = isLate;
+    logWarning(LogPart::App, "event=", isLate ? "overloaded" : "overload-over",
+               " lateness_ms=", lateness, " open_requests=", router->openRequests());
+}
+
 void RouterNode::Impl::onTick()
 {
     const TimePoint now = clock.now();
+    watchLateness(now);
     applyChanges(directory.expire(now));
     flushLog();
     if (!terminated)
--- a/src/gateway/CallerExchange.cpp
+++ b/src/gateway/CallerExchange.cpp
@@ -1,8 +1,6 @@
 #include "gateway/GatewayImpl.h"
 #include "gateway/Problem.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <charconv>
 #include <cstring>
@@ -24,13 +22,6 @@
     return lower;
 }
 
-/// The peer has closed its side and sent nothing more.
-bool hasHungUp(int descriptor)
-{
-    char byte = 0;
-    return recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 } // namespace
 
 void *HttpGateway::Impl::onRequestLine(void *self, const char *uri, MHD_Connection *connection)
--- a/src/gateway/GatewayImpl.h
+++ b/src/gateway/GatewayImpl.h
@@ -10,6 +10,9 @@
 
 namespace lovagecourse {
 
+/// The peer has closed its side, also when bytes that it sent before are unread.
+bool hasHungUp(int descriptor);
+
 /// State of a gateway and its libmicrohttpd callbacks.
 struct HttpGateway::Impl
 {
@@ -69,6 +72,8 @@
 
     ~Impl();
     bool start(int listenSocket);
+    void stopListening();
+    void acceptConnections();
     void run();
     void dispatch();
     void armTimer();
@@ -90,6 +95,7 @@
     ssize_t takeUnsent(Exchange &exchange, char *buffer, std::size_t size);
     void prepareRefusal(Exchange &exchange, const Refusal &refusal);
     void onHangUp(CallerId caller);
+    std::size_t connectionCount() const;
     bool isCrowded() const;
     void runSoon();
     void resume(Exchange &exchange);
@@ -109,6 +115,8 @@
     Timer timer;
     MHD_Daemon *daemon = nullptr;
     std::unique_ptr<IoWatcher> watcher;
+    int listener = -1;
+    std::unique_ptr<IoWatcher> acceptWatcher;
     std::unordered_map<CallerId, std::unique_ptr<Exchange>> exchanges;
     /// Handlers run after libmicrohttpd has returned, so that they never re-enter it.
     std::vector<Event> events;
--- a/src/gateway/HttpGateway.cpp
+++ b/src/gateway/HttpGateway.cpp
@@ -5,6 +5,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -25,6 +26,9 @@
 constexpr int unsentLowWaterBytes = 128 << 10;
 // Room in libmicrohttpd's memory pool of a connection beside the request's headers.
 constexpr std::size_t poolReserveBytes = 16U << 10;
+// In one turn of the loop. Below the number that come in one turn, the queue would grow until each
+// caller in it has given up before it is its turn.
+constexpr int maxAccepts = 2048;
 constexpr int lowestFinalStatus = 200;
 constexpr int highestStatus = 599;
 
@@ -68,6 +72,12 @@
 
 } // namespace
 
+bool hasHungUp(int descriptor)
+{
+    pollfd state{descriptor, POLLRDHUP, 0};
+    return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 HttpGateway::Impl::~Impl()
 {
     *alive = false;
@@ -76,17 +86,30 @@
     for (auto &entry : exchanges)
         resume(*entry.second);
     watcher.reset();
+    stopListening();
     if (daemon)
         MHD_stop_daemon(daemon);
 }
 
+void HttpGateway::Impl::stopListening()
+{
+    acceptWatcher.reset();
+    if (listener >= 0)
+        close(listener);
+    listener = -1;
+}
+
 bool HttpGateway::Impl::start(int listenSocket)
 {
+    listener = listenSocket;
+    acceptWatcher =
+            std::make_unique<IoWatcher>(loop, listener, [this](int) { acceptConnections(); });
+    acceptWatcher->watch(EV_READ);
     const std::size_t poolBytes = 2 * limits.maxHeaderBytes + poolReserveBytes;
     daemon = MHD_start_daemon(
-            MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, &Impl::onAccess, this,
-            MHD_OPTION_LISTEN_SOCKET, listenSocket, MHD_OPTION_URI_LOG_CALLBACK,
-            &Impl::onRequestLine, this, MHD_OPTION_NOTIFY_COMPLETED, &Impl::onCompleted, this,
+            MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_NO_LISTEN_SOCKET, 0, nullptr,
+            nullptr, &Impl::onAccess, this, MHD_OPTION_URI_LOG_CALLBACK, &Impl::onRequestLine, this,
+            MHD_OPTION_NOTIFY_COMPLETED, &Impl::onCompleted, this,
             MHD_OPTION_CONNECTION_MEMORY_LIMIT, poolBytes, MHD_OPTION_CONNECTION_LIMIT,
             limits.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT,
             static_cast<unsigned>(limits.idleTimeout.count()), MHD_OPTION_STRICT_FOR_CLIENT, 1,
@@ -101,6 +124,36 @@
     return true;
 }
 
+/// libmicrohttpd accepts at most ten connections in each run, which under load keeps callers
+/// waiting until they give up, and then again with the next ones.
+void HttpGateway::Impl::acceptConnections()
+{
+    for (int accepted = 0; accepted < maxAccepts; ++accepted) {
+        sockaddr_in address{};
+        socklen_t size = sizeof(address);
+        const int descriptor = accept4(listener, reinterpret_cast<sockaddr *>(&address), &size,
+                                       SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0) {
+            if (errno != EAGAIN && errno != EWOULDBLOCK)
+                metrics.count("lovagecourse_accept_failures_total");
+            break;
+        }
+        const bool isFull = connectionCount() >= limits.maxConnections;
+        if (isFull || hasHungUp(descriptor)) {
+            metrics.count("lovagecourse_connections_dropped_total", isFull ? "full" : "left");
+            close(descriptor);
+            continue;
+        }
+        metrics.count("lovagecourse_connections_accepted_total");
+        // libmicrohttpd owns the descriptor from here on, even when it fails.
+        if (MHD_add_connection(daemon, descriptor, reinterpret_cast<const sockaddr *>(&address),
+                               size)
+            != MHD_YES)
+            metrics.count("lovagecourse_connections_dropped_total", "library");
+    }
+    runSoon();
+}
+
 void HttpGateway::Impl::run()
 {
     const auto stillAlive = alive;
@@ -143,10 +196,15 @@
     timer.startOnce(std::chrono::nanoseconds(0));
 }
 
-bool HttpGateway::Impl::isCrowded() const
+std::size_t HttpGateway::Impl::connectionCount() const
 {
     const MHD_DaemonInfo *info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
-    return info && info->num_connections > limits.maxKeptConnections;
+    return info ? info->num_connections : 0;
+}
+
+bool HttpGateway::Impl::isCrowded() const
+{
+    return connectionCount() > limits.maxKeptConnections;
 }
 
 HttpGateway::Impl::Exchange *HttpGateway::Impl::find(CallerId caller)
@@ -213,7 +271,6 @@
     if (const auto *failure = std::get_if<SocketFailure>(&socket))
         return *failure;
     auto impl = std::make_unique<Impl>(loop, metrics, limits, std::move(handlers));
-    // libmicrohttpd owns the socket from here on, even when it fails to start.
     if (!impl->start(std::get<int>(socket)))
         return SocketFailure{errno};
     return std::unique_ptr<HttpGateway>(new HttpGateway(std::move(impl)));
@@ -300,11 +357,14 @@
     return impl_->exchanges.size();
 }
 
+std::size_t HttpGateway::openConnections() const
+{
+    return impl_->connectionCount();
+}
+
 void HttpGateway::stopListening()
 {
-    const MHD_socket socket = MHD_quiesce_daemon(impl_->daemon);
-    if (socket != MHD_INVALID_SOCKET)
-        close(socket);
+    impl_->stopListening();
 }
 
 } // namespace lovagecourse
--- a/src/gateway/HttpGateway.h
+++ b/src/gateway/HttpGateway.h
@@ -85,6 +85,8 @@
     void setIdleTimeout(seconds timeout);
     /// Requests that have begun to arrive and whose answer has not ended.
     std::size_t openRequests() const;
+    /// Open connections, idle ones included.
+    std::size_t openConnections() const;
     /// Closes the listening socket; open requests go on.
     void stopListening();
 
--- /dev/null
+++ b/tests/direct/ServerDirectoryTest.cpp
@@ -0,0 +1,69 @@
+#include "direct/ServerDirectory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lovagecourse;
+
+namespace {
+
+struct ServerDirectoryFixture
+{
+    ServerDirectory directory;
+    TimePoint now{std::chrono::hours(1)};
+
+    static ServerEntry entry(const std::string &id)
+    {
+        ServerEntry entry;
+        entry.id = ServerId(id);
+        entry.service = ServiceId("s");
+        return entry;
+    }
+    std::vector<ServerChange> add(const std::string &id)
+    {
+        return directory.apply(ServerId(id), entry(id), now);
+    }
+    std::vector<ServerChange> remove(const std::string &id)
+    {
+        return directory.apply(ServerId(id), std::nullopt, now);
+    }
+};
+
+} // namespace
+
+// Guards against requests to a server that has left.
+TEST_CASE_METHOD(ServerDirectoryFixture, "server directory, entry removed, server is gone at once")
+{
+    add("a");
+    const auto changes = remove("a");
+    REQUIRE(changes.size() == 1);
+    CHECK_FALSE(changes[0].entry);
+    CHECK(directory.size() == 0);
+}
+
+// Guards against the loss of all servers whose entries lapsed while the store was away.
+TEST_CASE_METHOD(ServerDirectoryFixture, "server directory, lapsed in an outage, may come back")
+{
+    add("a");
+    add("b");
+    directory.onStoreReturned(now);
+    CHECK(remove("a").empty());
+    CHECK(remove("b").empty());
+    now += milliseconds(1500);
+    CHECK(add("a").size() == 1);
+    CHECK(directory.expire(now).empty());
+    now += milliseconds(600);
+    const auto gone = directory.expire(now);
+    REQUIRE(gone.size() == 1);
+    CHECK(gone[0].id == ServerId("b"));
+    CHECK(directory.size() == 1);
+}
+
+// Guards against servers that stay known when the records of their removal have expired.
+TEST_CASE_METHOD(ServerDirectoryFixture, "server directory, whole list read, missing ones are gone")
+{
+    add("a");
+    add("b");
+    const auto changes = directory.applyAll({{ServerId("b"), entry("b")}}, now);
+    CHECK(changes.size() == 2);
+    CHECK(directory.size() == 1);
+}
--- /dev/null
+++ b/tests/platform/ConfigurationDecoderTest.cpp
@@ -0,0 +1,95 @@
+#include "platform/ConfigurationDecoder.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lovagecourse;
+
+namespace {
+
+const std::string soundConfiguration = R"({"version":7,"unknown":[1],
+ "routes":[
+  {"name":"r1","hostname":"h.example","path_prefix":"/a/","route_kind":"streaming",
+   "timeout_ms":8000,"slo_ms":600,"priority":1,"max_attempts":1,"public":false,"resumable":true,
+   "split":[{"service":"s","weight":90},{"service":"t","weight":10}]},
+  {"name":"r2","hostname":"h.example","path_prefix":"/a/b/","route_kind":"safe",
+   "timeout_ms":800,"slo_ms":150,"service":"t","max_attempts":2,"public":true}],
+ "services":[{"name":"s","max_conns":630,"engine":{"slots":128,"kv_capacity":789097}}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"idle_timeout_ms":15000,
+           "tokens_per_s":1100000},
+ "tenants":[{"name":"museum","api_keys":["k1","k2"],"priority":1}]})";
+
+const std::string soundEntry = R"({"service":"s","address":"10.1.2.3:8080","zone":"z1",
+ "version":"v1","slots":128,"state":"ready","cold_left_ms":0,"sequence":4,"born":1700000000000})";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    const std::size_t found = text.find(from);
+    REQUIRE(found != std::string::npos);
+    return text.replace(found, from.size(), to);
+}
+
+std::string faultOfEntry(const std::string &bytes)
+{
+    const auto decoded = platform::decodeServerEntry("i-1", bytes);
+    const auto *fault = std::get_if<DecodeFault>(&decoded);
+    return fault ? fault->field : "";
+}
+
+} // namespace
+
+// Guards against fields that are read as something else, and against unknown ones that stop it.
+TEST_CASE("configuration decoder, sound configuration, reads all that the router uses")
+{
+    const auto decoded = platform::decodeConfiguration(soundConfiguration);
+    REQUIRE(std::holds_alternative<DirectConfiguration>(decoded));
+    const auto &configuration = std::get<DirectConfiguration>(decoded);
+    CHECK(configuration.version == 7);
+    CHECK(configuration.accounts.at("k2") == AccountId("museum"));
+    CHECK(configuration.services.at(ServiceId("s")).cacheTokens == 789097);
+    CHECK(configuration.idleTimeout == seconds(15));
+    const Route *route = selectRoute(configuration, "h.example", "/a/x");
+    REQUIRE(route);
+    CHECK(route->kind == RequestKind::ResumableStream);
+    CHECK(selectService(*route, 0.5) == ServiceId("s"));
+    CHECK(selectService(*route, 0.95) == ServiceId("t"));
+    const Route *longer = selectRoute(configuration, "h.example", "/a/b/c");
+    REQUIRE(longer);
+    CHECK(longer->kind == RequestKind::Safe);
+    CHECK(longer->isPublic);
+    CHECK_FALSE(selectRoute(configuration, "other.example", "/a/x"));
+    CHECK_FALSE(selectRoute(configuration, "h.example", "/c"));
+}
+
+// Guards against a damaged record that takes the place of a sound configuration.
+TEST_CASE("configuration decoder, damaged configuration, names the field")
+{
+    for (const auto &[bytes, field] : std::vector<std::pair<std::string, std::string>>{
+                 {"\xff{", "document"},
+                 {replaced(soundConfiguration, "\"version\":7", "\"version\":\"7\""), "version"},
+                 {replaced(soundConfiguration, "\"safe\"", "\"odd\""), "route_kind"},
+                 {replaced(soundConfiguration, "[\"k1\",\"k2\"]", "[1]"), "api_keys"}}) {
+        const auto decoded = platform::decodeConfiguration(bytes);
+        REQUIRE(std::holds_alternative<DecodeFault>(decoded));
+        CHECK(std::get<DecodeFault>(decoded).field == field);
+    }
+}
+
+// Guards against servers that are used though their entry says otherwise.
+TEST_CASE("server entry, sound and damaged records, only sound ones name a server")
+{
+    const auto decoded = platform::decodeServerEntry("i-1", soundEntry);
+    REQUIRE(std::holds_alternative<ServerEntry>(decoded));
+    const auto &entry = std::get<ServerEntry>(decoded);
+    CHECK(entry.id == ServerId("i-1"));
+    CHECK(entry.address == Endpoint{"10.1.2.3", 8080});
+    CHECK(entry.startedMs == 1700000000000);
+    CHECK_FALSE(entry.isDraining);
+    CHECK(std::get<ServerEntry>(platform::decodeServerEntry(
+                                        "i-1", replaced(soundEntry, "\"ready\"", "\"draining\"")))
+                  .isDraining);
+    CHECK(faultOfEntry(replaced(soundEntry, "\"ready\"", "\"asleep\"")) == "state");
+    CHECK(faultOfEntry(replaced(soundEntry, "10.1.2.3:8080", "nowhere")) == "address");
+    CHECK(faultOfEntry(replaced(soundEntry, "128", "\"128\"")) == "slots");
+    CHECK(faultOfEntry(replaced(soundEntry, "\"s\"", "5")) == "service");
+    CHECK(faultOfEntry("not json") == "document");
+}
--- /dev/null
+++ b/tests/platform/HeaderCodecTest.cpp
@@ -0,0 +1,81 @@
+#include "platform/HeaderCodec.h"
+
+#include "http/HttpClient.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lovagecourse;
+
+namespace {
+
+struct HeaderCodecFixture
+{
+    platform::HeaderCodec codec;
+};
+
+} // namespace
+
+// Guards against a prompt whose parts are read wrong, so that it is sent where nothing is kept.
+TEST_CASE_METHOD(HeaderCodecFixture, "header codec, model request, reads prompt and size")
+{
+    const ClientRequest request = codec.decodeRequest(
+            {{"x-lovagecourse-model", "m"},
+             {"x-lovagecourse-token-usage", "1460,80"},
+             {"x-lovagecourse-prompt-prefix", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250"},
+             {"x-lovagecourse-deadline-ms", "8000"},
+             {"authorization", "Token secret"}});
+    CHECK(request.model == "m");
+    CHECK(request.promptTokens == 1460);
+    CHECK(request.maxOutputTokens == 80);
+    REQUIRE(request.prompt.size() == 3);
+    CHECK(request.prompt[1].id == 0x91bd3f06);
+    CHECK(request.prompt[1].tokens == 410);
+    CHECK(request.patience == milliseconds(8000));
+    CHECK(request.key == "secret");
+}
+
+// Guards against a crash or a wrong guess when a caller sends nonsense.
+TEST_CASE_METHOD(HeaderCodecFixture, "header codec, unreadable values, are left out")
+{
+    const ClientRequest request =
+            codec.decodeRequest({{"x-lovagecourse-token-usage", "x,,"},
+                                 {"x-lovagecourse-prompt-prefix", "12:30,zz:5,13:10"},
+                                 {"x-lovagecourse-deadline-ms", "-4"},
+                                 {"authorization", "Basic secret"}});
+    CHECK(request.promptTokens == 0);
+    CHECK(request.prompt.size() == 1);
+    CHECK_FALSE(request.patience);
+    CHECK(request.key.empty());
+}
+
+// Guards against a load header that is read in another order or unit.
+TEST_CASE_METHOD(HeaderCodecFixture, "header codec, answer with load, reads it")
+{
+    const ServerAnswer answer =
+            codec.decodeAnswer(200, {{"x-lovagecourse-instance-load", "3,1,8,250"},
+                                     {"x-lovagecourse-server-stamp", "st"},
+                                     {"connection", "close"}});
+    REQUIRE(answer.load);
+    CHECK(answer.load->running == 3);
+    CHECK(answer.load->waiting == 1);
+    CHECK(answer.load->slots == 8);
+    CHECK(answer.load->slowness == 2.5);
+    CHECK(answer.isSigned);
+    CHECK_FALSE(answer.notExecuted);
+    CHECK(findHeader(answer.forwarded, "connection").empty());
+}
+
+// Guards against "may have run" for what a server says it did not run.
+TEST_CASE_METHOD(HeaderCodecFixture, "header codec, server did not run it, is noticed")
+{
+    CHECK(codec.decodeAnswer(421, {}).notExecuted);
+    CHECK(codec.decodeAnswer(503, {{"x-lovagecourse-not-executed", "1"}}).notExecuted);
+    CHECK_FALSE(codec.decodeAnswer(503, {}).notExecuted);
+}
+
+// Guards against a resumed stream that begins at the wrong event.
+TEST_CASE_METHOD(HeaderCodecFixture, "header codec, several events, finds the last id")
+{
+    CHECK(codec.lastEventId("id: 7\ndata: id:9\n\nid: 8\ndata: x\n\n") == "8");
+    CHECK(codec.lastEventId("data: x\n\n").empty());
+}
--- /dev/null
+++ b/tests/platform/KeyedRecordsTest.cpp
@@ -0,0 +1,61 @@
+#include "platform/StoreClient.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lovagecourse;
+
+namespace {
+
+std::string number(std::uint64_t value, int bytes)
+{
+    std::string text;
+    for (int shift = (bytes - 1) * 8; shift >= 0; shift -= 8)
+        text += static_cast<char>(value >> shift);
+    return text;
+}
+
+std::string record(const std::string &key, const std::string &value)
+{
+    const std::string content = number(key.size(), 1) + key + value;
+    return number(content.size(), 4) + content;
+}
+
+} // namespace
+
+// Guards against records that are skipped or read twice.
+TEST_CASE("keyed records, values and a dropped key, are read in order")
+{
+    const std::string bytes = number(12, 8) + number(3, 8) + record("a", "one") + record("b", "");
+    const auto result = platform::decodeKeyedRecords(bytes, LogOffset(10));
+    REQUIRE(std::holds_alternative<KeyedBatch>(result));
+    const auto &batch = std::get<KeyedBatch>(result);
+    CHECK(batch.next == LogOffset(12));
+    REQUIRE(batch.records.size() == 2);
+    CHECK(batch.records[0].key == "a");
+    CHECK(batch.records[0].value == "one");
+    CHECK(batch.records[1].key == "b");
+    CHECK_FALSE(batch.records[1].value);
+}
+
+// Guards against a read beyond the bytes that came.
+TEST_CASE("keyed records, truncated or impossible answers, are malformed")
+{
+    const std::string sound = number(11, 8) + number(0, 8) + record("a", "one");
+    for (std::size_t length = 17; length < sound.size(); ++length)
+        CHECK(std::holds_alternative<StoreFault>(
+                platform::decodeKeyedRecords(sound.substr(0, length), LogOffset(10))));
+    CHECK(std::holds_alternative<StoreFault>(platform::decodeKeyedRecords("", LogOffset(0))));
+    // More records than the store says it has.
+    CHECK(std::holds_alternative<StoreFault>(platform::decodeKeyedRecords(sound, LogOffset(11))));
+}
+
+// Guards against another program's record that stops the reading of all others.
+TEST_CASE("keyed records, a record without a key, is passed over")
+{
+    const std::string foreign = number(1, 4) + number(200, 1);
+    const std::string bytes = number(2, 8) + number(0, 8) + foreign + record("a", "x");
+    const auto result = platform::decodeKeyedRecords(bytes, LogOffset(0));
+    REQUIRE(std::holds_alternative<KeyedBatch>(result));
+    CHECK(std::get<KeyedBatch>(result).records.size() == 1);
+    CHECK(std::get<KeyedBatch>(result).next == LogOffset(2));
+}
--- /dev/null
+++ b/tests/settings/RouterSettingsTest.cpp
@@ -0,0 +1,73 @@
+#include "settings/RouterSettings.h"
+
+#include <catch2/catch.hpp>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+
+using namespace lovagecourse;
+
+namespace {
+
+const std::string sound = R"(name = "r1"
+data_centre = "a"
+fleet_key = "0123456789abcdef"
+platform = "http://127.0.0.1:9000"
+callers = "127.0.0.1:9001"
+ready = "127.0.0.1:9002"
+admin = "127.0.0.1:9003"
+datagrams = "127.0.0.1:9003"
+max_sockets = 4100
+
+[repeats]
+ratio = 0.2
+slack = 58
+window_s = 10
+
+[bounds]
+configuration_ms = 2000
+leaving_ms = 3000
+
+[shutdown]
+limit_s = 7.5
+)";
+
+struct RouterSettingsFixture
+{
+    std::string file = "/tmp/lovagecourse-router-settings-" + std::to_string(getpid());
+
+    ~RouterSettingsFixture() { std::remove(file.c_str()); }
+
+    RouterSettingsResult read(const std::string &text) const
+    {
+        std::ofstream(file) << text;
+        return readRouterSettings(file);
+    }
+};
+
+} // namespace
+
+// Guards against values that are read in another unit.
+TEST_CASE_METHOD(RouterSettingsFixture, "router settings, sound file, gives all values")
+{
+    const auto result = read(sound);
+    REQUIRE(std::holds_alternative<RouterSettings>(result));
+    const auto &settings = std::get<RouterSettings>(result);
+    CHECK(settings.repeatRatio == 0.2);
+    CHECK(settings.repeatSlack == 58);
+    CHECK(settings.leavingBound == seconds(3));
+    CHECK(settings.shutdownLimit == milliseconds(7500));
+    CHECK(settings.maxSockets == 4100);
+}
+
+// Guards against a router that starts with a setting it does not understand.
+TEST_CASE_METHOD(RouterSettingsFixture,
+                 "router settings, faults, are all reported with their place")
+{
+    const auto result = read(sound + "extra = 1\n[log]\nlevel = \"loud\"\n");
+    REQUIRE(std::holds_alternative<std::vector<SettingsFault>>(result));
+    CHECK(std::get<std::vector<SettingsFault>>(result).size() == 2);
+    CHECK(std::holds_alternative<std::vector<SettingsFault>>(read("name = ")));
+    CHECK(std::holds_alternative<std::vector<SettingsFault>>(readRouterSettings("/nowhere")));
+}
