Count a busy service as busy for accounts above their share

Change: the wait that an account's standing allows is compared with half of the mean wait at all servers, too.

--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -243,6 +243,7 @@
 {
     AdmissionInput input;
     input.waitMs = placement.prediction.waitMs;
+    input.meanWaitMs = placement.meanWaitMs;
     input.firstByteMs = placement.prediction.firstByteMs();
     input.objectiveMs = static_cast<double>(exchange.route->objective.count());
     input.leftMs = toMs(exchange.deadline - now());
@@ -591,9 +592,10 @@
             " status=", status, " reason=", reason, " sends=", exchange.sends,
             " route=", exchange.route->name, " account=", exchange.account,
             " configuration=", exchange.configuration->version, " standing=", decision.standing,
-            " wait_ms=", decision.waitMs, " objective_ms=", decision.objectiveMs,
-            " servers=", exchange.candidates, " predicted_ms=", exchange.predictedMs,
-            " first_byte_ms=", exchange.firstByteMs, " took_ms=", toMs(now() - exchange.arrived));
+            " wait_ms=", decision.waitMs, " mean_wait_ms=", decision.meanWaitMs,
+            " objective_ms=", decision.objectiveMs, " servers=", exchange.candidates,
+            " predicted_ms=", exchange.predictedMs, " first_byte_ms=", exchange.firstByteMs,
+            " took_ms=", toMs(now() - exchange.arrived));
     exchanges.erase(exchange.caller);
 }
 
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -225,9 +225,18 @@
     const auto best = choosePlacement(candidates, promptHash, request.objectiveMs);
     if (!best)
         return std::nullopt;
-    return Placement{candidates[*best].server,  servers[*best]->entry.address,
-                     works[*best].unreadTokens, works[*best].keptTokens,
-                     candidates[*best],         candidates.size()};
+    double waitSum = 0;
+    for (const PlacementCandidate &candidate : candidates)
+        waitSum += std::min(candidate.waitMs, request.objectiveMs);
+    Placement placement;
+    placement.server = candidates[*best].server;
+    placement.address = servers[*best]->entry.address;
+    placement.unreadTokens = works[*best].unreadTokens;
+    placement.keptTokens = works[*best].keptTokens;
+    placement.prediction = candidates[*best];
+    placement.candidates = candidates.size();
+    placement.meanWaitMs = waitSum / static_cast<double>(candidates.size());
+    return placement;
 }
 
 SendNumber ServerPool::onSent(const Placement &placement, const std::vector<PromptPrefix> &prompt,
--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -38,6 +38,8 @@
     double keptTokens = 0;
     PlacementCandidate prediction;
     std::size_t candidates = 0;
+    /// Mean wait at all of them, in ms.
+    double meanWaitMs = 0;
 };
 
 /// The backend servers as this daemon knows them: entries, models, other daemons' load.
--- a/src/placing/Admission.cpp
+++ b/src/placing/Admission.cpp
@@ -18,6 +18,9 @@
 constexpr double largestWaitAllowance = 0.6;
 // A server with less work than this is about to be idle, and nobody is refused.
 constexpr double smallestWaitAllowance = 0.04;
+// The best of many servers is often one whose last work is not known yet, so a busy service counts
+// as busy, whatever its best server seems to be.
+constexpr double meanWaitWeight = 0.5;
 // Prompts too long to be read in time are sent while the wait before them is below this part.
 constexpr double longPromptAllowance = 0.26;
 constexpr double shortestRetryMs = 50;
@@ -34,14 +37,15 @@
     const double allowedWaitMs = waitShare * input.objectiveMs;
     const double longPromptWaitMs =
             std::min(allowedWaitMs, longPromptAllowance * input.objectiveMs);
-    const bool isInTime = input.firstByteMs <= allowedFirstByteMs && input.waitMs <= allowedWaitMs;
-    const bool isLongPrompt = input.waitMs <= longPromptWaitMs && input.firstByteMs < input.leftMs;
+    const double countedWaitMs = std::max(input.waitMs, meanWaitWeight * input.meanWaitMs);
+    const bool isInTime = input.firstByteMs <= allowedFirstByteMs && countedWaitMs <= allowedWaitMs;
+    const bool isLongPrompt = countedWaitMs <= longPromptWaitMs && input.firstByteMs < input.leftMs;
     if (isInTime || isLongPrompt)
         return Admitted{};
     // The wait falls by one ms in each, as long as no more work is admitted.
-    const double excessMs =
-            std::min(std::max(input.firstByteMs - allowedFirstByteMs, input.waitMs - allowedWaitMs),
-                     input.waitMs - longPromptWaitMs);
+    const double excessMs = std::min(
+            std::max(input.firstByteMs - allowedFirstByteMs, countedWaitMs - allowedWaitMs),
+            countedWaitMs - longPromptWaitMs);
     const double retryMs = std::clamp(excessMs, shortestRetryMs, longestRetryMs);
     return RefusedForNow{milliseconds(static_cast<std::int64_t>(retryMs))};
 }
--- a/src/placing/Admission.h
+++ b/src/placing/Admission.h
@@ -12,6 +12,8 @@
 {
     /// Wait at the best server before the request's own prompt is read, in ms.
     double waitMs = 0;
+    /// Mean wait at all servers of the service, in ms.
+    double meanWaitMs = 0;
     /// Time to the first byte at the best server, in ms.
     double firstByteMs = 0;
     /// Time from arrival to the first byte that the caller expects, in ms.
--- a/tests/placing/AdmissionTest.cpp
+++ b/tests/placing/AdmissionTest.cpp
@@ -49,6 +49,18 @@
     CHECK(isAdmitted());
 }
 
+// Guards against an account that finds a free server by asking often while the others wait.
+TEST_CASE_METHOD(AdmissionFixture,
+                 "admission, one free server of a busy service, refuses the greedy")
+{
+    input.waitMs = 0;
+    input.meanWaitMs = 200;
+    input.standing = 2.5;
+    CHECK_FALSE(isAdmitted());
+    input.standing = 0.9;
+    CHECK(isAdmitted());
+}
+
 // Guards against requests that are accepted and answered late.
 TEST_CASE_METHOD(AdmissionFixture, "admission, answer would be late, refuses with a time to return")
 {
