--- a/src/core/Clock.h
+++ b/src/core/Clock.h
@@ -48,6 +48,12 @@
     WallTime wallNow_{std::chrono::hours(24 * 365 * 50)};
 };
 
+/// A duration in milliseconds with its fraction, for predictions and logs.
+inline double toMs(std::chrono::nanoseconds duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 /// Milliseconds since the epoch.
 inline std::uint64_t toEpochMilliseconds(WallTime time)
 {
--- /dev/null
+++ b/src/direct/DirectAnswers.cpp
@@ -0,0 +1,241 @@
+#include "core/Log.h"
+#include "direct/DirectRouterImpl.h"
+
+#include <algorithm>
+
+namespace lovagecourse {
+
+namespace {
+
+// Bytes of an answer that may wait for a slow caller before the server's are left unread.
+constexpr std::size_t maxUnconsumed = 256U << 10;
+// Servers that can't be connected to cost a request connectTimeout each.
+constexpr std::size_t maxUnreachable = 4;
+constexpr int firstErrorStatus = 400;
+constexpr int firstServerErrorStatus = 500;
+
+} // namespace
+
+void DirectRouter::Impl::onHead(CallerId caller, int status, const HeaderList &headers)
+{
+    DirectExchange *exchange = find(caller);
+    if (!exchange || !exchange->attempt)
+        return;
+    DirectAttempt &attempt = *exchange->attempt;
+    attempt.hasHead = true;
+    attempt.status = status;
+    attempt.answer = context.codec.decodeAnswer(status, headers);
+    const ServerAnswer &answer = attempt.answer;
+    const bool isForeign =
+            !answer.attemptId.empty() && answer.attemptId != exchange->client.attemptId;
+    const bool isUnsigned = status < firstErrorStatus && !answer.isSigned;
+    attempt.isGarbled = isForeign || isUnsigned;
+    attempt.isEventStream = findHeader(headers, "content-type").starts_with("text/event-stream")
+                            && status < firstErrorStatus;
+    context.pool.onFirstByte(attempt.placement.server, attempt.number, now());
+    if (answer.load)
+        context.pool.onLoad(attempt.placement.server, *answer.load, now());
+    if (exchange->stallTimer)
+        exchange->stallTimer->stop();
+    if (attempt.isGarbled)
+        logWarning(LogPart::Routing, "event=garbled-answer request=", exchange->client.attemptId,
+                   " server=", attempt.placement.server, " status=", status,
+                   " answer_id=", answer.attemptId, " signed=", answer.isSigned);
+}
+
+void DirectRouter::Impl::onData(CallerId caller, std::string_view bytes)
+{
+    DirectExchange *exchange = find(caller);
+    if (!exchange || !exchange->attempt)
+        return;
+    DirectAttempt &attempt = *exchange->attempt;
+    if (!attempt.hasBytes) {
+        attempt.hasBytes = true;
+        exchange->firstByteMs = toMs(now() - exchange->arrived);
+        context.metrics.latency("lovagecourse_first_byte_seconds", now() - exchange->arrived);
+    }
+    if (attempt.isGarbled)
+        return;
+    if (!attempt.isEventStream) {
+        attempt.body.append(bytes);
+        return;
+    }
+    if (exchange->route->kind == RequestKind::ResumableStream) {
+        // Only whole events go out, so that another server can go on behind them.
+        const WholeEvents events = attempt.splitter.append(bytes);
+        if (events.count == 0)
+            return;
+        const std::string last = context.codec.lastEventId(events.bytes);
+        if (!last.empty())
+            exchange->lastEventId = last;
+        return forward(*exchange, events.bytes);
+    }
+    forward(*exchange, bytes);
+}
+
+void DirectRouter::Impl::forward(DirectExchange &exchange, std::string_view bytes)
+{
+    if (!exchange.isStreaming) {
+        exchange.isStreaming = true;
+        gateway->beginStream(exchange.caller, exchange.attempt->status,
+                             exchange.attempt->answer.forwarded);
+    }
+    exchange.unconsumed += bytes.size();
+    gateway->sendData(exchange.caller, bytes);
+    if (exchange.unconsumed > maxUnconsumed && !exchange.isPaused) {
+        exchange.isPaused = true;
+        context.http.pause(exchange.attempt->transfer);
+    }
+}
+
+void DirectRouter::Impl::onDone(CallerId caller, const std::optional<HttpFailure> &failure)
+{
+    DirectExchange *exchange = find(caller);
+    if (!exchange || !exchange->attempt)
+        return;
+    const DirectAttempt &attempt = *exchange->attempt;
+    const ServerId server = attempt.placement.server;
+    context.pool.onEnded(server, attempt.number);
+    if (failure) {
+        logInfo(LogPart::Backend, "event=send-failed request=", exchange->client.attemptId,
+                " server=", server, " curl=", failure->curlCode, " sent=", failure->maybeSent,
+                " head=", attempt.hasHead);
+        if (!attempt.hasHead)
+            context.pool.onUnreachable(server, now());
+        context.pool.onOutcome(server, true);
+        if (!failure->maybeSent)
+            return onNotSent(*exchange);
+        return onBroken(*exchange, "connection-broken");
+    }
+    if (attempt.isGarbled) {
+        context.pool.onOutcome(server, true);
+        return onBroken(*exchange, "garbled-answer");
+    }
+    if (attempt.answer.notExecuted)
+        return onNotExecuted(*exchange);
+    context.pool.onOutcome(server, attempt.status >= firstServerErrorStatus);
+    onAnswered(*exchange);
+}
+
+void DirectRouter::Impl::endAttempt(DirectExchange &exchange)
+{
+    if (exchange.stallTimer)
+        exchange.stallTimer->stop();
+    exchange.isPaused = false;
+    exchange.attempt.reset();
+}
+
+void DirectRouter::Impl::cancelAttempt(DirectExchange &exchange)
+{
+    if (!exchange.attempt)
+        return;
+    context.pool.onEnded(exchange.attempt->placement.server, exchange.attempt->number);
+    context.http.cancel(exchange.attempt->transfer);
+    endAttempt(exchange);
+}
+
+/// The connection was never made, so the server does not know the request.
+void DirectRouter::Impl::onNotSent(DirectExchange &exchange)
+{
+    endAttempt(exchange);
+    --exchange.sends;
+    if (exchange.tried.size() < maxUnreachable + exchange.sends && now() < exchange.deadline)
+        return dispatch(exchange);
+    if (exchange.isStreaming || exchange.mayHaveRun)
+        return fail(exchange, statusBadGateway, "unreachable");
+    refuse(exchange, "unreachable", unknownRetry);
+}
+
+void DirectRouter::Impl::onNotExecuted(DirectExchange &exchange)
+{
+    const DirectAttempt &attempt = *exchange.attempt;
+    logInfo(LogPart::Routing, "event=not-executed request=", exchange.client.attemptId,
+            " server=", attempt.placement.server, " status=", attempt.status);
+    context.pool.onUnreachable(attempt.placement.server, now());
+    endAttempt(exchange);
+    if (mayRepeat(exchange))
+        return dispatch(exchange);
+    if (exchange.isStreaming || exchange.mayHaveRun)
+        return fail(exchange, statusBadGateway, "server-refused");
+    refuse(exchange, "server-refused", unknownRetry);
+}
+
+void DirectRouter::Impl::onBroken(DirectExchange &exchange, std::string_view why)
+{
+    exchange.mayHaveRun = true;
+    endAttempt(exchange);
+    const bool mayGoOn = exchange.route->kind == RequestKind::Safe
+                         || (exchange.route->kind == RequestKind::ResumableStream
+                             && (!exchange.isStreaming || !exchange.lastEventId.empty()));
+    if (mayGoOn && mayRepeat(exchange))
+        return dispatch(exchange);
+    fail(exchange, statusBadGateway, why);
+}
+
+void DirectRouter::Impl::onAnswered(DirectExchange &exchange)
+{
+    DirectAttempt &attempt = *exchange.attempt;
+    if (exchange.isStreaming) {
+        if (!attempt.isEventStream)
+            return onBroken(exchange, "resume-failed");
+        gateway->endStream(exchange.caller);
+        return finish(exchange, "answered", attempt.status, "stream");
+    }
+    const bool isFailure = attempt.status >= firstServerErrorStatus;
+    if (isFailure && exchange.route->kind == RequestKind::Safe && mayRepeat(exchange)) {
+        exchange.mayHaveRun = true;
+        exchange.failedAnswer = std::move(exchange.attempt);
+        endAttempt(exchange);
+        return dispatch(exchange);
+    }
+    deliver(exchange, attempt);
+}
+
+void DirectRouter::Impl::deliver(DirectExchange &exchange, const DirectAttempt &attempt)
+{
+    gateway->answer(exchange.caller, attempt.status, attempt.answer.forwarded, attempt.body);
+    finish(exchange, "answered", attempt.status, "whole");
+}
+
+void DirectRouter::Impl::onDeadline(CallerId caller)
+{
+    DirectExchange *exchange = find(caller);
+    if (!exchange)
+        return;
+    exchange->mayHaveRun = exchange->mayHaveRun || exchange->attempt;
+    cancelAttempt(*exchange);
+    if (exchange->mayHaveRun)
+        return fail(*exchange, statusGatewayTimeout, "deadline");
+    refuse(*exchange, "deadline", unknownRetry);
+}
+
+void DirectRouter::Impl::onStalled(CallerId caller)
+{
+    DirectExchange *exchange = find(caller);
+    if (!exchange || !exchange->attempt || exchange->attempt->hasHead)
+        return;
+    if (!mayRepeat(*exchange))
+        return;
+    logInfo(LogPart::Routing, "event=stalled request=", exchange->client.attemptId,
+            " server=", exchange->attempt->placement.server,
+            " predicted_ms=", exchange->attempt->placement.prediction.firstByteMs(),
+            " waited_ms=", toMs(now() - exchange->attempt->sentAt));
+    context.pool.onOutcome(exchange->attempt->placement.server, true);
+    exchange->mayHaveRun = true;
+    cancelAttempt(*exchange);
+    dispatch(*exchange);
+}
+
+void DirectRouter::onConsumed(CallerId caller, std::size_t bytes)
+{
+    DirectExchange *exchange = impl_->find(caller);
+    if (!exchange)
+        return;
+    exchange->unconsumed -= std::min(exchange->unconsumed, bytes);
+    if (exchange->isPaused && exchange->unconsumed <= maxUnconsumed && exchange->attempt) {
+        exchange->isPaused = false;
+        impl_->context.http.resume(exchange->attempt->transfer);
+    }
+}
+
+} // namespace lovagecourse
--- /dev/null
+++ b/src/direct/DirectRouterImpl.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "direct/DirectExchange.h"
+#include "direct/DirectRouter.h"
+
+#include <random>
+#include <string_view>
+#include <unordered_map>
+
+namespace lovagecourse {
+
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
+// Retry-After where nothing can be predicted: servers register again within a second or two.
+constexpr milliseconds unknownRetry{300};
+
+/// State of a router. DirectRouter.cpp takes requests and sends them, DirectAnswers.cpp takes what
+/// becomes of them.
+struct DirectRouter::Impl
+{
+    explicit Impl(DirectContext routerContext)
+        : context(std::move(routerContext))
+        , random(std::random_device{}())
+    {}
+
+    TimePoint now() const { return context.clock.now(); }
+    DirectExchange *find(CallerId caller);
+    RepeatBudget &budget(const ServiceId &service);
+
+    void receive(CallerRequest &&request);
+    bool accept(DirectExchange &exchange);
+    void dispatch(DirectExchange &exchange);
+    PlacementRequest placementRequest(const DirectExchange &exchange) const;
+    bool admit(DirectExchange &exchange, const Placement &placement);
+    void send(DirectExchange &exchange, Placement placement);
+    void armStallTimer(DirectExchange &exchange);
+    bool mayRepeat(DirectExchange &exchange);
+
+    void onHead(CallerId caller, int status, const HeaderList &headers);
+    void onData(CallerId caller, std::string_view bytes);
+    void onDone(CallerId caller, const std::optional<HttpFailure> &failure);
+    void onNotSent(DirectExchange &exchange);
+    void onNotExecuted(DirectExchange &exchange);
+    void onBroken(DirectExchange &exchange, std::string_view why);
+    void onAnswered(DirectExchange &exchange);
+    void onDeadline(CallerId caller);
+    void onStalled(CallerId caller);
+
+    void forward(DirectExchange &exchange, std::string_view bytes);
+    void deliver(DirectExchange &exchange, const DirectAttempt &attempt);
+    void endAttempt(DirectExchange &exchange);
+    void cancelAttempt(DirectExchange &exchange);
+    void refuse(DirectExchange &exchange, std::string_view reason, milliseconds retryAfter);
+    void fail(DirectExchange &exchange, int status, std::string_view reason);
+    void reject(CallerId caller, int status, RefusalReason reason);
+    void finish(DirectExchange &exchange, std::string_view outcome, int status,
+                std::string_view reason);
+
+    DirectContext context;
+    HttpGateway *gateway = nullptr;
+    std::shared_ptr<const DirectConfiguration> configuration;
+    std::unordered_map<CallerId, std::unique_ptr<DirectExchange>> exchanges;
+    std::unordered_map<ServiceId, RepeatBudget> budgets;
+    bool isLeaving = false;
+    std::mt19937_64 random;
+};
+
+} // namespace lovagecourse
--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -523,7 +523,7 @@
 {
     const auto late = now - lastTick - housekeepingInterval;
     lastTick = now;
-    const double lateMs = std::max(0., std::chrono::duration<double, std::milli>(late).count());
+    const double lateMs = std::max(0., toMs(late));
     lateness += latenessWeight * (std::min(lateMs, maxLatenessMs) - lateness);
     const bool isLate = lateness > (isOverloaded ? calmLatenessMs : overloadLatenessMs);
     if (isLate == isOverloaded)
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -112,7 +112,7 @@
     for (const auto &[peer, report] : server.peers) {
         if (now - report.received > reportTimeout)
             continue;
-        const double age = std::chrono::duration<double, std::milli>(now - report.received).count();
+        const double age = toMs(now - report.received);
         sum.backlogMs += report.load.backlogMs;
         readSince += report.load.backlogMs * age;
         sum.overdueMs = std::max(sum.overdueMs, report.load.overdueMs);
@@ -158,9 +158,7 @@
     hasNews_ = false;
     std::vector<RouterReport> reports(1);
     for (auto &[id, server] : servers_) {
-        const double age =
-                std::chrono::duration<double, std::milli>(now - server.model.slownessTold())
-                        .count();
+        const double age = toMs(now - server.model.slownessTold());
         const bool isFresh = server.model.slownessTold() != TimePoint()
                              && age < static_cast<double>(reportTimeout.count());
         const bool isBusy = server.model.running() > 0 || isFresh;
--- a/src/placing/ServerModel.cpp
+++ b/src/placing/ServerModel.cpp
@@ -26,11 +26,6 @@
 constexpr milliseconds firstAvoidance{250};
 constexpr milliseconds longestAvoidance{2000};
 
-double toMs(std::chrono::nanoseconds duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 } // namespace
 
 double ServerModel::slowness(TimePoint now) const
