--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -20,10 +20,10 @@
 constexpr double leavingPaceShare = 0.55;
 // Reports of all that a router knows of its load.
 constexpr milliseconds reportInterval{100};
-// News of sends go out this soon, a part of the time in which an engine reads a usual prompt, and
-// later with many peers, so that a router sends at most 500 datagrams of news a second.
-constexpr milliseconds newsDelay{20};
-constexpr milliseconds newsDelayPerPeer{2};
+// News of sends go out this soon, a small part of the time in which an engine reads a usual prompt,
+// and later with many peers, so that a router sends at most 2,000 datagrams of news a second.
+constexpr std::chrono::microseconds newsDelay{5000};
+constexpr std::chrono::microseconds newsDelayPerPeer{500};
 // Above this number of peers, reports are rarer, so that their traffic grows with the number of
 // routers and not with its square.
 constexpr std::size_t peersPerInterval = 5;
