Tell other routers again of beginnings that are still used

Cause: a router told the others of a beginning only when it believed that the server did not keep it. Uses after that were not told, so after about 14 s of a grown fleet's load the others took it for dropped and read it elsewhere. Change: a further use is told once a tenth of the engine's memory has been sent since the last one.

--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -247,7 +247,7 @@
     if (!prompt.empty()) {
         // The last part belongs to one request or session, which no other daemon asks about.
         for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
-            if (server->cache.keptTokens({prompt[i]}, capacity) == 0)
+            if (server->cache.isWorthTelling(prompt[i].hash, capacity))
                 unreported_.push_back({reportHash(placement.server.value), prompt[i].hash});
         }
         server->cache.insert(prompt, capacity);
--- a/src/placing/CacheModel.cpp
+++ b/src/placing/CacheModel.cpp
@@ -11,6 +11,9 @@
 // Entries are swept when their number has doubled since the last sweep.
 constexpr std::size_t minSweepSize = 1024;
 
+// Part of the memory that may be sent to the engine until other daemons are told of a further use.
+constexpr double tellShare = 0.1;
+
 } // namespace
 
 bool CacheModel::isKept(std::uint64_t hash, double capacityTokens) const
@@ -30,6 +33,12 @@
     return kept;
 }
 
+bool CacheModel::isWorthTelling(std::uint64_t hash, double capacityTokens) const
+{
+    const auto found = lastUse_.find(hash);
+    return found == lastUse_.end() || sentTokens_ - found->second >= capacityTokens * tellShare;
+}
+
 void CacheModel::insert(const std::vector<PromptPrefix> &prompt, double capacityTokens)
 {
     for (const PromptPrefix &prefix : prompt) {
--- a/src/placing/CacheModel.h
+++ b/src/placing/CacheModel.h
@@ -16,6 +16,9 @@
 public:
     /// Leading tokens of the prompt that the engine need not read.
     double keptTokens(const std::vector<PromptPrefix> &prompt, double capacityTokens) const;
+    /// Other daemons would soon expect the engine to have dropped this beginning, unless they are
+    /// told that it is used again.
+    bool isWorthTelling(std::uint64_t hash, double capacityTokens) const;
     /// The prompt was sent to the engine.
     void insert(const std::vector<PromptPrefix> &prompt, double capacityTokens);
     /// Another daemon sent a prompt with this beginning.
--- a/tests/placing/CacheModelTest.cpp
+++ b/tests/placing/CacheModelTest.cpp
@@ -61,3 +61,14 @@
     cache.clear();
     CHECK(cache.keptTokens(prompt(1, 2), capacity) == 0);
 }
+
+// Guards against routers that forget a beginning which others still use, and read it elsewhere.
+TEST_CASE_METHOD(CacheModelFixture, "cache model, beginning used again after a while, is told again")
+{
+    cache.insert(prompt(1, 2), capacity);
+    const std::uint64_t shared = prompt(1, 2).front().hash;
+    CHECK_FALSE(cache.isWorthTelling(shared, capacity));
+    cache.advance(capacity / 5);
+    CHECK(cache.isWorthTelling(shared, capacity));
+    CHECK(cache.isWorthTelling(prompt(3, 4).front().hash, capacity));
+}
