Limit the callers that a late router takes, and leave the rotation meanwhile

Cause: on the grown sites a small host (0.09 cores) gets as many callers as a large one, and all those of a busy account that the balancer's hash sends it. It was seconds late with everything: requests were sent on after their callers had left (GONE), connections took more memory than the host allows, its own lateness counted as overdue answers of servers in all routers' eyes. Change: IntakeLimit bounds the open requests of a process that is late; further connections are closed unread, and the router is not ready for 6 s, so that the balancer moves its callers. Callers' connections are bounded by memory, too (new setting max_memory_mb). A request is not sent when its caller has left. A router's own delay neither teaches the servers' speed nor makes answers overdue.

--- a/src/core/EventLoop.cpp
+++ b/src/core/EventLoop.cpp
@@ -15,13 +15,46 @@
 
 EventLoop::EventLoop()
     : loop_(ev_loop_new(EVFLAG_AUTO))
-{}
+{
+    ev_prepare_init(&beforeWait_, &EventLoop::onBeforeWait);
+    beforeWait_.data = this;
+    ev_prepare_start(loop_, &beforeWait_);
+    ev_check_init(&afterWait_, &EventLoop::onAfterWait);
+    afterWait_.data = this;
+    ev_check_start(loop_, &afterWait_);
+    // Neither keeps the loop running when nothing else does.
+    ev_unref(loop_);
+    ev_unref(loop_);
+}
 
 EventLoop::~EventLoop()
 {
+    ev_ref(loop_);
+    ev_ref(loop_);
+    ev_prepare_stop(loop_, &beforeWait_);
+    ev_check_stop(loop_, &afterWait_);
     ev_loop_destroy(loop_);
 }
 
+void EventLoop::onBeforeWait(struct ev_loop *, ev_prepare *watcher, int)
+{
+    auto &self = *static_cast<EventLoop *>(watcher->data);
+    if (self.woke_ != WallTime())
+        self.lastTurn_ = std::chrono::steady_clock::now() - self.woke_;
+}
+
+void EventLoop::onAfterWait(struct ev_loop *, ev_check *watcher, int)
+{
+    static_cast<EventLoop *>(watcher->data)->woke_ = std::chrono::steady_clock::now();
+}
+
+std::chrono::nanoseconds EventLoop::delay() const
+{
+    if (woke_ == WallTime())
+        return std::chrono::nanoseconds(0);
+    return lastTurn_ + (std::chrono::steady_clock::now() - woke_);
+}
+
 void EventLoop::run()
 {
     ev_run(loop_, 0);
--- a/src/core/EventLoop.h
+++ b/src/core/EventLoop.h
@@ -22,11 +22,23 @@
     void run();
     /// Makes run() return after the current callbacks.
     void stop();
+    /// How long what is handled now may have waited for this process; 0 outside of run().
+    std::chrono::nanoseconds delay() const;
     /// Loop handle for libraries that bring their own descriptors.
     struct ev_loop *handle() const { return loop_; }
 
 private:
+    using WallTime = std::chrono::steady_clock::time_point;
+
+    static void onBeforeWait(struct ev_loop *loop, ev_prepare *watcher, int events);
+    static void onAfterWait(struct ev_loop *loop, ev_check *watcher, int events);
+
     struct ev_loop *loop_;
+    ev_prepare beforeWait_{};
+    ev_check afterWait_{};
+    /// When the loop last woke, and how long the turn before took.
+    WallTime woke_;
+    std::chrono::nanoseconds lastTurn_{0};
 };
 
 /// One-shot or repeating timer; stops when destroyed.
--- a/src/direct/DirectAnswers.cpp
+++ b/src/direct/DirectAnswers.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t maxUnconsumed = 256U << 10;
 // Servers that can't be connected to cost a request connectTimeout each.
 constexpr std::size_t maxUnreachable = 4;
+// An answer that waited longer in this process tells too little of the server's speed.
+constexpr milliseconds teachingDelay{15};
 constexpr int firstErrorStatus = 400;
 constexpr int firstServerErrorStatus = 500;
 
@@ -32,7 +34,9 @@
     attempt.isGarbled = isForeign || isUnsigned;
     attempt.isEventStream = findHeader(headers, "content-type").starts_with("text/event-stream")
                             && status < firstErrorStatus;
-    context.pool.onFirstByte(attempt.placement.server, attempt.number, now());
+    const auto ownDelay = attempt.sendDelay + context.loop.delay();
+    context.pool.onFirstByte(attempt.placement.server, attempt.number, now(),
+                             ownDelay < teachingDelay);
     if (answer.load)
         context.pool.onLoad(attempt.placement.server, *answer.load, now());
     if (exchange->stallTimer)
--- a/src/direct/DirectExchange.h
+++ b/src/direct/DirectExchange.h
@@ -23,6 +23,8 @@
     SendNumber number = 0;
     HttpTransferId transfer;
     TimePoint sentAt;
+    /// Time that this process may add before it sends, as far as known.
+    std::chrono::nanoseconds sendDelay{0};
     int status = 0;
     ServerAnswer answer;
     /// Body of an answer that is not streamed.
--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -162,6 +162,9 @@
 
 void DirectRouter::Impl::dispatch(DirectExchange &exchange)
 {
+    // In a busy process the news of a caller that left waits behind this request.
+    if (gateway->hasLeft(exchange.caller))
+        return finish(exchange, "caller-left", 0, "left-before-send");
     auto placement = context.pool.choose(placementRequest(exchange), now());
     if (!placement) {
         if (exchange.mayHaveRun)
@@ -201,6 +204,7 @@
     auto attempt = std::make_unique<DirectAttempt>();
     attempt->placement = std::move(placement);
     attempt->sentAt = current;
+    attempt->sendDelay = context.loop.delay();
     attempt->number = context.pool.onSent(attempt->placement, exchange.prompt, current);
     exchange.tried.insert(attempt->placement.server);
     ++exchange.sends;
--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -4,6 +4,7 @@
 #include "direct/DirectRouter.h"
 #include "direct/RouterPeers.h"
 #include "direct/StoreFollower.h"
+#include "placing/IntakeLimit.h"
 #include "wire/DatagramSocket.h"
 
 #include <algorithm>
@@ -39,6 +40,9 @@
 constexpr double maxLatenessMs = 500;
 // Weight of one tick in the mean: about ten ticks, half a second, count.
 constexpr double latenessWeight = 0.1;
+// The balancer sends a caller to the same router each time, so a router that turned callers away is
+// not ready until a rush of a few seconds is over, and the balancer spreads them over the others.
+constexpr seconds turnedAwayPause{6};
 // What a router believes of the servers, for explaining a decision afterwards.
 constexpr seconds stateLogInterval{5};
 constexpr milliseconds listRetryInterval{500};
@@ -47,10 +51,15 @@
 constexpr std::size_t gatewayBodyBytes = 64U << 20;
 // Each connection keeps a buffer of about three times this size.
 constexpr std::size_t gatewayHeaderBytes = 16U << 10;
-// Parts of the sockets for callers: at most, and from where on no idle connection is kept. The rest
-// is for backend servers.
+// Parts of the sockets and of the memory that callers' connections may take; the rest is for
+// backend servers and for what the process knows.
 constexpr unsigned callerSocketsPercent = 70;
-constexpr unsigned keptSocketsPercent = 35;
+constexpr std::size_t callerMemoryPercent = 50;
+// From this part of the connections on, no idle one is kept.
+constexpr unsigned keptConnectionsPercent = 50;
+// The gateway's buffers for a connection, and a usual prompt that is unread or being passed on.
+constexpr std::size_t callerConnectionBytes = 64U << 10;
+constexpr std::size_t bytesPerMb = 1U << 20;
 // Until a configuration tells the limit.
 constexpr seconds gatewayIdleTimeout{30};
 // A caller that keeps to the limit never meets the close.
@@ -108,6 +117,7 @@
     void restartFollowers();
     void onTerminate();
     void watchLateness(TimePoint now);
+    void limitIntake(double lateMs, TimePoint now);
     void onTick();
 
     EventLoop &loop;
@@ -137,6 +147,9 @@
     /// Mean lateness of the ticks, in ms.
     double lateness = 0;
     bool isOverloaded = false;
+    IntakeLimit intake;
+    /// When callers were last turned away for lateness.
+    TimePoint turnedAway;
     Timer tick;
     Timer reportTimer;
     Timer newsTimer;
@@ -205,8 +218,11 @@
     limits.maxHeaderBytes = gatewayHeaderBytes;
     limits.idleTimeout = gatewayIdleTimeout;
     limits.dropHalfClosed = true;
-    limits.maxConnections = settings.maxSockets * callerSocketsPercent / 100;
-    limits.maxKeptConnections = settings.maxSockets * keptSocketsPercent / 100;
+    const unsigned bySockets = settings.maxSockets * callerSocketsPercent / 100;
+    const auto byMemory = static_cast<unsigned>(settings.maxMemoryMb * callerMemoryPercent / 100
+                                                * bytesPerMb / callerConnectionBytes);
+    limits.maxConnections = std::min(bySockets, byMemory);
+    limits.maxKeptConnections = limits.maxConnections * keptConnectionsPercent / 100;
     auto opened = HttpGateway::open(loop, metrics, settings.callers, limits, gatewayHandlers());
     if (const auto *failure = std::get_if<SocketFailure>(&opened))
         return *failure;
@@ -495,7 +511,8 @@
 
 bool RouterNode::Impl::isReady() const
 {
-    return configuration && serversKnown && !terminated && !isOverloaded;
+    const bool hasRoom = turnedAway == TimePoint() || clock.now() - turnedAway > turnedAwayPause;
+    return configuration && serversKnown && !terminated && !isOverloaded && hasRoom;
 }
 
 void RouterNode::Impl::answerAdmin(HttpGateway &target, const CallerRequest &request)
@@ -519,12 +536,32 @@
     gateway->closeAfterAnswers();
 }
 
+void RouterNode::Impl::limitIntake(double lateMs, TimePoint now)
+{
+    const bool wasLimited = intake.isLimited();
+    const std::size_t allowed = intake.onInterval(lateMs, gateway->openRequests(), now);
+    if (intake.isLimited())
+        gateway->limitAccepts(allowed);
+    else if (wasLimited)
+        gateway->unlimitAccepts();
+    if (gateway->takeTurnedAway() > 0)
+        turnedAway = now;
+    if (intake.isLimited() != wasLimited)
+        logWarning(LogPart::Gateway, "event=", wasLimited ? "intake-unlimited" : "intake-limited",
+                   " late_ms=", lateMs, " max_open=", intake.maxOpen(),
+                   " open_requests=", gateway->openRequests(),
+                   " connections=", gateway->openConnections());
+}
+
 /// A process that is late with everything lets the platform send new callers elsewhere.
 void RouterNode::Impl::watchLateness(TimePoint now)
 {
-    const auto late = now - lastTick - housekeepingInterval;
+    const auto elapsed = now - lastTick;
     lastTick = now;
-    const double lateMs = std::max(0., toMs(late));
+    const double lateMs = std::max(0., toMs(elapsed - housekeepingInterval));
+    pool.setOwnDelay(elapsed > housekeepingInterval ? elapsed - housekeepingInterval
+                                                    : std::chrono::nanoseconds(0));
+    limitIntake(lateMs, now);
     lateness += latenessWeight * (std::min(lateMs, maxLatenessMs) - lateness);
     const bool isLate = lateness > (isOverloaded ? calmLatenessMs : overloadLatenessMs);
     if (isLate == isOverloaded)
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -262,14 +262,20 @@
                                 server->entry.slots, now);
 }
 
-void ServerPool::onFirstByte(const ServerId &server, SendNumber number, TimePoint now)
+void ServerPool::onFirstByte(const ServerId &server, SendNumber number, TimePoint now, bool isExact)
 {
     if (Server *known = find(server)) {
-        known->model.onFirstByte(speed(known->entry.service), number, now);
+        known->model.onFirstByte(speed(known->entry.service), number, now, isExact);
         known->model.onReachable();
     }
 }
 
+void ServerPool::setOwnDelay(std::chrono::nanoseconds delay)
+{
+    for (auto &[id, server] : servers_)
+        server.model.setOwnDelay(toMs(delay));
+}
+
 void ServerPool::onLoad(const ServerId &server, const ReportedLoad &load, TimePoint now)
 {
     if (Server *known = find(server))
--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -62,7 +62,10 @@
     /// Below: calls for servers that are gone are ignored.
     SendNumber onSent(const Placement &placement, const std::vector<PromptPrefix> &prompt,
                       TimePoint now);
-    void onFirstByte(const ServerId &server, SendNumber number, TimePoint now);
+    /// isExact: the time was not spoilt by a delay in this process, so it may teach the speed.
+    void onFirstByte(const ServerId &server, SendNumber number, TimePoint now, bool isExact);
+    /// Events of this process wait for so long now; answers are not overdue for that reason.
+    void setOwnDelay(std::chrono::nanoseconds delay);
     void onLoad(const ServerId &server, const ReportedLoad &load, TimePoint now);
     void onEnded(const ServerId &server, SendNumber number);
     void onOutcome(const ServerId &server, bool failed);
--- a/src/gateway/GatewayImpl.h
+++ b/src/gateway/GatewayImpl.h
@@ -5,6 +5,7 @@
 
 #include <microhttpd.h>
 
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -74,6 +75,7 @@
     bool start(int listenSocket);
     void stopListening();
     void acceptConnections();
+    const char *dropReason(int descriptor) const;
     void run();
     void dispatch();
     void armTimer();
@@ -123,6 +125,9 @@
     std::uint64_t lastCaller = 0;
     bool stopping = false;
     bool closesAfterAnswers = false;
+    std::size_t turnedAway = 0;
+    /// Connections that may still be taken; empty means no limit.
+    std::optional<std::size_t> acceptAllowance;
     /// Set to false on destruction, which a handler may cause.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/gateway/HttpGateway.cpp
+++ b/src/gateway/HttpGateway.cpp
@@ -14,6 +14,7 @@
 #include <array>
 #include <cassert>
 #include <cerrno>
+#include <utility>
 
 namespace lovagecourse {
 
@@ -124,11 +125,21 @@
     return true;
 }
 
+/// Why a new connection is closed unread; null when it is taken.
+const char *HttpGateway::Impl::dropReason(int descriptor) const
+{
+    if (acceptAllowance && *acceptAllowance == 0)
+        return "late";
+    if (connectionCount() >= limits.maxConnections)
+        return "full";
+    return limits.dropHalfClosed && hasHungUp(descriptor) ? "left" : nullptr;
+}
+
 /// libmicrohttpd accepts at most ten connections in each run, which under load keeps callers
 /// waiting until they give up, and then again with the next ones.
 void HttpGateway::Impl::acceptConnections()
 {
-    for (int accepted = 0; accepted < maxAccepts; ++accepted) {
+    for (int calls = 0; calls < maxAccepts; ++calls) {
         sockaddr_in address{};
         socklen_t size = sizeof(address);
         const int descriptor = accept4(listener, reinterpret_cast<sockaddr *>(&address), &size,
@@ -138,12 +149,14 @@
                 metrics.count("lovagecourse_accept_failures_total");
             break;
         }
-        const bool isFull = connectionCount() >= limits.maxConnections;
-        if (isFull || (limits.dropHalfClosed && hasHungUp(descriptor))) {
-            metrics.count("lovagecourse_connections_dropped_total", isFull ? "full" : "left");
+        if (const char *reason = dropReason(descriptor)) {
+            metrics.count("lovagecourse_connections_dropped_total", reason);
+            turnedAway += acceptAllowance && *acceptAllowance == 0 ? 1 : 0;
             close(descriptor);
             continue;
         }
+        if (acceptAllowance)
+            --*acceptAllowance;
         metrics.count("lovagecourse_connections_accepted_total");
         // libmicrohttpd owns the descriptor from here on, even when it fails.
         if (MHD_add_connection(daemon, descriptor, reinterpret_cast<const sockaddr *>(&address),
@@ -204,7 +217,7 @@
 
 bool HttpGateway::Impl::isCrowded() const
 {
-    return connectionCount() > limits.maxKeptConnections;
+    return acceptAllowance || connectionCount() > limits.maxKeptConnections;
 }
 
 HttpGateway::Impl::Exchange *HttpGateway::Impl::find(CallerId caller)
@@ -352,6 +365,31 @@
     impl_->limits.idleTimeout = timeout;
 }
 
+void HttpGateway::limitAccepts(std::size_t count)
+{
+    impl_->acceptAllowance = count;
+}
+
+void HttpGateway::unlimitAccepts()
+{
+    impl_->acceptAllowance.reset();
+}
+
+std::size_t HttpGateway::takeTurnedAway()
+{
+    return std::exchange(impl_->turnedAway, 0);
+}
+
+bool HttpGateway::hasLeft(CallerId caller) const
+{
+    const Impl::Exchange *exchange = impl_->find(caller);
+    if (!exchange || !impl_->limits.dropHalfClosed)
+        return false;
+    const MHD_ConnectionInfo *info =
+            MHD_get_connection_info(exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return info && hasHungUp(info->connect_fd);
+}
+
 std::size_t HttpGateway::openRequests() const
 {
     return impl_->exchanges.size();
--- a/src/gateway/HttpGateway.h
+++ b/src/gateway/HttpGateway.h
@@ -86,6 +86,15 @@
     /// Idle time after which a connection is closed; counts for connections from their next
     /// request on.
     void setIdleTimeout(seconds timeout);
+    /// Takes this many connections until the next call and closes the others unread, so that their
+    /// callers go elsewhere at once. While limited, each answer ends its connection.
+    void limitAccepts(std::size_t count);
+    void unlimitAccepts();
+    /// Connections closed unread for that reason since the last call.
+    std::size_t takeTurnedAway();
+    /// The caller has closed its side already, even if its handler was not told yet. Always false
+    /// for callers that may close their sending side early.
+    bool hasLeft(CallerId caller) const;
     /// Requests that have begun to arrive and whose answer has not ended.
     std::size_t openRequests() const;
     /// Open connections, idle ones included.
--- a/src/placing/ServerModel.cpp
+++ b/src/placing/ServerModel.cpp
@@ -51,7 +51,9 @@
     const Send *oldest = oldestWaiting();
     if (!oldest)
         return 0;
-    const double allowed = (1 + overdueShare) * oldest->predictedMs + overdueSlackMs;
+    // This process may have been late with the send and with reading the answer.
+    const double allowed =
+            (1 + overdueShare) * oldest->predictedMs + overdueSlackMs + 2 * ownDelayMs_;
     return std::max(0., toMs(now - oldest->sentAt) - allowed);
 }
 
@@ -100,7 +102,7 @@
     return lastNumber_;
 }
 
-void ServerModel::onFirstByte(ReadingSpeed &speed, SendNumber number, TimePoint now)
+void ServerModel::onFirstByte(ReadingSpeed &speed, SendNumber number, TimePoint now, bool isExact)
 {
     const auto found = sends_.find(number);
     if (found == sends_.end() || found->second.begun)
@@ -110,7 +112,7 @@
     // What was sent before has been read, too, or never will be.
     for (auto earlier = sends_.begin(); earlier != found; ++earlier)
         earlier->second.begun = true;
-    if (send.waitMs > maxTeachingWaitMs)
+    if (!isExact || send.waitMs > maxTeachingWaitMs)
         return;
     const double ownMs = std::max(0., toMs(now - send.sentAt) - send.waitMs);
     const double told = send.slowness / hiddenSlowness_;
--- a/src/placing/ServerModel.h
+++ b/src/placing/ServerModel.h
@@ -33,8 +33,10 @@
 
     SendNumber onSent(const ReadingSpeed &speed, const PromptWork &work, const PeerLoad &peers,
                       unsigned slots, TimePoint now);
-    /// The answer began; teaches the speed.
-    void onFirstByte(ReadingSpeed &speed, SendNumber number, TimePoint now);
+    /// The answer began; teaches the speed if isExact.
+    void onFirstByte(ReadingSpeed &speed, SendNumber number, TimePoint now, bool isExact = true);
+    /// Events of this process wait for so long now, in ms.
+    void setOwnDelay(double delayMs) { ownDelayMs_ = delayMs; }
     /// The request ended; also when its answer never began.
     void onEnded(SendNumber number);
     /// The server told how slow it is, relative to the usual speed.
@@ -84,6 +86,7 @@
     /// Slowness beyond what the server tells.
     double hiddenSlowness_ = 1;
     double failureShare_ = 0;
+    double ownDelayMs_ = 0;
     TimePoint avoidedUntil_;
     milliseconds avoidance_{0};
 };
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -12,6 +12,8 @@
 constexpr std::int64_t maxWindowSeconds = 3600;
 constexpr std::int64_t minSockets = 256;
 constexpr std::int64_t maxSocketsLimit = 1 << 20;
+constexpr std::int64_t minMemoryMb = 64;
+constexpr std::int64_t maxMemoryMbLimit = 1 << 20;
 constexpr std::int64_t minBoundMs = 200;
 constexpr std::int64_t maxBoundMs = 60000;
 constexpr double maxSeconds = 3600;
@@ -55,6 +57,10 @@
     if (root.readInteger("max_sockets", maxSockets, minSockets, maxSocketsLimit))
         settings.maxSockets = static_cast<unsigned>(maxSockets);
 
+    std::int64_t maxMemoryMb = settings.maxMemoryMb;
+    if (root.readInteger("max_memory_mb", maxMemoryMb, minMemoryMb, maxMemoryMbLimit))
+        settings.maxMemoryMb = static_cast<unsigned>(maxMemoryMb);
+
     SettingsReader log(root.readTable("log"), "log", file, faults);
     log.readWord<LogLevel>("level", settings.logLevel, logLevels);
     log.reportUnknown();
--- a/src/settings/RouterSettings.h
+++ b/src/settings/RouterSettings.h
@@ -33,6 +33,8 @@
     Endpoint datagrams;
     /// Sockets that the process may have open at once.
     unsigned maxSockets = 8192;
+    /// Memory in MB that the process may take.
+    unsigned maxMemoryMb = 512;
     LogLevel logLevel = LogLevel::Info;
     /// Second sends of requests that the whole fleet may make to one service, per request and
     /// beyond that in each window.
