Let one router's read of the servers' records serve the others

Each router read the servers' records every 1.65 s, and nearly all reads brought nothing or heartbeats only. Change: a router that read no change tells the others the range of offsets; one that has all before it puts off its own read. Paces differ by up to a tenth of the bound, so that they don't read at once. A router whose last read failed reads by itself.

--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -19,6 +19,9 @@
 // Heartbeats of all servers would end a long poll many times a second, so their entries are read at
 // a pace. This part of the bound leaves the rest for the answer and a lost packet.
 constexpr double leavingPaceShare = 0.55;
+// The router that reads first tells the others when nothing has changed, and they put off their own
+// read. Their paces differ by up to this part of the bound, so that they don't read at once.
+constexpr double leavingPaceStagger = 0.1;
 // Reports of all that a router knows of its load.
 constexpr milliseconds reportInterval{100};
 // News of sends go out this soon, a small part of the time in which an engine reads a usual prompt,
@@ -99,7 +102,8 @@
 
     void onConfigurationRecords(const std::vector<KeyedRecord> &records);
     void onAllServers(const std::vector<KeyedRecord> &records);
-    void onServerRecords(const std::vector<KeyedRecord> &records);
+    void onServerRecords(const std::vector<KeyedRecord> &records, LogOffset from, LogOffset to);
+    void tellUnchanged(LogOffset from, LogOffset to);
     std::optional<ServerEntry> decodeServer(const KeyedRecord &record);
     void applyChanges(const std::vector<ServerChange> &changes);
 
@@ -256,8 +260,10 @@
 
 FollowPace RouterNode::Impl::serversPace() const
 {
-    const auto pause =
-            std::chrono::duration_cast<milliseconds>(settings.leavingBound * leavingPaceShare);
+    constexpr double hashes = 4294967296.;
+    const double stagger = leavingPaceStagger * reportHash(settings.name.value) / hashes;
+    const auto pause = std::chrono::duration_cast<milliseconds>(settings.leavingBound
+                                                                * (leavingPaceShare + stagger));
     return FollowPace{pause, milliseconds(0)};
 }
 
@@ -266,14 +272,20 @@
     store = platform.openStore(http, settings.platformUrl);
     StoreFollower::Handlers forConfiguration;
     forConfiguration.onAll = [this](const auto &records) { onConfigurationRecords(records); };
-    forConfiguration.onChanges = forConfiguration.onAll;
+    forConfiguration.onChanges = [this](const auto &records, LogOffset, LogOffset) {
+        onConfigurationRecords(records);
+    };
+    forConfiguration.onNothing = [](LogOffset) {};
     forConfiguration.onReturned = [] {};
     configurationFollower =
             std::make_unique<StoreFollower>(loop, clock, *store, KeyedTopic::Configuration,
                                             configurationPace(), std::move(forConfiguration));
     StoreFollower::Handlers forServers;
     forServers.onAll = [this](const auto &records) { onAllServers(records); };
-    forServers.onChanges = [this](const auto &records) { onServerRecords(records); };
+    forServers.onChanges = [this](const auto &records, LogOffset from, LogOffset to) {
+        onServerRecords(records, from, to);
+    };
+    forServers.onNothing = [this](LogOffset next) { tellUnchanged(next, next); };
     forServers.onReturned = [this] { directory.onStoreReturned(clock.now()); };
     serversFollower = std::make_unique<StoreFollower>(loop, clock, *store, KeyedTopic::Servers,
                                                       serversPace(), std::move(forServers));
@@ -385,10 +397,25 @@
     applyChanges(directory.applyAll(entries, clock.now()));
 }
 
-void RouterNode::Impl::onServerRecords(const std::vector<KeyedRecord> &records)
+void RouterNode::Impl::onServerRecords(const std::vector<KeyedRecord> &records, LogOffset from,
+                                       LogOffset to)
+{
+    bool hasNews = false;
+    for (const KeyedRecord &record : records) {
+        const ServerId id(record.key);
+        const auto entry = decodeServer(record);
+        hasNews = hasNews || directory.isNews(id, entry);
+        applyChanges(directory.apply(id, entry, clock.now()));
+    }
+    if (!hasNews)
+        tellUnchanged(from, to);
+}
+
+/// Saves the other routers a call to the store.
+void RouterNode::Impl::tellUnchanged(LogOffset from, LogOffset to)
 {
-    for (const KeyedRecord &record : records)
-        applyChanges(directory.apply(ServerId(record.key), decodeServer(record), clock.now()));
+    for (const Endpoint &peer : peers.heard(clock.now()))
+        datagrams->send(peer, ServersUnchanged{from, to});
 }
 
 void RouterNode::Impl::applyChanges(const std::vector<ServerChange> &changes)
@@ -488,6 +515,9 @@
             accounts.emplace_back(load.account, AccountTokens{static_cast<double>(load.asked),
                                                               static_cast<double>(load.served)});
         shares.setPeer(sender.value, std::move(accounts), now);
+    } else if (const auto *unchanged = std::get_if<ServersUnchanged>(&message)) {
+        metrics.count("lovagecourse_store_reads_saved_total");
+        serversFollower->onUnchanged(unchanged->from, unchanged->to);
     } else {
         metrics.count("lovagecourse_unexpected_messages_total");
     }
--- a/src/direct/ServerDirectory.cpp
+++ b/src/direct/ServerDirectory.cpp
@@ -20,6 +20,14 @@
     return {ServerChange{id, std::nullopt}};
 }
 
+bool ServerDirectory::isNews(const ServerId &id, const std::optional<ServerEntry> &entry) const
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end())
+        return entry.has_value();
+    return !entry || found->second.isMissing || found->second.entry != *entry;
+}
+
 std::vector<ServerChange> ServerDirectory::applyAll(const std::map<ServerId, ServerEntry> &entries,
                                                     TimePoint now)
 {
--- a/src/direct/ServerDirectory.h
+++ b/src/direct/ServerDirectory.h
@@ -28,6 +28,8 @@
     /// One record of the store; empty when it names no server that may be used.
     std::vector<ServerChange> apply(const ServerId &id, std::optional<ServerEntry> entry,
                                     TimePoint now);
+    /// The record would change what is known, rather than only say that the server lives.
+    bool isNews(const ServerId &id, const std::optional<ServerEntry> &entry) const;
     /// Everything that the store holds; servers that are not in it have lapsed.
     std::vector<ServerChange> applyAll(const std::map<ServerId, ServerEntry> &entries,
                                        TimePoint now);
--- a/src/direct/ServerEntry.h
+++ b/src/direct/ServerEntry.h
@@ -21,6 +21,8 @@
     /// Start of the server in milliseconds since the epoch; a change means that it restarted under
     /// its id and keeps nothing. 0 when it did not say.
     std::uint64_t startedMs = 0;
+
+    bool operator==(const ServerEntry &) const = default;
 };
 
 } // namespace lovagecourse
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -49,6 +49,7 @@
 void StoreFollower::read()
 {
     const bool isAll = !next_.has_value();
+    isReading_ = true;
     const auto onDone = [this, isAll,
                          alive = std::weak_ptr<bool>(alive_)](const KeyedResult &result) {
         if (!alive.expired())
@@ -62,6 +63,7 @@
 
 void StoreFollower::onResult(const KeyedResult &result, bool isAll)
 {
+    isReading_ = false;
     if (const auto *fault = std::get_if<StoreFault>(&result))
         return onFault(*fault);
     const auto &batch = std::get<KeyedBatch>(result);
@@ -72,11 +74,24 @@
         failures_ = 0;
         handlers_.onReturned();
     }
+    const LogOffset from = next_.value_or(batch.next);
     next_ = batch.next;
+    timer_.startOnce(pace_.pause);
     if (isAll)
         handlers_.onAll(batch.records);
-    else if (!batch.records.empty())
-        handlers_.onChanges(batch.records);
+    else if (batch.records.empty())
+        handlers_.onNothing(batch.next);
+    else
+        handlers_.onChanges(batch.records, from, batch.next);
+}
+
+void StoreFollower::onUnchanged(LogOffset from, LogOffset to)
+{
+    // A read that is under way brings the same records; after a failure only an own one tells that
+    // the store is back.
+    if (!next_ || isReading_ || failures_ > 0 || *next_ < from || to < *next_)
+        return;
+    next_ = to;
     timer_.startOnce(pace_.pause);
 }
 
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -24,8 +24,11 @@
     {
         /// All keys that the topic holds.
         std::function<void(const std::vector<KeyedRecord> &)> onAll;
-        /// Changes in order.
-        std::function<void(const std::vector<KeyedRecord> &)> onChanges;
+        /// Records in order, and the range of offsets that they fill.
+        std::function<void(const std::vector<KeyedRecord> &, LogOffset from, LogOffset to)>
+                onChanges;
+        /// A read brought nothing; next is the offset that it began at.
+        std::function<void(LogOffset next)> onNothing;
         /// The store answers again after failures.
         std::function<void()> onReturned;
     };
@@ -34,6 +37,9 @@
                   FollowPace pace, Handlers handlers);
 
     void start();
+    /// Another daemon has read these records a moment ago and found no change in them, so this one
+    /// need not read them if it has all before them.
+    void onUnchanged(LogOffset from, LogOffset to);
     /// True while the last read failed.
     bool isAway() const { return failures_ > 0; }
 
@@ -49,6 +55,7 @@
     Handlers handlers_;
     Timer timer_;
     std::optional<LogOffset> next_;
+    bool isReading_ = false;
     unsigned failures_ = 0;
     TimePoint lostAt_;
     /// Results of reads that were started before the follower ended are dropped.
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -485,10 +485,26 @@
     }
 };
 
+/// A router read the records of servers in a range of offsets, and they change nothing for a router
+/// that knows all before it.
+struct ServersUnchanged
+{
+    LogOffset from;
+    /// Offset behind the last record.
+    LogOffset to;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(from, to);
+    }
+};
+
 /// Every message between the system's own processes. New ones go to the end.
-using Message = std::variant<Hello, Offer, OfferWithdraw, OfferRefused, Grant, GrantDecline,
-                             GrantAccept, Cancel, Credit, AnswerHead, AnswerData, AnswerEnd,
-                             AgentState, SuspectNotice, StateRequest, StateReply, Gossip,
-                             ServiceReport, FairTotals, LeaveNotice, RouterReport, RouterShares>;
+using Message =
+        std::variant<Hello, Offer, OfferWithdraw, OfferRefused, Grant, GrantDecline, GrantAccept,
+                     Cancel, Credit, AnswerHead, AnswerData, AnswerEnd, AgentState, SuspectNotice,
+                     StateRequest, StateReply, Gossip, ServiceReport, FairTotals, LeaveNotice,
+                     RouterReport, RouterShares, ServersUnchanged>;
 
 } // namespace lovagecourse
--- a/tests/direct/ServerDirectoryTest.cpp
+++ b/tests/direct/ServerDirectoryTest.cpp
@@ -67,3 +67,19 @@
     CHECK(changes.size() == 2);
     CHECK(directory.size() == 1);
 }
+
+// Guards against a change that other routers are told not to read.
+TEST_CASE_METHOD(ServerDirectoryFixture, "server directory, heartbeat, is no news but a change is")
+{
+    add("a");
+    CHECK_FALSE(directory.isNews(ServerId("a"), entry("a")));
+    CHECK_FALSE(directory.isNews(ServerId("unknown"), std::nullopt));
+    CHECK(directory.isNews(ServerId("b"), entry("b")));
+    CHECK(directory.isNews(ServerId("a"), std::nullopt));
+    ServerEntry leaving = entry("a");
+    leaving.isDraining = true;
+    CHECK(directory.isNews(ServerId("a"), leaving));
+    directory.onStoreReturned(now);
+    remove("a");
+    CHECK(directory.isNews(ServerId("a"), entry("a")));
+}
--- a/tests/direct/StoreFollowerTest.cpp
+++ b/tests/direct/StoreFollowerTest.cpp
@@ -55,7 +55,8 @@
     {
         StoreFollower::Handlers handlers;
         handlers.onAll = [this](const auto &) { ++alls; };
-        handlers.onChanges = [this](const auto &) { ++changes; };
+        handlers.onChanges = [this](const auto &, LogOffset, LogOffset) { ++changes; };
+        handlers.onNothing = [](LogOffset) {};
         handlers.onReturned = [this] { ++returns; };
         StoreFollower follower(loop, clock, store, KeyedTopic::Servers,
                                FollowPace{milliseconds(1), milliseconds(0)}, std::move(handlers));
@@ -102,3 +103,49 @@
     CHECK(store.calls == std::vector<std::string>{"all", "from 7", "from 7", "from 7", "from 8"});
     CHECK(returns == 1);
 }
+
+// Guards against a call of every router for each heartbeat, and against records that are passed
+// over.
+TEST_CASE_METHOD(StoreFollowerFixture,
+                 "store follower, other daemon found no change, reads on behind what that one read")
+{
+    store.results = {batch(7, 1), batch(30, 1)};
+    StoreFollower::Handlers handlers;
+    handlers.onAll = [](const auto &) {};
+    handlers.onChanges = [](const auto &, LogOffset, LogOffset) {};
+    handlers.onNothing = [](LogOffset) {};
+    handlers.onReturned = [] {};
+    StoreFollower follower(loop, clock, store, KeyedTopic::Servers,
+                           FollowPace{milliseconds(40), milliseconds(0)}, std::move(handlers));
+    follower.start();
+    // Begins behind what this follower has, so a record between them may hold a change.
+    follower.onUnchanged(LogOffset(9), LogOffset(11));
+    // Older than what this follower has.
+    follower.onUnchanged(LogOffset(2), LogOffset(5));
+    follower.onUnchanged(LogOffset(6), LogOffset(20));
+    Timer timer(loop, [this] { loop.stop(); });
+    timer.startOnce(milliseconds(60));
+    loop.run();
+    CHECK(store.calls == std::vector<std::string>{"all", "from 20"});
+}
+
+// Guards against a follower that does not notice the store's return because others read for it.
+TEST_CASE_METHOD(StoreFollowerFixture, "store follower, last read failed, reads by itself")
+{
+    store.results = {batch(7, 1), StoreFault::NoAnswer, batch(9, 1)};
+    StoreFollower::Handlers handlers;
+    handlers.onAll = [](const auto &) {};
+    handlers.onChanges = [](const auto &, LogOffset, LogOffset) {};
+    handlers.onNothing = [](LogOffset) {};
+    handlers.onReturned = [this] { ++returns; };
+    StoreFollower follower(loop, clock, store, KeyedTopic::Servers,
+                           FollowPace{milliseconds(1), milliseconds(0)}, std::move(handlers));
+    follower.start();
+    Timer other(loop, [&] { follower.onUnchanged(LogOffset(7), LogOffset(9)); });
+    other.startOnce(milliseconds(20));
+    Timer timer(loop, [this] { loop.stop(); });
+    timer.startOnce(milliseconds(200));
+    loop.run();
+    CHECK(store.calls == std::vector<std::string>{"all", "from 7", "from 7", "from 9"});
+    CHECK(returns == 1);
+}
--- a/tests/gateway/HttpGatewayTest.cpp
+++ b/tests/gateway/HttpGatewayTest.cpp
@@ -41,12 +41,18 @@
     std::vector<CallerId> left;
     std::size_t consumed = 0;
     std::function<void(const CallerRequest &)> onRequest = [](const CallerRequest &) {};
+    GatewayLimits limits = makeLimits();
     std::unique_ptr<HttpGateway> gateway = open();
 
-    std::unique_ptr<HttpGateway> open()
+    static GatewayLimits makeLimits()
     {
         GatewayLimits limits;
         limits.maxBodyBytes = bodyLimit;
+        return limits;
+    }
+
+    std::unique_ptr<HttpGateway> open()
+    {
         HttpGateway::Handlers handlers;
         handlers.onRequest = [this](CallerRequest &&request) {
             requests.push_back(std::move(request));
@@ -305,3 +311,38 @@
     CHECK(gateway->openRequests() == 0);
     close(descriptor);
 }
+
+// Guards against callers who wait for a router that has no time for them instead of going
+// elsewhere.
+TEST_CASE_METHOD(GatewayFixture, "gateway, accepts limited, closes further connections unread")
+{
+    onRequest = [this](const CallerRequest &request) {
+        gateway->answer(request.id, 200, {}, "ok");
+    };
+    gateway->limitAccepts(1);
+    const Reply taken = fetch("/x");
+    CHECK(taken.body == "ok");
+    // The caller's next request reaches another router only over a new connection.
+    CHECK(taken.headers.find("Connection: close") != std::string::npos);
+    CHECK(fetch("/x").code != CURLE_OK);
+    CHECK(gateway->takeTurnedAway() == 1);
+    CHECK(gateway->takeTurnedAway() == 0);
+    gateway->unlimitAccepts();
+    CHECK(fetch("/x").body == "ok");
+}
+
+// Guards against a request that is sent on while the news of its caller's leaving waits behind it.
+TEST_CASE_METHOD(GatewayFixture, "gateway, caller left a moment ago, is known before it is told")
+{
+    gateway.reset();
+    limits.dropHalfClosed = true;
+    gateway = open();
+    onRequest = [this](const CallerRequest &) { loop.stop(); };
+    const int descriptor = connectRaw(plainGet);
+    runFor(milliseconds(1000));
+    REQUIRE(requests.size() == 1);
+    CHECK_FALSE(gateway->hasLeft(requests[0].id));
+    close(descriptor);
+    CHECK(gateway->hasLeft(requests[0].id));
+    CHECK(left.empty());
+}
--- a/tests/placing/CacheModelTest.cpp
+++ b/tests/placing/CacheModelTest.cpp
@@ -63,7 +63,8 @@
 }
 
 // Guards against routers that forget a beginning which others still use, and read it elsewhere.
-TEST_CASE_METHOD(CacheModelFixture, "cache model, beginning used again after a while, is told again")
+TEST_CASE_METHOD(CacheModelFixture,
+                 "cache model, beginning used again after a while, is told again")
 {
     cache.insert(prompt(1, 2), capacity);
     const std::uint64_t shared = prompt(1, 2).front().hash;
--- a/tests/placing/ServerModelTest.cpp
+++ b/tests/placing/ServerModelTest.cpp
@@ -119,3 +119,24 @@
     for (const PromptWork &work : {PromptWork{3000, 13000}, PromptWork{50000, 0}})
         CHECK(speed.baseMs() + speed.readMs(work) == Approx(truth(work)).epsilon(0.1));
 }
+
+// Guards against a busy router that makes all others believe that servers stall.
+TEST_CASE_METHOD(ServerModelFixture, "server model, own process late, answer is not overdue")
+{
+    send(20000);
+    now += milliseconds(700);
+    REQUIRE(model.overdueMs(now) > 0);
+    model.setOwnDelay(300);
+    CHECK(model.overdueMs(now) == 0);
+}
+
+// Guards against a speed that a busy router learns from its own delay.
+TEST_CASE_METHOD(ServerModelFixture, "server model, time of the answer not exact, speed stays")
+{
+    const double before = speed.baseMs();
+    const SendNumber number = send(100);
+    now += milliseconds(300);
+    model.onFirstByte(speed, number, now, false);
+    CHECK(speed.baseMs() == before);
+    CHECK(model.slowness(now) == 1);
+}
--- a/tests/settings/RouterSettingsTest.cpp
+++ b/tests/settings/RouterSettingsTest.cpp
@@ -19,6 +19,7 @@
 admin = "127.0.0.1:9003"
 datagrams = "127.0.0.1:9003"
 max_sockets = 4100
+max_memory_mb = 260
 
 [repeats]
 ratio = 0.2
@@ -56,6 +57,7 @@
     const auto &settings = std::get<RouterSettings>(result);
     CHECK(settings.repeatRatio == 0.2);
     CHECK(settings.repeatSlack == 58);
+    CHECK(settings.maxMemoryMb == 260);
     CHECK(settings.leavingBound == seconds(3));
     CHECK(settings.shutdownLimit == milliseconds(7500));
     CHECK(settings.maxSockets == 4100);
