--- a/src/direct/RouterKnowledge.cpp
+++ b/src/direct/RouterKnowledge.cpp
@@ -223,9 +223,10 @@
 {
     const TimePoint now = clock.now();
     if (const auto *report = std::get_if<RouterReport>(&message)) {
-        peers.onHeard(sender, report->datagrams, now);
         if (report->isLeaving)
             peers.onLeaving(sender);
+        else
+            peers.onHeard(sender, report->datagrams, now);
         pool.applyReport(sender.value, *report, now);
     } else if (const auto *reported = std::get_if<RouterShares>(&message)) {
         std::vector<std::pair<AccountHash, AccountTokens>> accounts;
--- a/src/direct/RouterPeers.cpp
+++ b/src/direct/RouterPeers.cpp
@@ -32,7 +32,8 @@
 
 void RouterPeers::onLeaving(const DaemonId &router)
 {
-    peers_.erase(router);
+    if (peers_.erase(router) > 0)
+        logInfo(LogPart::Membership, "event=router-leaving router=", router);
 }
 
 std::vector<Endpoint> RouterPeers::targets(TimePoint now)
--- a/src/direct/RouterPeers.h
+++ b/src/direct/RouterPeers.h
@@ -17,6 +17,7 @@
     void onListed(const DaemonId &router, const Endpoint &datagrams);
     /// A datagram of the router came.
     void onHeard(const DaemonId &router, const Endpoint &datagrams, TimePoint now);
+    /// The router stops; its later datagrams don't bring it back.
     void onLeaving(const DaemonId &router);
     /// Addresses for the next report: routers that were heard of, and all listed ones in rounds
     /// that try whether the others are back.
