Vouch for no record in the first read after all keys

Cause: found on reading the change. When that record is read again it is no news here, and the others were told that nothing had changed, though a router that had read up to the offset didn't know it. It takes more servers than fit into one page, or a store that puts the end before its items. Change: the first range after all keys begins at its own end. Ruled out: later reads, which begin behind what is known. Before and after: the new test of StoreFollower fails without the change (range 7 to 9) and passes with it.

--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -74,7 +74,10 @@
         failures_ = 0;
         handlers_.onReturned();
     }
-    const LogOffset from = next_.value_or(batch.next);
+    // Pages of all keys are no snapshot: they may hold changes from behind the offset that the next
+    // read begins at. To a daemon that knows less, those are news.
+    const LogOffset from = wasAll_ ? batch.next : next_.value_or(batch.next);
+    wasAll_ = isAll;
     next_ = batch.next;
     timer_.startOnce(pace_.pause);
     if (isAll)
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -24,7 +24,8 @@
     {
         /// All keys that the topic holds.
         std::function<void(const std::vector<KeyedRecord> &)> onAll;
-        /// Records in order, and the range of offsets that they fill.
+        /// Records in order, and the range of offsets that they fill. After all keys were read, the
+        /// first range may hold changes that came with them already; it begins at its own end.
         std::function<void(const std::vector<KeyedRecord> &, LogOffset from, LogOffset to)>
                 onChanges;
         /// A read brought nothing; next is the offset that it began at.
@@ -56,6 +57,8 @@
     Timer timer_;
     std::optional<LogOffset> next_;
     bool isReading_ = false;
+    /// The last answer gave all keys.
+    bool wasAll_ = false;
     unsigned failures_ = 0;
     TimePoint lostAt_;
     /// Results of reads that were started before the follower ended are dropped.
--- a/tests/direct/StoreFollowerTest.cpp
+++ b/tests/direct/StoreFollowerTest.cpp
@@ -149,3 +149,26 @@
     CHECK(store.calls == std::vector<std::string>{"all", "from 7", "from 7", "from 9"});
     CHECK(returns == 1);
 }
+
+// Guards against a change that came with all keys, so that it is no news when it is read again, and
+// that other daemons are then told to pass over.
+TEST_CASE_METHOD(StoreFollowerFixture,
+                 "store follower, first read after all keys, vouches for no record")
+{
+    store.results = {batch(7, 2), batch(9, 2), batch(12, 1)};
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> ranges;
+    StoreFollower::Handlers handlers;
+    handlers.onAll = [](const auto &) {};
+    handlers.onChanges = [&](const auto &, LogOffset from, LogOffset to) {
+        ranges.emplace_back(from.value, to.value);
+    };
+    handlers.onNothing = [](LogOffset) {};
+    handlers.onReturned = [] {};
+    StoreFollower follower(loop, clock, store, KeyedTopic::Servers,
+                           FollowPace{milliseconds(1), milliseconds(0)}, std::move(handlers));
+    follower.start();
+    Timer timer(loop, [this] { loop.stop(); });
+    timer.startOnce(milliseconds(60));
+    loop.run();
+    CHECK(ranges == std::vector<std::pair<std::uint64_t, std::uint64_t>>{{9, 9}, {9, 12}});
+}
