Exchange load between data centres through one relay each

Cause: every router sent each load report to all others, encoded and authenticated anew for each.

Change: routers report directly only within their data centre. One of them, the one with the largest processor share that is heard, adds these reports up and exchanges the sum with one router of each other data centre, which forwards it to its own. Any router can take over; nothing is agreed on. A datagram is encoded once for all its receivers. Routers that start announce themselves to those in the store and are answered, instead of being found in every tenth report round. Loads per server are in vectors with a kept sum, not in a hash table of strings that each placement walks.

Ruled out: processor time of the large hosts (0.14 of 0.5 cores at most).

--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -74,10 +74,14 @@
     , wire{loop, clock, metrics, fleetKey, makeHello(settings, clock)}
     , http(loop)
     , pool(settings.dataCentre)
+    , peers(settings.name, settings.dataCentre, settings.processorPermille)
     , router(std::make_unique<DirectRouter>(routerContext()))
     , tickTimer(loop, [this] { onTick(); })
     , fullReportTimer(loop, [this] { sendFullReport(); })
     , incrementalReportTimer(loop, [this] { sendIncrementalReport(); })
+    , relayFullTimer(loop, [this] { sendFullRelayReport(); })
+    , relayTimer(loop, [this] { sendIncrementalRelayReport(); })
+    , presenceTimer(loop, [this] { sendPresence(); })
     , registerTimer(loop, [this] { registerSelf(); })
     , routerRecordsTimer(loop, [this] { readRouterRecords(); })
     , stateLogTimer(loop, [this] { logState(); })
@@ -108,9 +112,10 @@
 
 std::optional<SocketFailure> RouterNode::Impl::openSockets()
 {
-    auto socket = DatagramSocket::open(
-            wire, settings.datagrams,
-            [this](const DaemonId &sender, Message &&message) { onDatagram(sender, message); });
+    auto socket = DatagramSocket::open(wire, settings.datagrams,
+                                       [this](const DaemonId &sender, Message &&message) {
+                                           onDatagram(sender, std::move(message));
+                                       });
     if (const auto *failure = std::get_if<SocketFailure>(&socket))
         return *failure;
     datagramSocket = std::move(std::get<0>(socket));
@@ -290,6 +295,7 @@
 {
     const TimePoint now = clock.now();
     updateLoopDelay(now);
+    updateRelay(now);
     applyChanges(directory.expire(now));
     flushLog();
     if (!terminatedAt)
--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -15,7 +15,8 @@
 constexpr milliseconds fullReportInterval{100};
 
 /// Implementation of RouterNode. RouterNode.cpp contains sockets, settings and lifecycle,
-/// RouterNodeSync.cpp the exchange of state with the store and with the other routers.
+/// RouterNodeSync.cpp what is read from the store, RouterNodePeers.cpp the exchange of state with
+/// the other routers.
 struct RouterNode::Impl
 {
     Impl(EventLoop &eventLoop, const Clock &nodeClock, RouterSettings nodeSettings,
@@ -39,11 +40,32 @@
 
     void registerSelf();
     void readRouterRecords();
+    void sendPresence();
+    RouterPresence presence(bool isReply) const;
+    std::size_t reportIntervalFactor() const;
     void sendFullReport();
     void sendIncrementalReport();
     void sendReports(std::vector<RouterReport> reports, const std::vector<Endpoint> &targets);
+    void updateRelay(TimePoint now);
+    void scheduleRelayReport();
+    void sendFullRelayReport();
+    void sendIncrementalRelayReport();
+    void sendRelayReports(std::vector<DataCentreReport> reports,
+                          const std::vector<Endpoint> &targets);
     void onRequest(CallerRequest &&request);
-    void onDatagram(const DaemonId &sender, const Message &message);
+    void onDatagram(const DaemonId &sender, Message &&message);
+    void onMessage(const DaemonId &sender, RouterPresence &&presence);
+    void onMessage(const DaemonId &sender, RouterReport &&report);
+    void onMessage(const DaemonId &sender, RouterAccountReport &&report);
+    void onMessage(const DaemonId &sender, DataCentreReport &&report);
+    void onMessage(const DaemonId &sender, DataCentreAccountReport &&report);
+    void onMessage(const DaemonId &sender, ServersUnchanged &&unchanged);
+    /// Messages between other roles.
+    template <class Other>
+    void onMessage(const DaemonId &, Other &&)
+    {
+        metrics.count("lovagecourse_unexpected_messages_total");
+    }
 
     void logState();
     bool isReady() const;
@@ -70,6 +92,9 @@
     ServerPool pool;
     FairShares shares;
     RouterPeers peers;
+    /// This router relays the load of its data centre to the others.
+    bool isRelaying = false;
+    unsigned presenceCount = 0;
     std::unique_ptr<DirectRouter> router;
     std::unique_ptr<StoreFollower> configurationFollower;
     std::unique_ptr<StoreFollower> serversFollower;
@@ -89,6 +114,9 @@
     Timer tickTimer;
     Timer fullReportTimer;
     Timer incrementalReportTimer;
+    Timer relayFullTimer;
+    Timer relayTimer;
+    Timer presenceTimer;
     Timer registerTimer;
     Timer routerRecordsTimer;
     Timer stateLogTimer;
--- /dev/null
+++ b/src/direct/RouterNodePeers.cpp
@@ -0,0 +1,308 @@
+#include "core/Log.h"
+#include "direct/RouterNodeImpl.h"
+#include "direct/RouterRecord.h"
+
+#include <algorithm>
+
+namespace lovagecourse {
+
+namespace {
+
+// Delay of an incremental report after the first unreported send: a small part of the prefill time
+// of a typical prompt. It grows with the number of peers, so that a router sends at most 2,000
+// datagrams of incremental reports a second.
+constexpr std::chrono::microseconds incrementalReportDelay{5000};
+constexpr std::chrono::microseconds incrementalReportDelayPerPeer{500};
+// Delay of a relay's report after the first change of its data centre's load. It grows with the
+// number of peers, to which the other relays forward each report.
+constexpr std::chrono::microseconds relayReportDelay{5000};
+constexpr std::chrono::microseconds relayReportDelayPerPeer{1250};
+// The interval of full reports grows by fullReportInterval with each further group of this many
+// peers, up to a part of the time after which reports expire.
+constexpr std::size_t peersPerInterval = 5;
+constexpr std::size_t maxIntervalFactor = 4;
+// This many accounts fit into one datagram of 1,400 bytes.
+constexpr std::size_t maxReportedAccounts = 96;
+constexpr milliseconds registryRetryInterval{500};
+constexpr milliseconds registryTimeout{1000};
+constexpr seconds presenceInterval{1};
+// After the start, this many presences go to all known routers, in case the first ones are lost.
+constexpr unsigned startPresences = 5;
+
+using AccountTotals = std::vector<std::pair<AccountHash, AccountTokens>>;
+
+/// When the report is full, accounts with the highest demand are kept: they decide the fair share.
+std::vector<RouterAccountLoad> reportedAccounts(const AccountTotals &totals)
+{
+    std::vector<RouterAccountLoad> accounts;
+    for (const auto &[account, tokens] : totals)
+        accounts.push_back({account, static_cast<std::uint32_t>(tokens.requested),
+                            static_cast<std::uint32_t>(tokens.admitted)});
+    std::sort(accounts.begin(), accounts.end(),
+              [](const auto &left, const auto &right) { return left.requested > right.requested; });
+    if (accounts.size() > maxReportedAccounts)
+        accounts.resize(maxReportedAccounts);
+    return accounts;
+}
+
+AccountTotals totalsOf(const std::vector<RouterAccountLoad> &accounts)
+{
+    AccountTotals totals;
+    for (const RouterAccountLoad &load : accounts)
+        totals.emplace_back(load.account, AccountTokens{static_cast<double>(load.requested),
+                                                        static_cast<double>(load.admitted)});
+    return totals;
+}
+
+/// Name of a data centre's sum among the senders of account reports.
+std::string totalsName(const DataCentreId &dataCentre)
+{
+    return "data-centre/" + dataCentre.value;
+}
+
+} // namespace
+
+/// Writes this router's own record, by which other routers find it; retries until it succeeds.
+void RouterNode::Impl::registerSelf()
+{
+    const std::string record =
+            formatRouterRecord(RouterRecord{settings.datagrams, settings.dataCentre});
+    store->writeDaemon(
+            settings.name.value, record, registryTimeout, [this](const WriteResult &fault) {
+                if (!fault)
+                    return;
+                logWarning(LogPart::Membership, "event=not-listed fault=", toString(*fault));
+                registerTimer.startOnce(registryRetryInterval);
+            });
+}
+
+void RouterNode::Impl::readRouterRecords()
+{
+    store->readNewest(KeyedTopic::Daemons, registryTimeout, [this](const KeyedResult &result) {
+        if (const auto *fault = std::get_if<StoreFault>(&result)) {
+            logWarning(LogPart::Membership, "event=routers-unknown fault=", toString(*fault));
+            routerRecordsTimer.startOnce(registryRetryInterval);
+            return;
+        }
+        for (const KeyedRecord &record : std::get<KeyedBatch>(result).records) {
+            const auto router = parseRouterRecord(record.value.value_or(""));
+            if (router && record.key != settings.name.value)
+                peers.onRegistered(DaemonId(record.key), router->datagramEndpoint,
+                                   router->dataCentre);
+        }
+        // Of two routers that start together, the later one reads the record of the other.
+        presenceCount = 0;
+        sendPresence();
+    });
+}
+
+/// Announces this router to the others of its data centre.
+void RouterNode::Impl::sendPresence()
+{
+    presenceTimer.startOnce(presenceInterval);
+    const bool isStarting = presenceCount < startPresences;
+    presenceCount += isStarting ? 1 : 0;
+    const TimePoint now = clock.now();
+    datagramSocket->sendToAll(isStarting ? peers.knownPeers() : peers.activePeers(now),
+                              presence(false));
+}
+
+RouterPresence RouterNode::Impl::presence(bool isReply) const
+{
+    return RouterPresence{settings.datagrams, settings.dataCentre, settings.processorPermille,
+                          isReply};
+}
+
+std::size_t RouterNode::Impl::reportIntervalFactor() const
+{
+    const std::size_t members = peers.activePeers(clock.now()).size();
+    return std::min(1 + members / peersPerInterval, maxIntervalFactor);
+}
+
+void RouterNode::Impl::sendFullReport()
+{
+    const TimePoint now = clock.now();
+    const std::vector<Endpoint> targets = peers.targets(now);
+    incrementalReportTimer.stop();
+    fullReportTimer.startOnce(fullReportInterval * reportIntervalFactor());
+    sendReports(pool.makeReports(false, now), targets);
+    datagramSocket->sendToAll(targets,
+                              RouterAccountReport{reportedAccounts(shares.localTotals(now))});
+}
+
+/// Reports the sends since the last report, so that routers don't all choose the same idle server.
+void RouterNode::Impl::sendIncrementalReport()
+{
+    sendReports(pool.makeReports(true, clock.now()), peers.activePeers(clock.now()));
+}
+
+void RouterNode::Impl::sendReports(std::vector<RouterReport> reports,
+                                   const std::vector<Endpoint> &targets)
+{
+    for (RouterReport &report : reports) {
+        report.datagramEndpoint = settings.datagrams;
+        report.isLeaving = terminatedAt.has_value();
+        datagramSocket->sendToAll(targets, std::move(report));
+    }
+}
+
+/// Begins or ends relaying when the routers that were heard have changed.
+void RouterNode::Impl::updateRelay(TimePoint now)
+{
+    const bool isRelay = !terminatedAt && peers.isRelay(now);
+    if (isRelay == isRelaying)
+        return;
+    isRelaying = isRelay;
+    logInfo(LogPart::Membership, "event=", isRelay ? "relay-begun" : "relay-ended",
+            " data_centre=", settings.dataCentre, " routers=", peers.memberCount(now));
+    pool.setRelaying(isRelay);
+    if (isRelay)
+        sendFullRelayReport();
+    else
+        relayFullTimer.stop();
+}
+
+/// Reports the load of this data centre to the others.
+void RouterNode::Impl::sendRelayReports(std::vector<DataCentreReport> reports,
+                                        const std::vector<Endpoint> &targets)
+{
+    const std::size_t routers = peers.memberCount(clock.now());
+    for (DataCentreReport &report : reports) {
+        report.dataCentre = settings.dataCentre;
+        report.relay = settings.name;
+        report.relayEndpoint = settings.datagrams;
+        report.routers = static_cast<std::uint16_t>(std::min<std::size_t>(routers, UINT16_MAX));
+        datagramSocket->sendToAll(targets, std::move(report));
+    }
+}
+
+void RouterNode::Impl::sendFullRelayReport()
+{
+    if (!isRelaying)
+        return;
+    const TimePoint now = clock.now();
+    relayTimer.stop();
+    relayFullTimer.startOnce(fullReportInterval * reportIntervalFactor());
+    const std::vector<Endpoint> targets = peers.relayTargets(now);
+    sendRelayReports(pool.makeDataCentreReports(false, now), targets);
+    const auto totals = shares.groupTotals(
+            [this](const std::string &peer) { return peers.isMember(DaemonId(peer)); }, now);
+    datagramSocket->sendToAll(
+            targets, DataCentreAccountReport{settings.dataCentre, reportedAccounts(totals), false});
+}
+
+void RouterNode::Impl::sendIncrementalRelayReport()
+{
+    if (!isRelaying)
+        return;
+    const TimePoint now = clock.now();
+    sendRelayReports(pool.makeDataCentreReports(true, now), peers.relayTargets(now));
+}
+
+void RouterNode::Impl::scheduleRelayReport()
+{
+    if (!isRelaying || !pool.hasUnrelayedLoad() || relayTimer.isActive())
+        return;
+    const auto peerCount = static_cast<int>(peers.activePeers(clock.now()).size());
+    relayTimer.startOnce(std::max(relayReportDelay, relayReportDelayPerPeer * peerCount));
+}
+
+/// Announces that the records of this range change nothing, which saves the other routers a read of
+/// the store.
+void RouterNode::Impl::announceUnchanged(LogOffset from, LogOffset to)
+{
+    const TimePoint now = clock.now();
+    std::vector<Endpoint> targets = peers.activePeers(now);
+    for (Endpoint &remote : peers.relayTargets(now))
+        targets.push_back(std::move(remote));
+    datagramSocket->sendToAll(targets, ServersUnchanged{from, to});
+}
+
+void RouterNode::Impl::onDatagram(const DaemonId &sender, Message &&message)
+{
+    std::visit([&](auto &&received) { onMessage(sender, std::move(received)); },
+               std::move(message));
+    scheduleRelayReport();
+}
+
+void RouterNode::Impl::onMessage(const DaemonId &sender, RouterPresence &&presence)
+{
+    const TimePoint now = clock.now();
+    if (presence.dataCentre != settings.dataCentre)
+        return peers.onRegistered(sender, presence.datagramEndpoint, presence.dataCentre);
+    const bool wasInactive =
+            peers.onPresence(sender, presence.datagramEndpoint, presence.processorPermille, now);
+    if (!wasInactive)
+        return;
+    if (!presence.isReply)
+        datagramSocket->send(presence.datagramEndpoint, this->presence(true));
+    sendReports(pool.makeReports(false, now), {presence.datagramEndpoint});
+}
+
+void RouterNode::Impl::onMessage(const DaemonId &sender, RouterReport &&report)
+{
+    const TimePoint now = clock.now();
+    // The load of a router in another data centre is part of that data centre's sum.
+    if (peers.isInOtherDataCentre(sender)) {
+        metrics.count("lovagecourse_unexpected_messages_total", "other-data-centre");
+        return;
+    }
+    // Before its peer entry is removed, a leaving router counts as a member for the last time.
+    const bool isMember = peers.isMember(sender);
+    if (report.isLeaving)
+        peers.onLeaving(sender);
+    else
+        peers.onReportReceived(sender, report.datagramEndpoint, now);
+    pool.applyReport(sender, report, isMember, now);
+}
+
+void RouterNode::Impl::onMessage(const DaemonId &sender, RouterAccountReport &&report)
+{
+    shares.setPeerTotals(sender.value, totalsOf(report.accounts), clock.now());
+}
+
+void RouterNode::Impl::onMessage(const DaemonId &, DataCentreReport &&report)
+{
+    if (report.dataCentre == settings.dataCentre)
+        return;
+    const TimePoint now = clock.now();
+    peers.onDataCentreReport(report.dataCentre, report.relayEndpoint, report.routers, now);
+    pool.applyReport(report, now);
+    if (report.isForwarded)
+        return;
+    report.isForwarded = true;
+    datagramSocket->sendToAll(peers.activePeers(now), std::move(report));
+}
+
+void RouterNode::Impl::onMessage(const DaemonId &, DataCentreAccountReport &&report)
+{
+    if (report.dataCentre == settings.dataCentre)
+        return;
+    const TimePoint now = clock.now();
+    shares.setPeerTotals(totalsName(report.dataCentre), totalsOf(report.accounts), now);
+    if (report.isForwarded)
+        return;
+    report.isForwarded = true;
+    datagramSocket->sendToAll(peers.activePeers(now), std::move(report));
+}
+
+void RouterNode::Impl::onMessage(const DaemonId &sender, ServersUnchanged &&unchanged)
+{
+    metrics.count("lovagecourse_store_reads_saved_total");
+    serversFollower->skipUnchanged(unchanged.from, unchanged.to);
+    if (peers.isInOtherDataCentre(sender))
+        datagramSocket->sendToAll(peers.activePeers(clock.now()), unchanged);
+}
+
+void RouterNode::Impl::onRequest(CallerRequest &&request)
+{
+    router->onRequest(std::move(request));
+    scheduleRelayReport();
+    if (!pool.hasUnreportedSends() || incrementalReportTimer.isActive())
+        return;
+    const auto peerCount = static_cast<int>(peers.activePeers(clock.now()).size());
+    incrementalReportTimer.startOnce(
+            std::max(incrementalReportDelay, incrementalReportDelayPerPeer * peerCount));
+}
+
+} // namespace lovagecourse
--- a/src/direct/RouterNodeSync.cpp
+++ b/src/direct/RouterNodeSync.cpp
@@ -15,19 +15,6 @@
 // their own read. Poll intervals differ by up to this part of maxLeavingDelay, so that routers
 // don't read at the same time.
 constexpr double serversPollStagger = 0.1;
-// Delay of an incremental report after the first unreported send: a small part of the prefill time
-// of a typical prompt. It grows with the number of peers, so that a router sends at most 2,000
-// datagrams of incremental reports a second.
-constexpr std::chrono::microseconds incrementalReportDelay{5000};
-constexpr std::chrono::microseconds incrementalReportDelayPerPeer{500};
-// The interval of full reports grows by fullReportInterval with each further group of this many
-// peers, so that the fleet's report traffic grows with the number of routers and not with its
-// square.
-constexpr std::size_t peersPerInterval = 5;
-// This many accounts fit into one datagram of 1,400 bytes.
-constexpr std::size_t maxReportedAccounts = 96;
-constexpr milliseconds registryRetryInterval{500};
-constexpr milliseconds registryTimeout{1000};
 // Added to the idle timeout, so that a caller that keeps to it never sends on a connection that is
 // being closed.
 constexpr seconds idleTimeoutSlack{1};
@@ -144,14 +131,6 @@
         announceUnchanged(from, to);
 }
 
-/// Announces to the active peers that the records of this range change nothing, which saves them a
-/// read of the store.
-void RouterNode::Impl::announceUnchanged(LogOffset from, LogOffset to)
-{
-    for (const Endpoint &peer : peers.activePeers(clock.now()))
-        datagramSocket->send(peer, ServersUnchanged{from, to});
-}
-
 void RouterNode::Impl::applyChanges(const std::vector<RegistrationChange> &changes)
 {
     for (const RegistrationChange &change : changes)
@@ -159,105 +138,4 @@
     metrics.gauge("lovagecourse_servers", static_cast<double>(directory.size()));
 }
 
-/// Writes this router's own record, by which other routers find it; retries until it succeeds.
-void RouterNode::Impl::registerSelf()
-{
-    store->writeDaemon(settings.name.value, toString(settings.datagrams), registryTimeout,
-                       [this](const WriteResult &fault) {
-                           if (!fault)
-                               return;
-                           logWarning(LogPart::Membership,
-                                      "event=not-listed fault=", toString(*fault));
-                           registerTimer.startOnce(registryRetryInterval);
-                       });
-}
-
-void RouterNode::Impl::readRouterRecords()
-{
-    store->readNewest(KeyedTopic::Daemons, registryTimeout, [this](const KeyedResult &result) {
-        if (const auto *fault = std::get_if<StoreFault>(&result)) {
-            logWarning(LogPart::Membership, "event=routers-unknown fault=", toString(*fault));
-            routerRecordsTimer.startOnce(registryRetryInterval);
-            return;
-        }
-        for (const KeyedRecord &record : std::get<KeyedBatch>(result).records) {
-            const auto endpoint = parseEndpoint(record.value.value_or(""));
-            if (endpoint && record.key != settings.name.value)
-                peers.onRegistered(DaemonId(record.key), *endpoint);
-        }
-    });
-}
-
-void RouterNode::Impl::sendFullReport()
-{
-    const TimePoint now = clock.now();
-    const std::vector<Endpoint> targets = peers.targets(now);
-    const std::size_t intervalFactor = 1 + targets.size() / peersPerInterval;
-    incrementalReportTimer.stop();
-    fullReportTimer.startOnce(fullReportInterval * intervalFactor);
-    RouterAccountReport accountReport;
-    for (const auto &[account, tokens] : shares.localTotals(now))
-        accountReport.accounts.push_back({account, static_cast<std::uint32_t>(tokens.requested),
-                                          static_cast<std::uint32_t>(tokens.admitted)});
-    // When the report is full, accounts with the highest demand are kept: they decide the fair
-    // share.
-    std::sort(accountReport.accounts.begin(), accountReport.accounts.end(),
-              [](const auto &left, const auto &right) { return left.requested > right.requested; });
-    if (accountReport.accounts.size() > maxReportedAccounts)
-        accountReport.accounts.resize(maxReportedAccounts);
-    sendReports(pool.makeReports(false, now), targets);
-    for (const Endpoint &target : targets)
-        datagramSocket->send(target, accountReport);
-}
-
-/// Reports the sends since the last report, so that routers don't all choose the same idle server.
-void RouterNode::Impl::sendIncrementalReport()
-{
-    sendReports(pool.makeReports(true, clock.now()), peers.activePeers(clock.now()));
-}
-
-void RouterNode::Impl::sendReports(std::vector<RouterReport> reports,
-                                   const std::vector<Endpoint> &targets)
-{
-    for (RouterReport &report : reports) {
-        report.datagramEndpoint = settings.datagrams;
-        report.isLeaving = terminatedAt.has_value();
-        for (const Endpoint &target : targets)
-            datagramSocket->send(target, report);
-    }
-}
-
-void RouterNode::Impl::onDatagram(const DaemonId &sender, const Message &message)
-{
-    const TimePoint now = clock.now();
-    if (const auto *report = std::get_if<RouterReport>(&message)) {
-        if (report->isLeaving)
-            peers.onLeaving(sender);
-        else
-            peers.onReportReceived(sender, report->datagramEndpoint, now);
-        pool.applyReport(sender.value, *report, now);
-    } else if (const auto *reported = std::get_if<RouterAccountReport>(&message)) {
-        std::vector<std::pair<AccountHash, AccountTokens>> accounts;
-        for (const RouterAccountLoad &load : reported->accounts)
-            accounts.emplace_back(load.account, AccountTokens{static_cast<double>(load.requested),
-                                                              static_cast<double>(load.admitted)});
-        shares.setPeerTotals(sender.value, std::move(accounts), now);
-    } else if (const auto *unchanged = std::get_if<ServersUnchanged>(&message)) {
-        metrics.count("lovagecourse_store_reads_saved_total");
-        serversFollower->skipUnchanged(unchanged->from, unchanged->to);
-    } else {
-        metrics.count("lovagecourse_unexpected_messages_total");
-    }
-}
-
-void RouterNode::Impl::onRequest(CallerRequest &&request)
-{
-    router->onRequest(std::move(request));
-    if (!pool.hasUnreportedSends() || incrementalReportTimer.isActive())
-        return;
-    const auto peerCount = static_cast<int>(peers.activePeers(clock.now()).size());
-    incrementalReportTimer.startOnce(
-            std::max(incrementalReportDelay, incrementalReportDelayPerPeer * peerCount));
-}
-
 } // namespace lovagecourse
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -10,19 +10,9 @@
 
 namespace {
 
-// Older reports of peers are ignored: they no longer describe the current load.
-constexpr milliseconds reportTimeout{1000};
-constexpr double perCent = 100;
-// Reports must fit into one datagram of 1,400 bytes; a server takes 18 and a prefix 12 bytes.
-constexpr std::size_t serversPerReport = 48;
-constexpr std::size_t prefixesPerReport = 24;
 // Sends with less prefill time don't change other routers' choices; the next full report contains
 // them.
 constexpr double minReportedPrefillMs = 15;
-// More than a router sends to one server between two reports; a larger difference means that the
-// counter was reset.
-constexpr std::uint32_t maxTokensBetweenReports = 1U << 24;
-constexpr double maxReportedMs = 65535;
 
 } // namespace
 
@@ -81,7 +71,7 @@
         if (server) {
             logInfo(LogPart::Membership, "event=server-gone server=", change.id,
                     " running=", server->model.running());
-            idsByHash_.erase(reportHash(change.id.value));
+            serversByHash_.erase(reportHash(change.id.value));
             servers_.erase(change.id);
         }
         return;
@@ -91,8 +81,10 @@
         logInfo(LogPart::Membership, "event=server-added server=", change.id,
                 " service=", entry.service, " address=", toString(entry.address),
                 " draining=", entry.isDraining);
-        servers_.emplace(change.id, Server{entry, {}, {}, 0, false, false, {}});
-        idsByHash_[reportHash(change.id.value)] = change.id;
+        Server added;
+        added.entry = entry;
+        const auto position = servers_.emplace(change.id, std::move(added)).first;
+        serversByHash_[reportHash(change.id.value)] = &position->second;
         return;
     }
     const bool restarted =
@@ -108,94 +100,6 @@
     server->entry = entry;
 }
 
-/// Sums the server's load in the recent reports of peers.
-PeerLoad ServerPool::peerLoad(const Server &server, TimePoint now) const
-{
-    PeerLoad sum;
-    double weightedAgeSum = 0;
-    for (const auto &[peer, report] : server.peers) {
-        if (now - report.received > reportTimeout)
-            continue;
-        const double age = toMs(now - report.received);
-        sum.backlogMs += report.load.backlogMs;
-        weightedAgeSum += report.load.backlogMs * age;
-        sum.overdueMs = std::max(sum.overdueMs, report.load.overdueMs);
-        sum.running += report.load.running;
-    }
-    // Servers prefill one prompt after the other, so the backlog has fallen by the age of the
-    // reports: their mean age, weighted by backlog.
-    if (sum.backlogMs > 0)
-        sum.backlogMs = std::max(0., sum.backlogMs - weightedAgeSum / sum.backlogMs);
-    return sum;
-}
-
-void ServerPool::applyReport(const std::string &peer, const RouterReport &report, TimePoint now)
-{
-    for (const RouterServerLoad &load : report.servers) {
-        const auto known = idsByHash_.find(load.server);
-        Server *server = known == idsByHash_.end() ? nullptr : find(known->second);
-        if (!server)
-            continue;
-        PeerReport &last = server->peers[peer];
-        // The counter wraps around; it starts at 0 when the router restarts.
-        const std::uint32_t sent = load.sentTokens - last.sentTokens;
-        if (last.wasReceived && sent < maxTokensBetweenReports)
-            server->cache.addPeerTokens(sent);
-        last.wasReceived = true;
-        last.received = now;
-        last.load.backlogMs = load.backlogMs;
-        last.load.overdueMs = load.overdueMs;
-        last.load.running = load.running;
-        last.sentTokens = load.sentTokens;
-        if (load.slownessPercent > 0)
-            server->model.onReportedSlowness(load.slownessPercent / perCent,
-                                             now - milliseconds(load.slownessAgeMs));
-    }
-    for (const RouterSentPrefix &sent : report.prefixes) {
-        const auto known = idsByHash_.find(sent.server);
-        if (Server *server = known == idsByHash_.end() ? nullptr : find(known->second))
-            server->cache.insertReported(sent.prefix);
-    }
-}
-
-std::vector<RouterReport> ServerPool::makeReports(bool onlyUnreported, TimePoint now)
-{
-    hasUnreportedSends_ = false;
-    std::vector<RouterReport> reports(1);
-    for (auto &[id, server] : servers_) {
-        const double age = toMs(now - server.model.slownessReportedAt());
-        const bool isFresh = server.model.slownessReportedAt() != TimePoint()
-                             && age < static_cast<double>(reportTimeout.count());
-        const bool isBusy = server.model.running() > 0 || isFresh;
-        // A server that became idle is reported once more, so that other routers clear its load.
-        if (onlyUnreported ? !server.hasUnreportedSends : !isBusy && !server.wasReported)
-            continue;
-        server.hasUnreportedSends = false;
-        server.wasReported = isBusy;
-        RouterServerLoad load;
-        load.server = reportHash(id.value);
-        load.backlogMs =
-                static_cast<std::uint16_t>(std::min(server.model.backlogMs(now), maxReportedMs));
-        load.overdueMs =
-                static_cast<std::uint16_t>(std::min(server.model.overdueMs(now), maxReportedMs));
-        load.sentTokens = server.sentTokens;
-        load.running = static_cast<std::uint16_t>(server.model.running());
-        if (isFresh) {
-            load.slownessAgeMs = static_cast<std::uint16_t>(age);
-            load.slownessPercent =
-                    static_cast<std::uint16_t>(server.model.reportedSlowness() * perCent);
-        }
-        if (reports.back().servers.size() == serversPerReport)
-            reports.emplace_back();
-        reports.back().servers.push_back(load);
-    }
-    const std::size_t count = std::min(unreportedPrefixes_.size(), prefixesPerReport);
-    const auto end = unreportedPrefixes_.begin() + static_cast<std::ptrdiff_t>(count);
-    reports.back().prefixes.assign(unreportedPrefixes_.begin(), end);
-    unreportedPrefixes_.erase(unreportedPrefixes_.begin(), end);
-    return reports;
-}
-
 std::optional<Placement> ServerPool::choose(const PlacementRequest &request, TimePoint now) const
 {
     const double capacity = cacheTokens(request.service);
@@ -213,8 +117,8 @@
         const double slowness = server.model.slowness(now);
         PlacementCandidate candidate;
         candidate.server = id;
-        candidate.waitMs =
-                server.model.waitMs(serviceSpeed, peerLoad(server, now), server.entry.slots, now);
+        candidate.waitMs = server.model.waitMs(serviceSpeed, server.peerLoads.sum(now),
+                                               server.entry.slots, now);
         candidate.prefillMs = serviceSpeed.prefillMs(work) * slowness;
         candidate.baseMs = serviceSpeed.baseMs() * slowness;
         candidate.failureRate = server.model.failureRate();
@@ -252,8 +156,12 @@
     if (!prompt.empty()) {
         // The last part is specific to one request or session; other routers have no use for it.
         for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
-            if (server->cache.shouldReport(prompt[i].hash, capacity))
-                unreportedPrefixes_.push_back({reportHash(placement.server.value), prompt[i].hash});
+            if (!server->cache.shouldReport(prompt[i].hash, capacity))
+                continue;
+            const RouterSentPrefix sent{reportHash(placement.server.value), prompt[i].hash};
+            unreportedPrefixes_.push_back(sent);
+            if (isRelaying_)
+                unrelayedPrefixes_.push_back(sent);
         }
         server->cache.insert(prompt, capacity);
     }
@@ -261,9 +169,10 @@
     if (speed(server->entry.service).prefillMs(work) >= minReportedPrefillMs) {
         server->hasUnreportedSends = true;
         hasUnreportedSends_ = true;
+        markUnrelayed(*server);
     }
     server->sentTokens += static_cast<std::uint32_t>(placement.uncachedTokens);
-    return server->model.onSent(speed(server->entry.service), work, peerLoad(*server, now),
+    return server->model.onSent(speed(server->entry.service), work, server->peerLoads.sum(now),
                                 server->entry.slots, now);
 }
 
@@ -283,8 +192,10 @@
 
 void ServerPool::onLoad(const ServerId &server, const ReportedLoad &load, TimePoint now)
 {
-    if (Server *known = find(server))
+    if (Server *known = find(server)) {
         known->model.onReportedSlowness(load.slowness, now);
+        known->slownessReceived = now;
+    }
 }
 
 void ServerPool::onEnded(const ServerId &server, SendNumber number)
--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -2,7 +2,9 @@
 
 #include "direct/ClientRequest.h"
 #include "direct/DirectConfiguration.h"
+#include "direct/LoadSources.h"
 #include "direct/ServerDirectory.h"
+#include "placing/PeerLoads.h"
 #include "placing/PlacementChoice.h"
 #include "placing/PrefixCacheModel.h"
 #include "placing/ServerModel.h"
@@ -54,13 +56,25 @@
     /// Sets the cache capacities of the services and the fleet's token rate.
     void setConfiguration(std::shared_ptr<const DirectConfiguration> configuration);
     void apply(const RegistrationChange &change, TimePoint now);
-    void applyReport(const std::string &peer, const RouterReport &report, TimePoint now);
+    /// isMember: the router is in this data centre, so its load is part of the data centre's sum.
+    void applyReport(const DaemonId &router, const RouterReport &report, bool isMember,
+                     TimePoint now);
+    /// Applies the sum of another data centre, in place of reports of its routers.
+    void applyReport(const DataCentreReport &report, TimePoint now);
     /// Returns at least one report, each small enough for one datagram, and clears
     /// hasUnreportedSends(). onlyUnreported: only servers with unreported sends, else all servers
     /// that are busy or were so in their last report.
     std::vector<RouterReport> makeReports(bool onlyUnreported, TimePoint now);
     /// True when a send since the last report is large enough for an incremental report.
     bool hasUnreportedSends() const { return hasUnreportedSends_; }
+    /// Starts or stops collecting what the reports of this data centre contain.
+    void setRelaying(bool isRelaying);
+    /// Returns reports of the load of this router and of the members together, each small enough
+    /// for one datagram, and clears hasUnrelayedLoad(). onlyUnrelayed: only servers with changes
+    /// since their last report, else all servers that are busy or were so in their last report.
+    std::vector<DataCentreReport> makeDataCentreReports(bool onlyUnrelayed, TimePoint now);
+    /// True when the data centre's load has changed since the last of its reports.
+    bool hasUnrelayedLoad() const { return hasUnrelayedLoad_; }
 
     std::optional<Placement> choose(const PlacementRequest &request, TimePoint now) const;
     /// Returns the send's number, which later calls pass; 0 for an unknown server.
@@ -80,41 +94,51 @@
     std::size_t count(const ServiceId &service) const;
 
 private:
-    struct PeerReport
-    {
-        TimePoint received;
-        PeerLoad load;
-        std::uint32_t sentTokens = 0;
-        /// False until the first report, when sentTokens is no base for a difference yet.
-        bool wasReceived = false;
-    };
-
     struct Server
     {
         ServerEntry entry;
         ServerModel model;
         PrefixCacheModel cache;
+        /// Load that the other routers report.
+        PeerLoads peerLoads;
         /// Counter for reports: prompt tokens sent there that were not cached, modulo 2^32.
         std::uint32_t sentTokens = 0;
+        /// The same of the members, as far as this router has counted them.
+        std::uint32_t memberTokens = 0;
+        /// When this router received the server's own report of its slowness.
+        TimePoint slownessReceived;
+        /// When a member last reported a slowness that it had received itself.
+        TimePoint memberSlownessReceived;
         /// The last report with this server reported it as busy.
         bool wasReported = false;
+        bool wasRelayed = false;
         /// A send since the last report is large enough for an incremental report.
         bool hasUnreportedSends = false;
-        std::unordered_map<std::string, PeerReport> peers;
+        /// The data centre's load has changed since the last of its reports.
+        bool hasUnrelayedLoad = false;
     };
 
     Server *find(const ServerId &id);
+    Server *findByHash(std::uint32_t hash);
+    void applyLoads(const std::string &sender, std::uint32_t counter,
+                    const std::vector<RouterServerLoad> &loads, bool isMember, TimePoint now);
+    void applyPrefixes(const std::vector<RouterSentPrefix> &prefixes, bool isMember);
+    void markUnrelayed(Server &server);
     double cacheTokens(const ServiceId &service) const;
     PrefillSpeed &speed(const ServiceId &service) const;
-    PeerLoad peerLoad(const Server &server, TimePoint now) const;
 
     DataCentreId dataCentre_;
     std::shared_ptr<const DirectConfiguration> configuration_;
     std::map<ServerId, Server> servers_;
     mutable std::unordered_map<ServiceId, PrefillSpeed> speeds_;
-    std::unordered_map<std::uint32_t, ServerId> idsByHash_;
+    /// By the hash of the server's id.
+    std::unordered_map<std::uint32_t, Server *> serversByHash_;
+    LoadSources sources_;
     std::vector<RouterSentPrefix> unreportedPrefixes_;
     bool hasUnreportedSends_ = false;
+    bool isRelaying_ = false;
+    std::vector<RouterSentPrefix> unrelayedPrefixes_;
+    bool hasUnrelayedLoad_ = false;
 };
 
 /// Returns the hash that identifies a server or an account in reports between routers.
--- /dev/null
+++ b/src/direct/ServerPoolReports.cpp
@@ -0,0 +1,192 @@
+#include "direct/ServerPool.h"
+
+#include <algorithm>
+
+namespace lovagecourse {
+
+namespace {
+
+constexpr double perCent = 100;
+// Reports must fit into one datagram of 1,400 bytes; a server takes 18 and a prefix 12 bytes.
+constexpr std::size_t serversPerReport = 40;
+constexpr std::size_t prefixesPerReport = 24;
+constexpr double maxReportedMs = 65535;
+
+std::uint16_t toReportedMs(double value)
+{
+    return static_cast<std::uint16_t>(std::clamp(value, 0., maxReportedMs));
+}
+
+/// Returns the last report, or a new one when it has no room for another server.
+template <class Report>
+Report &reportForServer(std::vector<Report> &reports)
+{
+    if (reports.back().servers.size() == serversPerReport)
+        reports.emplace_back();
+    return reports.back();
+}
+
+/// Moves up to prefixesPerReport prefixes into the report.
+template <class Report>
+void takePrefixes(std::vector<RouterSentPrefix> &unreported, Report &report)
+{
+    const std::size_t count = std::min(unreported.size(), prefixesPerReport);
+    const auto end = unreported.begin() + static_cast<std::ptrdiff_t>(count);
+    report.prefixes.assign(unreported.begin(), end);
+    unreported.erase(unreported.begin(), end);
+}
+
+/// Adds the server's last reported slowness with its age.
+void addSlowness(RouterServerLoad &load, const ServerModel &model, TimePoint now)
+{
+    load.slownessAgeMs = toReportedMs(toMs(now - model.slownessReportedAt()));
+    load.slownessPercent = static_cast<std::uint16_t>(model.reportedSlowness() * perCent);
+}
+
+bool isRecent(TimePoint time, TimePoint now)
+{
+    return time != TimePoint() && now - time < PeerLoads::reportTimeout;
+}
+
+} // namespace
+
+ServerPool::Server *ServerPool::findByHash(std::uint32_t hash)
+{
+    const auto found = serversByHash_.find(hash);
+    return found == serversByHash_.end() ? nullptr : found->second;
+}
+
+void ServerPool::markUnrelayed(Server &server)
+{
+    if (!isRelaying_)
+        return;
+    server.hasUnrelayedLoad = true;
+    hasUnrelayedLoad_ = true;
+}
+
+void ServerPool::setRelaying(bool isRelaying)
+{
+    isRelaying_ = isRelaying;
+    hasUnrelayedLoad_ = hasUnrelayedLoad_ && isRelaying;
+    if (!isRelaying)
+        unrelayedPrefixes_.clear();
+}
+
+void ServerPool::applyLoads(const std::string &sender, std::uint32_t counter,
+                            const std::vector<RouterServerLoad> &loads, bool isMember,
+                            TimePoint now)
+{
+    const LoadSources::Numbered numbered = sources_.onReport(sender, isMember, now);
+    if (numbered.isNew) {
+        for (auto &[id, server] : servers_)
+            server.peerLoads.forget(numbered.source);
+    }
+    for (const RouterServerLoad &load : loads) {
+        Server *server = findByHash(load.server);
+        if (!server)
+            continue;
+        ReportedServerLoad reported;
+        reported.load.backlogMs = load.backlogMs;
+        reported.load.overdueMs = load.overdueMs;
+        reported.load.running = load.running;
+        reported.sentTokens = load.sentTokens;
+        reported.counter = counter;
+        const std::uint32_t sent = server->peerLoads.apply(numbered.source, reported, now);
+        server->cache.addPeerTokens(sent);
+        if (isMember) {
+            server->memberTokens += sent;
+            if (load.slownessPercent > 0)
+                server->memberSlownessReceived = now;
+            markUnrelayed(*server);
+        }
+        if (load.slownessPercent > 0)
+            server->model.onReportedSlowness(load.slownessPercent / perCent,
+                                             now - milliseconds(load.slownessAgeMs));
+    }
+}
+
+void ServerPool::applyPrefixes(const std::vector<RouterSentPrefix> &prefixes, bool isMember)
+{
+    for (const RouterSentPrefix &sent : prefixes) {
+        if (Server *server = findByHash(sent.server))
+            server->cache.insertReported(sent.prefix);
+    }
+    if (isMember && isRelaying_)
+        unrelayedPrefixes_.insert(unrelayedPrefixes_.end(), prefixes.begin(), prefixes.end());
+}
+
+void ServerPool::applyReport(const DaemonId &router, const RouterReport &report, bool isMember,
+                             TimePoint now)
+{
+    applyLoads(router.value, 0, report.servers, isMember, now);
+    applyPrefixes(report.prefixes, isMember);
+}
+
+void ServerPool::applyReport(const DataCentreReport &report, TimePoint now)
+{
+    applyLoads("data-centre/" + report.dataCentre.value, reportHash(report.relay.value),
+               report.servers, false, now);
+    applyPrefixes(report.prefixes, false);
+}
+
+std::vector<RouterReport> ServerPool::makeReports(bool onlyUnreported, TimePoint now)
+{
+    hasUnreportedSends_ = false;
+    std::vector<RouterReport> reports(1);
+    for (auto &[id, server] : servers_) {
+        const bool hasSlowness = isRecent(server.slownessReceived, now);
+        const bool isBusy = server.model.running() > 0 || hasSlowness;
+        // A server that became idle is reported once more, so that other routers clear its load.
+        if (onlyUnreported ? !server.hasUnreportedSends : !isBusy && !server.wasReported)
+            continue;
+        server.hasUnreportedSends = false;
+        server.wasReported = isBusy;
+        RouterServerLoad load;
+        load.server = reportHash(id.value);
+        load.backlogMs = toReportedMs(server.model.backlogMs(now));
+        load.overdueMs = toReportedMs(server.model.overdueMs(now));
+        load.sentTokens = server.sentTokens;
+        load.running = static_cast<std::uint16_t>(server.model.running());
+        if (hasSlowness)
+            addSlowness(load, server.model, now);
+        reportForServer(reports).servers.push_back(load);
+    }
+    takePrefixes(unreportedPrefixes_, reports.back());
+    return reports;
+}
+
+std::vector<DataCentreReport> ServerPool::makeDataCentreReports(bool onlyUnrelayed, TimePoint now)
+{
+    hasUnrelayedLoad_ = false;
+    std::vector<DataCentreReport> reports(1);
+    for (auto &[id, server] : servers_) {
+        if (onlyUnrelayed && !server.hasUnrelayedLoad)
+            continue;
+        const PeerLoad members = server.peerLoads.sumOf(sources_.members(), now);
+        const unsigned running = server.model.running() + members.running;
+        const bool hasSlowness = isRecent(server.slownessReceived, now)
+                                 || isRecent(server.memberSlownessReceived, now);
+        const bool isBusy = running > 0 || hasSlowness;
+        if (!onlyUnrelayed && !isBusy && !server.wasRelayed)
+            continue;
+        server.hasUnrelayedLoad = false;
+        server.wasRelayed = isBusy;
+        RouterServerLoad load;
+        load.server = reportHash(id.value);
+        load.backlogMs = toReportedMs(server.model.backlogMs(now) + members.backlogMs);
+        load.overdueMs = toReportedMs(std::max(server.model.overdueMs(now), members.overdueMs));
+        load.sentTokens = server.sentTokens + server.memberTokens;
+        load.running = static_cast<std::uint16_t>(std::min(running, 65535U));
+        if (hasSlowness)
+            addSlowness(load, server.model, now);
+        reportForServer(reports).servers.push_back(load);
+    }
+    takePrefixes(unrelayedPrefixes_, reports.back());
+    while (!unrelayedPrefixes_.empty()) {
+        reports.emplace_back();
+        takePrefixes(unrelayedPrefixes_, reports.back());
+    }
+    return reports;
+}
+
+} // namespace lovagecourse
--- a/src/placing/FairShares.cpp
+++ b/src/placing/FairShares.cpp
@@ -67,11 +67,33 @@
     return result;
 }
 
+std::vector<std::pair<AccountHash, AccountTokens>>
+FairShares::groupTotals(const std::function<bool(const std::string &peer)> &isMember,
+                        TimePoint now) const
+{
+    std::unordered_map<AccountHash, AccountTokens> sums;
+    const auto add = [&sums](const auto &tokens) {
+        for (const auto &[account, sum] : tokens) {
+            sums[account].requested += sum.requested;
+            sums[account].admitted += sum.admitted;
+        }
+    };
+    add(localTotals(now));
+    for (const auto &[peer, report] : peers_) {
+        if (now - report.received < peerTimeout && isMember(peer))
+            add(report.tokens);
+    }
+    return {sums.begin(), sums.end()};
+}
+
 void FairShares::setPeerTotals(const std::string &peer,
                                std::vector<std::pair<AccountHash, AccountTokens>> tokens,
                                TimePoint now)
 {
     peers_[peer] = PeerReport{now, std::move(tokens)};
+    // Routers are replaced by ones with other names.
+    std::erase_if(peers_,
+                  [now](const auto &entry) { return now - entry.second.received >= peerTimeout; });
 }
 
 void FairShares::refresh(TimePoint now) const
--- a/src/placing/FairShares.h
+++ b/src/placing/FairShares.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -36,7 +37,11 @@
     void onAdmitted(AccountHash account, double tokens, TimePoint now);
     /// Tokens of this router's requests within the window, for its reports to the other routers.
     std::vector<std::pair<AccountHash, AccountTokens>> localTotals(TimePoint now) const;
-    /// Replaces the totals that another router reported before. They expire after 2 s.
+    /// The same together with the last reports of the peers for which isMember returns true.
+    std::vector<std::pair<AccountHash, AccountTokens>>
+    groupTotals(const std::function<bool(const std::string &peer)> &isMember, TimePoint now) const;
+    /// Replaces the totals that another router or data centre reported before. They expire after
+    /// 2 s.
     void setPeerTotals(const std::string &peer,
                        std::vector<std::pair<AccountHash, AccountTokens>> tokens, TimePoint now);
     /// Tokens admitted for the account within the window divided by the fair share; 0 if unknown.
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -17,6 +17,8 @@
 constexpr std::int64_t minDelayBoundMs = 200;
 constexpr std::int64_t maxDelayBoundMs = 60000;
 constexpr double maxShutdownSeconds = 3600;
+constexpr double maxProcessorShare = 64;
+constexpr double permille = 1000;
 
 /// Reads an optional time in seconds, which may have a fraction.
 void readSeconds(SettingsReader &reader, std::string_view name, milliseconds &value)
@@ -62,6 +64,10 @@
     if (root.readInteger("max_memory_mb", maxMemoryMb, minMemoryMb, maxMemoryMbLimit))
         settings.maxMemoryMb = static_cast<unsigned>(maxMemoryMb);
 
+    double processorShare = settings.processorPermille / permille;
+    root.readNumber("processor_share", processorShare, 0, maxProcessorShare);
+    settings.processorPermille = static_cast<std::uint16_t>(processorShare * permille);
+
     SettingsReader log(root.readTable("log"), "log", file, faults);
     log.readEnum<LogLevel>("level", settings.logLevel, logLevelNames);
     log.reportUnknownKeys();
--- a/src/settings/RouterSettings.h
+++ b/src/settings/RouterSettings.h
@@ -35,6 +35,9 @@
     unsigned maxSockets = 8192;
     /// Memory limit of the process in MB.
     unsigned maxMemoryMb = 512;
+    /// Processor share of the host in per mille of a core. Of the routers of a data centre, the one
+    /// with the largest share relays their load to the other data centres.
+    std::uint16_t processorPermille = 1000;
     LogLevel logLevel = LogLevel::Info;
     /// Fleet-wide retry limit of a service: per window, at most retryRatio retries per request plus
     /// retrySlack.
--- a/src/wire/DatagramSocket.cpp
+++ b/src/wire/DatagramSocket.cpp
@@ -48,20 +48,34 @@
 
 void DatagramSocket::send(const Endpoint &endpoint, Message message)
 {
+    sendToAll({endpoint}, std::move(message));
+}
+
+void DatagramSocket::sendToAll(const std::vector<Endpoint> &endpoints, Message message)
+{
+    if (endpoints.empty())
+        return;
+    // Receivers check sequence numbers per sender, so one number serves all of them.
     const DatagramHeader header{context_.hello.daemon, context_.hello.incarnation, ++sequence_,
                                 toEpochMilliseconds(context_.clock.wallNow())};
     const std::string bytes =
             encodeDatagram(context_.fleetKey, Datagram{header, std::move(message)});
     if (bytes.size() > maxDatagramBytes)
         return countFault(WireFault::Oversized);
-    const sockaddr_in address = toSocketAddress(endpoint);
-    const ssize_t sent = sendto(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL,
-                                reinterpret_cast<const sockaddr *>(&address), sizeof(address));
-    if (sent < 0) {
-        context_.metrics.count("lovagecourse_datagram_send_failures_total");
-        return;
+    std::size_t sentBytes = 0;
+    for (const Endpoint &endpoint : endpoints) {
+        const sockaddr_in address = toSocketAddress(endpoint);
+        const ssize_t sent = sendto(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL,
+                                    reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+        if (sent < 0)
+            context_.metrics.count("lovagecourse_datagram_send_failures_total");
+        else
+            sentBytes += static_cast<std::size_t>(sent);
     }
-    context_.metrics.count("lovagecourse_datagram_sent_bytes_total", {}, static_cast<double>(sent));
+    context_.metrics.count("lovagecourse_datagrams_sent_total", {},
+                           static_cast<double>(endpoints.size()));
+    context_.metrics.count("lovagecourse_datagram_sent_bytes_total", {},
+                           static_cast<double>(sentBytes));
 }
 
 void DatagramSocket::readAvailable()
@@ -71,6 +85,7 @@
         const ssize_t count = recv(descriptor_, buffer.data(), buffer.size(), 0);
         if (count < 0)
             return;
+        context_.metrics.count("lovagecourse_datagrams_received_total");
         context_.metrics.count("lovagecourse_datagram_received_bytes_total", {},
                                static_cast<double>(count));
         auto decoded =
--- a/src/wire/DatagramSocket.h
+++ b/src/wire/DatagramSocket.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <variant>
+#include <vector>
 
 namespace lovagecourse {
 
@@ -25,6 +26,8 @@
 
     /// Sends one message. If it is too large or the socket rejects it, it is dropped and counted.
     void send(const Endpoint &endpoint, Message message);
+    /// Sends one message to several receivers; it is encoded and authenticated once.
+    void sendToAll(const std::vector<Endpoint> &endpoints, Message message);
 
 private:
     DatagramSocket(const WireContext &context, int descriptor, Handler onMessage);
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -525,12 +525,71 @@
     }
 };
 
+/// Datagram, router to router of the same data centre: the sender runs. Routers find each other by
+/// it after a start, before either has load to report.
+struct RouterPresence
+{
+    /// Datagram endpoint of the sender.
+    Endpoint datagramEndpoint;
+    DataCentreId dataCentre;
+    /// Processor share of the sender's host, in per mille of a core. The router with the largest
+    /// share relays the load of its data centre.
+    std::uint16_t processorPermille = 0;
+    /// Answers a presence; is not answered itself.
+    bool isReply = false;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(datagramEndpoint, dataCentre, processorPermille, isReply);
+    }
+};
+
+/// Datagram, router to router: the load of all routers of one data centre together. The data
+/// centre's relay sends it to one router of each other data centre, which forwards it to the
+/// routers of its own. For servers that are not listed, the last report remains valid.
+struct DataCentreReport
+{
+    DataCentreId dataCentre;
+    /// The router that made the report; its token counters start anew with another relay.
+    DaemonId relay;
+    Endpoint relayEndpoint;
+    /// Live routers of the data centre.
+    std::uint16_t routers = 0;
+    std::vector<RouterServerLoad> servers;
+    std::vector<RouterSentPrefix> prefixes;
+    /// Sent by a router of the receiver's data centre; is not forwarded again.
+    bool isForwarded = false;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(dataCentre, relay, relayEndpoint, routers, servers, prefixes, isForwarded);
+    }
+};
+
+/// Datagram, router to router: requested and admitted tokens of the client accounts at all routers
+/// of one data centre together; distributed as a DataCentreReport.
+struct DataCentreAccountReport
+{
+    DataCentreId dataCentre;
+    std::vector<RouterAccountLoad> accounts;
+    bool isForwarded = false;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(dataCentre, accounts, isForwarded);
+    }
+};
+
 /// Any message between daemons. The index identifies the type in the protocol, so new types must be
 /// appended.
-using Message = std::variant<Hello, Offer, OfferWithdraw, OfferRefused, Grant, GrantDecline,
-                             GrantAccept, Cancel, Credit, AnswerHead, AnswerData, AnswerEnd,
-                             AgentState, CrashSuspectNotice, ConfigurationStateRequest,
-                             ConfigurationStateReply, Gossip, ServiceReport, FairTotals,
-                             LeaveNotice, RouterReport, RouterAccountReport, ServersUnchanged>;
+using Message =
+        std::variant<Hello, Offer, OfferWithdraw, OfferRefused, Grant, GrantDecline, GrantAccept,
+                     Cancel, Credit, AnswerHead, AnswerData, AnswerEnd, AgentState,
+                     CrashSuspectNotice, ConfigurationStateRequest, ConfigurationStateReply, Gossip,
+                     ServiceReport, FairTotals, LeaveNotice, RouterReport, RouterAccountReport,
+                     ServersUnchanged, RouterPresence, DataCentreReport, DataCentreAccountReport>;
 
 } // namespace lovagecourse
