--- a/src/core/EventLoop.cpp
+++ b/src/core/EventLoop.cpp
@@ -1,5 +1,6 @@
 #include "core/EventLoop.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lovagecourse {
@@ -39,8 +40,11 @@
 void EventLoop::onBeforeWait(struct ev_loop *, ev_prepare *watcher, int)
 {
     auto &self = *static_cast<EventLoop *>(watcher->data);
-    if (self.wokenAt_ != SteadyTime())
-        self.lastIteration_ = std::chrono::steady_clock::now() - self.wokenAt_;
+    if (self.wokenAt_ == SteadyTime())
+        return;
+    const SteadyTime now = std::chrono::steady_clock::now();
+    self.lastIteration_ = now - self.wokenAt_;
+    self.busy_ += now - std::max(self.wokenAt_, self.busySince_);
 }
 
 void EventLoop::onAfterWait(struct ev_loop *, ev_check *watcher, int)
@@ -55,6 +59,24 @@
     return lastIteration_ + (std::chrono::steady_clock::now() - wokenAt_);
 }
 
+double EventLoop::takeBusyShare()
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    const SteadyTime since = std::exchange(busySince_, now);
+    // The callback that calls this is part of the current iteration.
+    if (wokenAt_ != SteadyTime())
+        busy_ += now - std::max(wokenAt_, since);
+    const auto busy = std::exchange(busy_, std::chrono::nanoseconds(0));
+    if (since == SteadyTime() || now <= since)
+        return 0;
+    return std::clamp(toSeconds(busy) / toSeconds(now - since), 0., 1.);
+}
+
+void EventLoop::setCollectInterval(std::chrono::nanoseconds interval)
+{
+    ev_set_io_collect_interval(loop_, toSeconds(interval));
+}
+
 void EventLoop::run()
 {
     ev_run(loop_, 0);
--- a/src/core/EventLoop.h
+++ b/src/core/EventLoop.h
@@ -25,6 +25,11 @@
     /// Upper bound of the time that the current event waited for this process: the callbacks of the
     /// previous iteration plus those of this one so far. 0 before the first iteration.
     std::chrono::nanoseconds delay() const;
+    /// Part of the time since the last call that was spent in callbacks, from 0 to 1.
+    double takeBusyShare();
+    /// Collects events for up to this long before they are handled together. Saves the cost of
+    /// iterations in a busy process, at the price of a later start of each event; 0 for none.
+    void setCollectInterval(std::chrono::nanoseconds interval);
     /// Native libev handle, for code with its own watchers.
     struct ev_loop *handle() const { return loop_; }
 
@@ -41,6 +46,9 @@
     SteadyTime wokenAt_;
     /// Time that the callbacks of the previous iteration took.
     std::chrono::nanoseconds lastIteration_{0};
+    /// Time spent in callbacks since busySince_, without the current iteration.
+    std::chrono::nanoseconds busy_{0};
+    SteadyTime busySince_;
 };
 
 /// One-shot or repeating timer; stops when destroyed.
--- a/src/direct/DirectExchange.h
+++ b/src/direct/DirectExchange.h
@@ -32,8 +32,10 @@
     std::string body;
     bool hasHead = false;
     bool hasBodyBytes = false;
-    /// The answer has the wrong attempt id or no signature.
+    /// The answer has the wrong attempt id, no signature or no end.
     bool isInvalid = false;
+    /// Received bytes after the last end of an event.
+    std::size_t bytesSinceEvent = 0;
     bool isEventStream = false;
     EventStreamSplitter splitter;
 };
@@ -53,7 +55,10 @@
     std::vector<PromptPrefix> prompt;
     double costTokens = 0;
     TimePoint arrived;
-    /// Arrival plus the lesser of the route's timeout and the caller's timeout with deadlineSlack.
+    /// Upper bound of the time that the request waited unread in this process before its arrival.
+    std::chrono::nanoseconds waitedUnread{0};
+    /// Arrival minus waitedUnread plus the lesser of the route's timeout and the caller's timeout
+    /// with deadlineSlack.
     TimePoint deadline;
     std::unique_ptr<Timer> deadlineTimer;
     std::unique_ptr<Timer> stallTimer;
--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -108,7 +108,8 @@
     const CallerId caller = exchange.caller;
     exchange.deadlineTimer =
             std::make_unique<Timer>(context.loop, [this, caller] { onDeadline(caller); });
-    exchange.deadlineTimer->startOnce(exchange.deadline - exchange.arrived);
+    exchange.deadlineTimer->startOnce(
+            std::max(exchange.deadline - exchange.arrived, std::chrono::nanoseconds(0)));
     dispatch(exchange);
 }
 
@@ -152,7 +153,8 @@
     milliseconds limit = exchange.route->timeout;
     if (exchange.client.callerTimeout)
         limit = std::min(limit, *exchange.client.callerTimeout + deadlineSlack);
-    exchange.deadline = exchange.arrived + limit;
+    exchange.waitedUnread = context.loop.delay();
+    exchange.deadline = exchange.arrived - exchange.waitedUnread + limit;
     return true;
 }
 
@@ -172,6 +174,8 @@
     // In a busy process the caller's disconnect event may still be queued behind this request.
     if (gateway->hasCallerLeft(exchange.caller))
         return finish(exchange, "caller-left", 0, "left-before-send");
+    if (now() >= exchange.deadline)
+        return onDeadline(exchange.caller);
     auto placement = context.pool.choose(placementRequest(exchange), now());
     if (!placement) {
         if (exchange.mayHaveRun)
@@ -222,7 +226,8 @@
     const auto remaining = std::chrono::duration_cast<milliseconds>(exchange.deadline - current);
     server.remainingTime = std::max(remaining, milliseconds(1));
     if (exchange.client.callerTimeout) {
-        const auto elapsed = std::chrono::duration_cast<milliseconds>(current - exchange.arrived);
+        const auto elapsed = std::chrono::duration_cast<milliseconds>(current - exchange.arrived
+                                                                      + exchange.waitedUnread);
         server.remainingTime = std::clamp(*exchange.client.callerTimeout - elapsed, milliseconds(1),
                                           server.remainingTime);
     }
--- a/src/direct/DirectRouterAnswers.cpp
+++ b/src/direct/DirectRouterAnswers.cpp
@@ -14,6 +14,10 @@
 // Sum of the event loop delays at the send and at the first byte, above which the measured time is
 // no sample of the server's speed.
 constexpr milliseconds maxSampleLoopDelay{15};
+// Larger than answers of backend servers; a body without end is cut here.
+constexpr std::size_t maxAnswerBodyBytes = 16U << 20;
+// Larger than one event of a stream; bytes without an end of event are cut here.
+constexpr std::size_t maxEventBytes = 1U << 20;
 constexpr int firstErrorStatus = 400;
 constexpr int firstServerErrorStatus = 500;
 
@@ -42,10 +46,34 @@
         context.pool.onLoad(attempt.placement.server, *answer.load, now());
     if (exchange->stallTimer)
         exchange->stallTimer->stop();
-    if (attempt.isInvalid)
-        logWarning(LogPart::Routing, "event=garbled-answer request=", exchange->client.attemptId,
-                   " server=", attempt.placement.server, " status=", status,
-                   " answer_id=", answer.attemptId, " signed=", answer.isSigned);
+    if (!attempt.isInvalid)
+        return;
+    logWarning(LogPart::Routing, "event=garbled-answer request=", exchange->client.attemptId,
+               " server=", attempt.placement.server, " status=", status,
+               " answer_id=", answer.attemptId, " signed=", answer.isSigned);
+    rejectAnswer(*exchange, "garbled-answer");
+}
+
+/// Ends an attempt whose answer can't be used. Its connection is closed at once, because further
+/// bytes may follow without end; the rest waits until the HTTP client has returned.
+void DirectRouter::Impl::rejectAnswer(DirectExchange &exchange, std::string_view reason)
+{
+    exchange.attempt->isInvalid = true;
+    context.http.cancel(exchange.attempt->transfer);
+    const CallerId caller = exchange.caller;
+    exchange.stallTimer = std::make_unique<Timer>(context.loop, [this, caller, reason] {
+        DirectExchange *rejected = find(caller);
+        if (rejected && rejected->attempt)
+            onAnswerRejected(*rejected, reason);
+    });
+    exchange.stallTimer->startOnce(std::chrono::nanoseconds(0));
+}
+
+void DirectRouter::Impl::onAnswerRejected(DirectExchange &exchange, std::string_view reason)
+{
+    context.pool.onOutcome(exchange.attempt->placement.server, true);
+    cancelAttempt(exchange);
+    onAttemptFailed(exchange, reason);
 }
 
 void DirectRouter::Impl::onData(CallerId caller, std::string_view bytes)
@@ -61,6 +89,20 @@
     }
     if (attempt.isInvalid)
         return;
+    const std::size_t eventEnd = bytes.rfind("\n\n");
+    attempt.bytesSinceEvent = eventEnd == std::string_view::npos
+                                      ? attempt.bytesSinceEvent + bytes.size()
+                                      : bytes.size() - eventEnd;
+    const std::size_t limit = attempt.isEventStream ? maxEventBytes : maxAnswerBodyBytes;
+    const std::size_t size =
+            attempt.isEventStream ? attempt.bytesSinceEvent : attempt.body.size() + bytes.size();
+    if (size > limit) {
+        logWarning(LogPart::Routing,
+                   "event=answer-without-end request=", exchange->client.attemptId,
+                   " server=", attempt.placement.server, " stream=", attempt.isEventStream,
+                   " bytes=", size);
+        return rejectAnswer(*exchange, "answer-without-end");
+    }
     if (!attempt.isEventStream) {
         attempt.body.append(bytes);
         return;
@@ -112,10 +154,8 @@
             return onNotSent(*exchange);
         return onAttemptFailed(*exchange, "connection-broken");
     }
-    if (attempt.isInvalid) {
-        context.pool.onOutcome(server, true);
-        return onAttemptFailed(*exchange, "garbled-answer");
-    }
+    if (attempt.isInvalid)
+        return onAnswerRejected(*exchange, "garbled-answer");
     if (attempt.answer.notExecuted)
         return onNotExecuted(*exchange);
     context.pool.onOutcome(server, attempt.status >= firstServerErrorStatus);
--- a/src/direct/DirectRouterImpl.h
+++ b/src/direct/DirectRouterImpl.h
@@ -42,6 +42,8 @@
     void onDone(CallerId caller, const std::optional<HttpFailure> &failure);
     void onNotSent(DirectExchange &exchange);
     void onNotExecuted(DirectExchange &exchange);
+    void rejectAnswer(DirectExchange &exchange, std::string_view reason);
+    void onAnswerRejected(DirectExchange &exchange, std::string_view reason);
     void onAttemptFailed(DirectExchange &exchange, std::string_view reason);
     void onAnswerComplete(DirectExchange &exchange);
     void onDeadline(CallerId caller);
--- a/src/direct/FleetStore.h
+++ b/src/direct/FleetStore.h
@@ -23,6 +23,8 @@
     std::string key;
     /// Empty when the record deletes the key.
     std::optional<std::string> value;
+    /// Set in records from readFrom() only.
+    LogOffset offset;
 };
 
 /// Records in order, and the offset at which the next read begins.
--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr double permille = 1000;
 constexpr milliseconds tickInterval{50};
 constexpr seconds settingsInterval{2};
 // Mean event loop delay above which the process is overloaded. Stream events are delayed by as
@@ -22,10 +23,15 @@
 constexpr double maxCountedLoopDelayMs = 500;
 // Weight of one tick in the moving average, which covers about ten ticks or half a second.
 constexpr double loopDelayWeight = 0.1;
-// Time for which the router is not ready after it rejected connections. The balancer sends a caller
-// to the same router each time; while the router is not ready, it spreads the callers over the
-// other routers. Covers a load peak of a few seconds.
-constexpr seconds notReadyAfterRejection{6};
+// A process with a lower busy share is not late because of its load.
+constexpr double minCountedBusyShare = 0.6;
+// Weight of one tick in the mean busy share.
+constexpr double busyShareWeight = 0.2;
+// Events are collected for longer, the busier the process is, up to a small part of the forwarding
+// delay that platforms allow.
+constexpr double collectFromBusyShare = 0.3;
+constexpr double collectFullBusyShare = 0.8;
+constexpr std::chrono::microseconds maxCollectInterval{6000};
 // Interval of log lines with the servers' estimated state, by which routing decisions can be
 // explained afterwards.
 constexpr seconds stateLogInterval{5};
@@ -51,6 +57,14 @@
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 
+std::chrono::nanoseconds collectInterval(double busyShare)
+{
+    const double part =
+            (busyShare - collectFromBusyShare) / (collectFullBusyShare - collectFromBusyShare);
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(maxCollectInterval
+                                                                * std::clamp(part, 0., 1.));
+}
+
 Hello makeHello(const RouterSettings &settings, const Clock &clock)
 {
     Hello hello;
@@ -76,6 +90,7 @@
     , pool(settings.dataCentre)
     , peers(settings.name, settings.dataCentre, settings.processorPermille)
     , router(std::make_unique<DirectRouter>(routerContext()))
+    , intake(settings.processorPermille / permille)
     , tickTimer(loop, [this] { onTick(); })
     , fullReportTimer(loop, [this] { sendFullReport(); })
     , incrementalReportTimer(loop, [this] { sendIncrementalReport(); })
@@ -216,7 +231,8 @@
             " accept_failures=", metrics.counterValue("lovagecourse_accept_failures_total"),
             " left_unread=", metrics.counterValue("lovagecourse_callers_left_unread_total"),
             " requests=", metrics.counterValue("lovagecourse_caller_requests_total"),
-            " routers=", peers.liveCount(clock.now()));
+            " routers=", peers.liveCount(clock.now()), " busy=", meanBusyShare,
+            " request_cost_ms=", intake.requestCostMs());
     metrics.gauge("lovagecourse_caller_connections",
                   static_cast<double>(gateway->openConnections()));
     pool.logState(clock.now());
@@ -224,9 +240,8 @@
 
 bool RouterNode::Impl::isReady() const
 {
-    const bool isAccepting =
-            lastRejection == TimePoint() || clock.now() - lastRejection > notReadyAfterRejection;
-    return configuration && serversLoaded && !terminatedAt && !isOverloaded && isAccepting;
+    return configuration && serversLoaded && !terminatedAt && !isOverloaded
+           && !rotationPause.isPaused(clock.now());
 }
 
 void RouterNode::Impl::answerAdmin(HttpGateway &target, const CallerRequest &request)
@@ -251,42 +266,56 @@
 }
 
 /// Adapts the number of connections that the gateway accepts in the next interval.
-void RouterNode::Impl::updateIntakeLimit(double loopDelayMs, TimePoint now)
+void RouterNode::Impl::updateIntakeLimit(const ProcessLoad &load, TimePoint now)
 {
     const bool wasLimited = intake.isLimited();
-    const std::size_t allowed = intake.onInterval(loopDelayMs, gateway->openRequests(), now);
+    const std::size_t allowed = intake.onInterval(load, now);
+    gateway->limitAcceptsAtOnce(intake.acceptsAtOnce());
     if (intake.isLimited())
         gateway->limitAccepts(allowed);
     else if (wasLimited)
         gateway->unlimitAccepts();
-    if (gateway->takeRejectedConnections() > 0)
-        lastRejection = now;
+    const std::size_t rejected = gateway->takeRejectedConnections();
+    if (rotationPause.onInterval(rejected, load.received, now))
+        logWarning(LogPart::Gateway, "event=rotation-paused rejected=", rejected,
+                   " pause_ms=", toMs(rotationPause.pause()), " late_ms=", load.loopDelayMs,
+                   " busy=", load.busyShare, " accepts_at_once=", intake.acceptsAtOnce());
     if (intake.isLimited() != wasLimited)
         logWarning(LogPart::Gateway, "event=", wasLimited ? "intake-unlimited" : "intake-limited",
-                   " late_ms=", loopDelayMs, " max_open=", intake.maxOpen(),
-                   " open_requests=", gateway->openRequests(),
-                   " connections=", gateway->openConnections());
+                   " late_ms=", load.loopDelayMs, " busy=", load.busyShare,
+                   " request_cost_ms=", intake.requestCostMs(), " max_open=", intake.maxOpen(),
+                   " open_requests=", load.open, " connections=", gateway->openConnections());
 }
 
-/// Measures the event loop delay by the tick's delay. An overloaded router reports not ready, so
-/// that the platform sends new callers to other routers.
-void RouterNode::Impl::updateLoopDelay(TimePoint now)
+/// Measures the load of this process in the interval since the last tick. An overloaded router
+/// reports not ready, so that the platform sends new callers to other routers.
+void RouterNode::Impl::updateProcessLoad(TimePoint now)
 {
-    const auto elapsed = now - lastTick;
-    lastTick = now;
-    const double loopDelayMs = std::max(0., toMs(elapsed - tickInterval));
+    const auto elapsed = now - std::exchange(lastTick, now);
+    ProcessLoad load;
+    load.loopDelayMs = std::max(0., toMs(elapsed - tickInterval));
+    load.busyShare = loop.takeBusyShare();
+    load.intervalMs = toMs(elapsed);
+    load.received = std::exchange(receivedRequests, 0);
+    load.open = gateway->openRequests();
     pool.setLoopDelay(elapsed > tickInterval ? elapsed - tickInterval
                                              : std::chrono::nanoseconds(0));
-    updateIntakeLimit(loopDelayMs, now);
-    meanLoopDelayMs +=
-            loopDelayWeight * (std::min(loopDelayMs, maxCountedLoopDelayMs) - meanLoopDelayMs);
+    updateIntakeLimit(load, now);
+    meanBusyShare += busyShareWeight * (load.busyShare - meanBusyShare);
+    loop.setCollectInterval(collectInterval(meanBusyShare));
+    // A process that was suspended is late without load.
+    const double countedDelayMs = load.busyShare >= minCountedBusyShare
+                                          ? std::min(load.loopDelayMs, maxCountedLoopDelayMs)
+                                          : 0;
+    meanLoopDelayMs += loopDelayWeight * (countedDelayMs - meanLoopDelayMs);
     const bool isDelayed =
             meanLoopDelayMs > (isOverloaded ? overloadEndLoopDelayMs : overloadLoopDelayMs);
     if (isDelayed == isOverloaded)
         return;
     isOverloaded = isDelayed;
     logWarning(LogPart::App, "event=", isDelayed ? "overloaded" : "overload-over",
-               " lateness_ms=", meanLoopDelayMs, " open_requests=", router->openRequests());
+               " lateness_ms=", meanLoopDelayMs, " busy=", meanBusyShare,
+               " open_requests=", router->openRequests());
 }
 
 /// Does the periodic work. After SIGTERM, ends the process when the balancer's grace period is over
@@ -294,7 +323,7 @@
 void RouterNode::Impl::onTick()
 {
     const TimePoint now = clock.now();
-    updateLoopDelay(now);
+    updateProcessLoad(now);
     updateRelay(now);
     applyChanges(directory.expire(now));
     flushLog();
--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -5,6 +5,7 @@
 #include "direct/RouterPeers.h"
 #include "direct/StoreFollower.h"
 #include "placing/IntakeLimit.h"
+#include "placing/RotationPause.h"
 #include "wire/DatagramSocket.h"
 
 #include <optional>
@@ -34,7 +35,9 @@
     void onConfigurationRecords(const std::vector<KeyedRecord> &records);
     void onAllServers(const std::vector<KeyedRecord> &records);
     void onServerRecords(const std::vector<KeyedRecord> &records, LogOffset from, LogOffset to);
+    std::vector<Endpoint> storeReadTargets();
     void announceUnchanged(LogOffset from, LogOffset to);
+    void announceChanges(const std::vector<KeyedRecord> &changes, LogOffset from, LogOffset to);
     std::optional<ServerEntry> decodeServer(const KeyedRecord &record);
     void applyChanges(const std::vector<RegistrationChange> &changes);
 
@@ -60,6 +63,7 @@
     void onMessage(const DaemonId &sender, DataCentreReport &&report);
     void onMessage(const DaemonId &sender, DataCentreAccountReport &&report);
     void onMessage(const DaemonId &sender, ServersUnchanged &&unchanged);
+    void onMessage(const DaemonId &sender, ServersChanged &&changed);
     /// Messages between other roles.
     template <class Other>
     void onMessage(const DaemonId &, Other &&)
@@ -72,8 +76,8 @@
     void reloadSettings();
     void restartFollowers();
     void onTerminate();
-    void updateLoopDelay(TimePoint now);
-    void updateIntakeLimit(double loopDelayMs, TimePoint now);
+    void updateProcessLoad(TimePoint now);
+    void updateIntakeLimit(const ProcessLoad &load, TimePoint now);
     void onTick();
 
     EventLoop &loop;
@@ -107,10 +111,13 @@
     TimePoint lastTick;
     /// Moving average of the event loop delay.
     double meanLoopDelayMs = 0;
+    /// Moving average of the share of time that is spent in callbacks.
+    double meanBusyShare = 0;
+    /// Callers' requests since the last tick.
+    std::size_t receivedRequests = 0;
     bool isOverloaded = false;
     IntakeLimit intake;
-    /// When the intake limit last rejected connections.
-    TimePoint lastRejection;
+    RotationPause rotationPause;
     Timer tickTimer;
     Timer fullReportTimer;
     Timer incrementalReportTimer;
--- a/src/direct/RouterNodePeers.cpp
+++ b/src/direct/RouterNodePeers.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t maxIntervalFactor = 4;
 // This many accounts fit into one datagram of 1,400 bytes.
 constexpr std::size_t maxReportedAccounts = 96;
+// Records of the store that fit into one datagram, with the lengths of each.
+constexpr std::size_t maxForwardedBytes = 1100;
+constexpr std::size_t recordOverheadBytes = 9;
 constexpr milliseconds registryRetryInterval{500};
 constexpr milliseconds registryTimeout{1000};
 constexpr seconds presenceInterval{1};
@@ -207,15 +210,49 @@
     relayTimer.startOnce(std::max(relayReportDelay, relayReportDelayPerPeer * peerCount));
 }
 
-/// Announces that the records of this range change nothing, which saves the other routers a read of
-/// the store.
-void RouterNode::Impl::announceUnchanged(LogOffset from, LogOffset to)
+/// Routers to which this router passes on what it has read from the store.
+std::vector<Endpoint> RouterNode::Impl::storeReadTargets()
 {
     const TimePoint now = clock.now();
     std::vector<Endpoint> targets = peers.activePeers(now);
     for (Endpoint &remote : peers.relayTargets(now))
         targets.push_back(std::move(remote));
-    datagramSocket->sendToAll(targets, ServersUnchanged{from, to});
+    return targets;
+}
+
+/// Announces that the records of this range change nothing, which saves the other routers a read of
+/// the store.
+void RouterNode::Impl::announceUnchanged(LogOffset from, LogOffset to)
+{
+    datagramSocket->sendToAll(storeReadTargets(), ServersUnchanged{from, to});
+}
+
+/// Passes on the changes in this range of records, in as many datagrams as they need. A router that
+/// misses one of them reads the rest itself.
+void RouterNode::Impl::announceChanges(const std::vector<KeyedRecord> &changes, LogOffset from,
+                                       LogOffset to)
+{
+    // An empty range follows a full read, whose records other routers may not have.
+    if (from == to)
+        return;
+    const std::vector<Endpoint> targets = storeReadTargets();
+    ServersChanged part{from, to, {}};
+    std::size_t partBytes = 0;
+    for (const KeyedRecord &record : changes) {
+        const std::size_t bytes =
+                record.key.size() + record.value.value_or("").size() + recordOverheadBytes;
+        if (bytes > maxForwardedBytes)
+            return;
+        if (partBytes + bytes > maxForwardedBytes) {
+            part.to = record.offset;
+            datagramSocket->sendToAll(targets, part);
+            part = ServersChanged{record.offset, to, {}};
+            partBytes = 0;
+        }
+        part.records.push_back({record.key, record.value.value_or(""), !record.value.has_value()});
+        partBytes += bytes;
+    }
+    datagramSocket->sendToAll(targets, part);
 }
 
 void RouterNode::Impl::onDatagram(const DaemonId &sender, Message &&message)
@@ -294,8 +331,27 @@
         datagramSocket->sendToAll(peers.activePeers(clock.now()), unchanged);
 }
 
+void RouterNode::Impl::onMessage(const DaemonId &sender, ServersChanged &&changed)
+{
+    if (peers.isInOtherDataCentre(sender))
+        datagramSocket->sendToAll(peers.activePeers(clock.now()), changed);
+    if (!serversFollower->takeOver(changed.from, changed.to))
+        return;
+    metrics.count("lovagecourse_store_reads_saved_total");
+    logInfo(LogPart::Membership, "event=servers-passed-on by=", sender,
+            " from=", changed.from.value, " to=", changed.to.value,
+            " changes=", changed.records.size());
+    for (const ForwardedRecord &forwarded : changed.records) {
+        KeyedRecord record{forwarded.key, std::nullopt, {}};
+        if (!forwarded.isDeleted)
+            record.value = forwarded.value;
+        applyChanges(directory.apply(ServerId(record.key), decodeServer(record), clock.now()));
+    }
+}
+
 void RouterNode::Impl::onRequest(CallerRequest &&request)
 {
+    ++receivedRequests;
     router->onRequest(std::move(request));
     scheduleRelayReport();
     if (!pool.hasUnreportedSends() || incrementalReportTimer.isActive())
--- a/src/direct/RouterNodeSync.cpp
+++ b/src/direct/RouterNodeSync.cpp
@@ -15,6 +15,8 @@
 // their own read. Poll intervals differ by up to this part of maxLeavingDelay, so that routers
 // don't read at the same time.
 constexpr double serversPollStagger = 0.1;
+// After failed reads, this many fit into the time within which a change must take effect.
+constexpr int retriesPerDelayBound = 5;
 // Added to the idle timeout, so that a caller that keeps to it never sends on a connection that is
 // being closed.
 constexpr seconds idleTimeoutSlack{1};
@@ -25,7 +27,8 @@
 /// undetected.
 PollTiming RouterNode::Impl::configurationPollTiming() const
 {
-    return PollTiming{milliseconds(0), settings.maxConfigurationDelay};
+    return PollTiming{milliseconds(0), settings.maxConfigurationDelay,
+                      settings.maxConfigurationDelay / retriesPerDelayBound};
 }
 
 /// A fixed interval without long poll; a hash of the router's name staggers it.
@@ -35,7 +38,7 @@
     const double stagger = serversPollStagger * reportHash(settings.name.value) / hashRange;
     const auto interval = std::chrono::duration_cast<milliseconds>(settings.maxLeavingDelay
                                                                    * (serversPollShare + stagger));
-    return PollTiming{interval, milliseconds(0)};
+    return PollTiming{interval, milliseconds(0), settings.maxLeavingDelay / retriesPerDelayBound};
 }
 
 void RouterNode::Impl::restartFollowers()
@@ -120,15 +123,18 @@
 void RouterNode::Impl::onServerRecords(const std::vector<KeyedRecord> &records, LogOffset from,
                                        LogOffset to)
 {
-    bool hasChanges = false;
+    std::vector<KeyedRecord> changes;
     for (const KeyedRecord &record : records) {
         const ServerId id(record.key);
         const auto entry = decodeServer(record);
-        hasChanges = hasChanges || directory.isChange(id, entry);
+        if (directory.isChange(id, entry))
+            changes.push_back(record);
         applyChanges(directory.apply(id, entry, clock.now()));
     }
-    if (!hasChanges)
+    if (changes.empty())
         announceUnchanged(from, to);
+    else
+        announceChanges(changes, from, to);
 }
 
 void RouterNode::Impl::applyChanges(const std::vector<RegistrationChange> &changes)
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -72,6 +72,10 @@
             logInfo(LogPart::Membership, "event=server-gone server=", change.id,
                     " running=", server->model.running());
             serversByHash_.erase(reportHash(change.id.value));
+            serversByService_.clear();
+            std::erase(unreportedServers_, server);
+            std::erase(unrelayedServers_, server);
+            prefixHolders_.remove(server);
             servers_.erase(change.id);
         }
         return;
@@ -83,8 +87,10 @@
                 " draining=", entry.isDraining);
         Server added;
         added.entry = entry;
+        added.model.setLoopDelay(toMs(loopDelay_));
         const auto position = servers_.emplace(change.id, std::move(added)).first;
         serversByHash_[reportHash(change.id.value)] = &position->second;
+        serversByService_.clear();
         return;
     }
     const bool restarted =
@@ -97,26 +103,48 @@
         logInfo(LogPart::Membership, "event=server-changed server=", change.id,
                 " restarted=", restarted, " draining=", entry.isDraining,
                 " backlog_ms=", server->model.backlogMs(now));
+    if (server->entry.service != entry.service)
+        serversByService_.clear();
     server->entry = entry;
 }
 
+/// Returns the servers of a service in the order of their ids.
+const std::vector<const ServerPool::Server *> &ServerPool::serversOf(const ServiceId &service) const
+{
+    if (serversByService_.empty()) {
+        for (const auto &[id, server] : servers_)
+            serversByService_[server.entry.service].push_back(&server);
+    }
+    return serversByService_[service];
+}
+
 std::optional<Placement> ServerPool::choose(const PlacementRequest &request, TimePoint now) const
 {
     const double capacity = cacheTokens(request.service);
     const PrefillSpeed &serviceSpeed = speed(request.service);
+    const std::vector<const Server *> &known = serversOf(request.service);
     std::vector<PlacementCandidate> candidates;
     std::vector<const Server *> servers;
     std::vector<PrefillWork> works;
-    for (const auto &[id, server] : servers_) {
-        const bool isCandidate = server.entry.service == request.service && !server.entry.isDraining
-                                 && !request.excluded.contains(id);
-        if (!isCandidate)
+    candidates.reserve(known.size());
+    servers.reserve(known.size());
+    works.reserve(known.size());
+    const std::uint64_t placementNumber = ++lastPlacement_;
+    if (!request.prompt.empty()) {
+        for (const Server *holder : prefixHolders_.of(request.prompt.front().hash))
+            holder->holderMark = placementNumber;
+    }
+    for (const Server *candidateServer : known) {
+        const Server &server = *candidateServer;
+        if (server.entry.isDraining || request.excluded.contains(server.entry.id))
             continue;
-        const double cachedTokens = server.cache.cachedTokens(request.prompt, capacity);
+        const double cachedTokens = server.holderMark == placementNumber
+                                            ? server.cache.cachedTokens(request.prompt, capacity)
+                                            : 0;
         const PrefillWork work{std::max(0., request.promptTokens - cachedTokens), cachedTokens};
         const double slowness = server.model.slowness(now);
         PlacementCandidate candidate;
-        candidate.server = id;
+        candidate.server = server.entry.id;
         candidate.waitMs = server.model.waitMs(serviceSpeed, server.peerLoads.sum(now),
                                                server.entry.slots, now);
         candidate.prefillMs = serviceSpeed.prefillMs(work) * slowness;
@@ -164,11 +192,14 @@
                 unrelayedPrefixes_.push_back(sent);
         }
         server->cache.insert(prompt, capacity);
+        prefixHolders_.add(prompt.front().hash, server);
+        prefixHolders_.removeExpired([](const Server &holder, std::uint64_t prefix) {
+            return holder.cache.contains(prefix);
+        });
     }
     const PrefillWork work{placement.uncachedTokens, placement.cachedTokens};
     if (speed(server->entry.service).prefillMs(work) >= minReportedPrefillMs) {
-        server->hasUnreportedSends = true;
-        hasUnreportedSends_ = true;
+        markUnreported(*server);
         markUnrelayed(*server);
     }
     server->sentTokens += static_cast<std::uint32_t>(placement.uncachedTokens);
@@ -186,6 +217,10 @@
 
 void ServerPool::setLoopDelay(std::chrono::nanoseconds delay)
 {
+    // Zero in most intervals.
+    if (delay == loopDelay_)
+        return;
+    loopDelay_ = delay;
     for (auto &[id, server] : servers_)
         server.model.setLoopDelay(toMs(delay));
 }
--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -7,6 +7,7 @@
 #include "placing/PeerLoads.h"
 #include "placing/PlacementChoice.h"
 #include "placing/PrefixCacheModel.h"
+#include "placing/PrefixHolders.h"
 #include "placing/ServerModel.h"
 
 #include <functional>
@@ -66,7 +67,7 @@
     /// that are busy or were so in their last report.
     std::vector<RouterReport> makeReports(bool onlyUnreported, TimePoint now);
     /// True when a send since the last report is large enough for an incremental report.
-    bool hasUnreportedSends() const { return hasUnreportedSends_; }
+    bool hasUnreportedSends() const { return !unreportedServers_.empty(); }
     /// Starts or stops collecting what the reports of this data centre contain.
     void setRelaying(bool isRelaying);
     /// Returns reports of the load of this router and of the members together, each small enough
@@ -74,7 +75,7 @@
     /// since their last report, else all servers that are busy or were so in their last report.
     std::vector<DataCentreReport> makeDataCentreReports(bool onlyUnrelayed, TimePoint now);
     /// True when the data centre's load has changed since the last of its reports.
-    bool hasUnrelayedLoad() const { return hasUnrelayedLoad_; }
+    bool hasUnrelayedLoad() const { return !unrelayedServers_.empty(); }
 
     std::optional<Placement> choose(const PlacementRequest &request, TimePoint now) const;
     /// Returns the send's number, which later calls pass; 0 for an unknown server.
@@ -101,6 +102,8 @@
         PrefixCacheModel cache;
         /// Load that the other routers report.
         PeerLoads peerLoads;
+        /// Number of the last placement whose prompt the server may have cached.
+        mutable std::uint64_t holderMark = 0;
         /// Counter for reports: prompt tokens sent there that were not cached, modulo 2^32.
         std::uint32_t sentTokens = 0;
         /// The same of the members, as far as this router has counted them.
@@ -119,10 +122,15 @@
     };
 
     Server *find(const ServerId &id);
+    const std::vector<const Server *> &serversOf(const ServiceId &service) const;
     Server *findByHash(std::uint32_t hash);
     void applyLoads(const std::string &sender, std::uint32_t counter,
                     const std::vector<RouterServerLoad> &loads, bool isMember, TimePoint now);
     void applyPrefixes(const std::vector<RouterSentPrefix> &prefixes, bool isMember);
+    void insertReportedPrefix(Server &server, std::uint64_t prefix);
+    RouterServerLoad ownLoad(Server &server, TimePoint now);
+    RouterServerLoad dataCentreLoad(Server &server, TimePoint now);
+    void markUnreported(Server &server);
     void markUnrelayed(Server &server);
     double cacheTokens(const ServiceId &service) const;
     PrefillSpeed &speed(const ServiceId &service) const;
@@ -130,15 +138,22 @@
     DataCentreId dataCentre_;
     std::shared_ptr<const DirectConfiguration> configuration_;
     std::map<ServerId, Server> servers_;
+    /// Servers by service; cleared when a server is added, removed or changes its service.
+    mutable std::unordered_map<ServiceId, std::vector<const Server *>> serversByService_;
     mutable std::unordered_map<ServiceId, PrefillSpeed> speeds_;
+    PrefixHolders<Server> prefixHolders_;
+    mutable std::uint64_t lastPlacement_ = 0;
     /// By the hash of the server's id.
     std::unordered_map<std::uint32_t, Server *> serversByHash_;
     LoadSources sources_;
     std::vector<RouterSentPrefix> unreportedPrefixes_;
-    bool hasUnreportedSends_ = false;
+    /// Servers for the next incremental report; each has hasUnreportedSends.
+    std::vector<Server *> unreportedServers_;
     bool isRelaying_ = false;
     std::vector<RouterSentPrefix> unrelayedPrefixes_;
-    bool hasUnrelayedLoad_ = false;
+    /// Servers for the data centre's next incremental report; each has hasUnrelayedLoad.
+    std::vector<Server *> unrelayedServers_;
+    std::chrono::nanoseconds loopDelay_{0};
 };
 
 /// Returns the hash that identifies a server or an account in reports between routers.
--- a/src/direct/ServerPoolReports.cpp
+++ b/src/direct/ServerPoolReports.cpp
@@ -1,6 +1,7 @@
 #include "direct/ServerPool.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lovagecourse {
 
@@ -56,20 +57,29 @@
     return found == serversByHash_.end() ? nullptr : found->second;
 }
 
+void ServerPool::markUnreported(Server &server)
+{
+    if (std::exchange(server.hasUnreportedSends, true))
+        return;
+    unreportedServers_.push_back(&server);
+}
+
 void ServerPool::markUnrelayed(Server &server)
 {
-    if (!isRelaying_)
+    if (!isRelaying_ || std::exchange(server.hasUnrelayedLoad, true))
         return;
-    server.hasUnrelayedLoad = true;
-    hasUnrelayedLoad_ = true;
+    unrelayedServers_.push_back(&server);
 }
 
 void ServerPool::setRelaying(bool isRelaying)
 {
     isRelaying_ = isRelaying;
-    hasUnrelayedLoad_ = hasUnrelayedLoad_ && isRelaying;
-    if (!isRelaying)
-        unrelayedPrefixes_.clear();
+    if (isRelaying)
+        return;
+    unrelayedPrefixes_.clear();
+    for (Server *server : unrelayedServers_)
+        server->hasUnrelayedLoad = false;
+    unrelayedServers_.clear();
 }
 
 void ServerPool::applyLoads(const std::string &sender, std::uint32_t counter,
@@ -105,11 +115,18 @@
     }
 }
 
+void ServerPool::insertReportedPrefix(Server &server, std::uint64_t prefix)
+{
+    server.cache.insertReported(prefix);
+    // Only first parts are looked up; the report does not tell which of them this is.
+    prefixHolders_.add(prefix, &server);
+}
+
 void ServerPool::applyPrefixes(const std::vector<RouterSentPrefix> &prefixes, bool isMember)
 {
     for (const RouterSentPrefix &sent : prefixes) {
         if (Server *server = findByHash(sent.server))
-            server->cache.insertReported(sent.prefix);
+            insertReportedPrefix(*server, sent.prefix);
     }
     if (isMember && isRelaying_)
         unrelayedPrefixes_.insert(unrelayedPrefixes_.end(), prefixes.begin(), prefixes.end());
@@ -129,57 +146,77 @@
     applyPrefixes(report.prefixes, false);
 }
 
+RouterServerLoad ServerPool::ownLoad(Server &server, TimePoint now)
+{
+    const bool hasSlowness = isRecent(server.slownessReceived, now);
+    server.wasReported = server.model.running() > 0 || hasSlowness;
+    RouterServerLoad load;
+    load.server = reportHash(server.entry.id.value);
+    load.backlogMs = toReportedMs(server.model.backlogMs(now));
+    load.overdueMs = toReportedMs(server.model.overdueMs(now));
+    load.sentTokens = server.sentTokens;
+    load.running = static_cast<std::uint16_t>(server.model.running());
+    if (hasSlowness)
+        addSlowness(load, server.model, now);
+    return load;
+}
+
+RouterServerLoad ServerPool::dataCentreLoad(Server &server, TimePoint now)
+{
+    const PeerLoad members = server.peerLoads.sumOf(sources_.members(), now);
+    const unsigned running = server.model.running() + members.running;
+    const bool hasSlowness =
+            isRecent(server.slownessReceived, now) || isRecent(server.memberSlownessReceived, now);
+    server.wasRelayed = running > 0 || hasSlowness;
+    RouterServerLoad load;
+    load.server = reportHash(server.entry.id.value);
+    load.backlogMs = toReportedMs(server.model.backlogMs(now) + members.backlogMs);
+    load.overdueMs = toReportedMs(std::max(server.model.overdueMs(now), members.overdueMs));
+    load.sentTokens = server.sentTokens + server.memberTokens;
+    load.running = static_cast<std::uint16_t>(std::min(running, 65535U));
+    if (hasSlowness)
+        addSlowness(load, server.model, now);
+    return load;
+}
+
 std::vector<RouterReport> ServerPool::makeReports(bool onlyUnreported, TimePoint now)
 {
-    hasUnreportedSends_ = false;
     std::vector<RouterReport> reports(1);
-    for (auto &[id, server] : servers_) {
-        const bool hasSlowness = isRecent(server.slownessReceived, now);
-        const bool isBusy = server.model.running() > 0 || hasSlowness;
-        // A server that became idle is reported once more, so that other routers clear its load.
-        if (onlyUnreported ? !server.hasUnreportedSends : !isBusy && !server.wasReported)
-            continue;
-        server.hasUnreportedSends = false;
-        server.wasReported = isBusy;
-        RouterServerLoad load;
-        load.server = reportHash(id.value);
-        load.backlogMs = toReportedMs(server.model.backlogMs(now));
-        load.overdueMs = toReportedMs(server.model.overdueMs(now));
-        load.sentTokens = server.sentTokens;
-        load.running = static_cast<std::uint16_t>(server.model.running());
-        if (hasSlowness)
-            addSlowness(load, server.model, now);
-        reportForServer(reports).servers.push_back(load);
+    std::vector<Server *> included = std::exchange(unreportedServers_, {});
+    for (Server *server : included)
+        server->hasUnreportedSends = false;
+    if (!onlyUnreported) {
+        included.clear();
+        for (auto &[id, server] : servers_) {
+            // A server that became idle is reported once more, so that other routers clear its
+            // load.
+            if (server.wasReported || server.model.running() > 0
+                || isRecent(server.slownessReceived, now))
+                included.push_back(&server);
+        }
     }
+    for (Server *server : included)
+        reportForServer(reports).servers.push_back(ownLoad(*server, now));
     takePrefixes(unreportedPrefixes_, reports.back());
     return reports;
 }
 
 std::vector<DataCentreReport> ServerPool::makeDataCentreReports(bool onlyUnrelayed, TimePoint now)
 {
-    hasUnrelayedLoad_ = false;
     std::vector<DataCentreReport> reports(1);
-    for (auto &[id, server] : servers_) {
-        if (onlyUnrelayed && !server.hasUnrelayedLoad)
-            continue;
-        const PeerLoad members = server.peerLoads.sumOf(sources_.members(), now);
-        const unsigned running = server.model.running() + members.running;
-        const bool hasSlowness = isRecent(server.slownessReceived, now)
-                                 || isRecent(server.memberSlownessReceived, now);
-        const bool isBusy = running > 0 || hasSlowness;
-        if (!onlyUnrelayed && !isBusy && !server.wasRelayed)
-            continue;
-        server.hasUnrelayedLoad = false;
-        server.wasRelayed = isBusy;
-        RouterServerLoad load;
-        load.server = reportHash(id.value);
-        load.backlogMs = toReportedMs(server.model.backlogMs(now) + members.backlogMs);
-        load.overdueMs = toReportedMs(std::max(server.model.overdueMs(now), members.overdueMs));
-        load.sentTokens = server.sentTokens + server.memberTokens;
-        load.running = static_cast<std::uint16_t>(std::min(running, 65535U));
-        if (hasSlowness)
-            addSlowness(load, server.model, now);
-        reportForServer(reports).servers.push_back(load);
+    std::vector<Server *> included = std::exchange(unrelayedServers_, {});
+    for (Server *server : included)
+        server->hasUnrelayedLoad = false;
+    if (!onlyUnrelayed) {
+        included.clear();
+        for (auto &[id, server] : servers_)
+            included.push_back(&server);
+    }
+    for (Server *server : included) {
+        const bool wasRelayed = server->wasRelayed;
+        const RouterServerLoad load = dataCentreLoad(*server, now);
+        if (onlyUnrelayed || wasRelayed || server->wasRelayed)
+            reportForServer(reports).servers.push_back(load);
     }
     takePrefixes(unrelayedPrefixes_, reports.back());
     while (!unrelayedPrefixes_.empty()) {
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -11,9 +11,7 @@
 
 // Three times the slowest answer that the platform documents.
 constexpr milliseconds answerTimeout{800};
-// Two attempts and an answer fit into the two seconds within which a change must take effect.
 constexpr milliseconds firstRetryDelay{100};
-constexpr milliseconds maxRetryDelay{400};
 
 constexpr std::array<std::string_view, 3> topicNames{"configuration", "servers", "daemons"};
 constexpr std::array<std::string_view, 5> faultNames{"no-answer", "overloaded", "unavailable",
@@ -92,14 +90,28 @@
 
 void StoreFollower::skipUnchanged(LogOffset from, LogOffset to)
 {
-    // A read in progress returns the same records. After a failure, only a read by this follower
-    // detects that the store has recovered.
-    if (!next_ || isReading_ || failures_ > 0 || *next_ < from || to < *next_)
+    if (!canSkip() || *next_ < from || to < *next_)
         return;
     next_ = to;
     timer_.startOnce(timing_.interval);
 }
 
+bool StoreFollower::takeOver(LogOffset from, LogOffset to)
+{
+    if (!canSkip() || *next_ != from || to <= from)
+        return false;
+    next_ = to;
+    timer_.startOnce(timing_.interval);
+    return true;
+}
+
+/// A read in progress returns the same records. After a failure, only a read by this follower
+/// detects that the store has recovered.
+bool StoreFollower::canSkip() const
+{
+    return next_ && !isReading_ && failures_ == 0;
+}
+
 void StoreFollower::onFault(StoreFault fault)
 {
     if (fault == StoreFault::Expired) {
@@ -115,7 +127,8 @@
                    " fault=", toString(fault));
     }
     ++failures_;
-    timer_.startOnce(std::min(maxRetryDelay, firstRetryDelay * static_cast<int>(failures_)));
+    timer_.startOnce(
+            std::min(timing_.maxRetryDelay, firstRetryDelay * static_cast<int>(failures_)));
 }
 
 } // namespace lovagecourse
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -14,6 +14,8 @@
     milliseconds interval{0};
     /// Time for which the store may hold a read until a record arrives; 0 for no long poll.
     milliseconds longPollWait{0};
+    /// Longest time from a failed read to the next one.
+    milliseconds maxRetryDelay{400};
 };
 
 /// Follows one topic of the store: reads the newest record of every key first, then new records.
@@ -43,6 +45,11 @@
     /// Another router has read this range of records and found no change in it. Skips the range and
     /// postpones the next read, if this follower has read all records before it.
     void skipUnchanged(LogOffset from, LogOffset to);
+    /// Another router has read this range of records and passes on those that are changes. Returns
+    /// true if this follower continues after the range, so that the caller must apply them. Unlike
+    /// a range without changes, it must begin where this follower is: an older change must not
+    /// follow a newer one.
+    bool takeOver(LogOffset from, LogOffset to);
     /// True while the last read failed.
     bool isFailing() const { return failures_ > 0; }
 
@@ -50,6 +57,7 @@
     void read();
     void onResult(const KeyedResult &result, bool isFullRead);
     void onFault(StoreFault fault);
+    bool canSkip() const;
 
     const Clock &clock_;
     FleetStore &store_;
--- a/src/gateway/CallerExchange.cpp
+++ b/src/gateway/CallerExchange.cpp
@@ -74,8 +74,6 @@
 MHD_Result HttpGateway::Impl::receiveHeaders(Exchange &exchange, const char *method)
 {
     exchange.headersReceived = true;
-    MHD_set_connection_option(exchange.connection, MHD_CONNECTION_OPTION_TIMEOUT,
-                              static_cast<unsigned>(limits.idleTimeout.count()));
     exchange.request.method = method;
     exchange.headerBytes = exchange.request.path.size() + exchange.request.query.size();
     MHD_get_connection_values(exchange.connection, MHD_HEADER_KIND, &Impl::onHeader, &exchange);
--- a/src/gateway/GatewayImpl.h
+++ b/src/gateway/GatewayImpl.h
@@ -5,6 +5,7 @@
 
 #include <microhttpd.h>
 
+#include <limits>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -63,6 +64,16 @@
 
     using Event = std::variant<CallerRequest, Consumed, CallerLeft>;
 
+    /// An instance of libmicrohttpd, which has one idle timeout. A timeout per connection would
+    /// make libmicrohttpd examine every idle connection in each run.
+    struct Library
+    {
+        MHD_Daemon *daemon = nullptr;
+        std::unique_ptr<IoWatcher> watcher;
+
+        std::size_t connectionCount() const;
+    };
+
     Impl(EventLoop &eventLoop, Metrics &gatewayMetrics, const GatewayLimits &gatewayLimits,
          Handlers gatewayHandlers)
         : loop(eventLoop)
@@ -75,9 +86,11 @@
 
     ~Impl();
     bool start(int listenSocket);
+    bool openLibrary();
+    void closeUnusedLibraries();
     void stopListening();
     void acceptConnections();
-    const char *dropReason(int descriptor) const;
+    const char *dropReason(int descriptor, std::size_t acceptedAtOnce) const;
     void run();
     void dispatch();
     void armTimer();
@@ -117,8 +130,8 @@
     Handlers handlers;
     PeerCloseWatcher peerCloseWatcher;
     Timer timer;
-    MHD_Daemon *daemon = nullptr;
-    std::unique_ptr<IoWatcher> watcher;
+    /// The last one gets new connections; earlier ones keep theirs until they close.
+    std::vector<Library> libraries;
     int listener = -1;
     std::unique_ptr<IoWatcher> acceptWatcher;
     std::unordered_map<CallerId, std::unique_ptr<Exchange>> exchanges;
@@ -131,6 +144,8 @@
     std::size_t rejectedConnections = 0;
     /// Number of connections that may still be accepted; empty means no limit.
     std::optional<std::size_t> acceptAllowance;
+    /// Number of connections to accept in one iteration of the event loop.
+    std::size_t maxAcceptsAtOnce = std::numeric_limits<std::size_t>::max();
     /// Set to false by the destructor, because a handler may destroy the gateway.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/gateway/HttpGateway.cpp
+++ b/src/gateway/HttpGateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/HttpGateway.h"
 
+#include "core/Log.h"
 #include "gateway/GatewayImpl.h"
 #include "gateway/Problem.h"
 
@@ -30,6 +31,8 @@
 // Limit per iteration of the event loop. If fewer connections are accepted than arrive, the backlog
 // grows until every caller in it times out before its connection is accepted.
 constexpr int maxAcceptsPerWakeUp = 2048;
+// Reason for closing a connection of which the process has no time to handle the request.
+constexpr const char *lateReason = "late";
 constexpr int lowestFinalStatus = 200;
 constexpr int highestStatus = 599;
 
@@ -86,10 +89,11 @@
     // libmicrohttpd aborts the process if it is stopped with suspended connections.
     for (auto &entry : exchanges)
         resume(*entry.second);
-    watcher.reset();
     stopListening();
-    if (daemon)
-        MHD_stop_daemon(daemon);
+    for (Library &library : libraries) {
+        library.watcher.reset();
+        MHD_stop_daemon(library.daemon);
+    }
 }
 
 void HttpGateway::Impl::stopListening()
@@ -106,8 +110,15 @@
     acceptWatcher =
             std::make_unique<IoWatcher>(loop, listener, [this](int) { acceptConnections(); });
     acceptWatcher->watch(EV_READ);
+    return openLibrary();
+}
+
+/// Opens an instance of libmicrohttpd for new connections, with the current idle timeout.
+bool HttpGateway::Impl::openLibrary()
+{
     const std::size_t poolBytes = 2 * limits.maxHeaderBytes + poolReserveBytes;
-    daemon = MHD_start_daemon(
+    Library library;
+    library.daemon = MHD_start_daemon(
             MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_NO_LISTEN_SOCKET, 0, nullptr,
             nullptr, &Impl::onAccess, this, MHD_OPTION_URI_LOG_CALLBACK, &Impl::onRequestLine, this,
             MHD_OPTION_NOTIFY_COMPLETED, &Impl::onCompleted, this,
@@ -115,21 +126,32 @@
             limits.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT,
             static_cast<unsigned>(limits.idleTimeout.count()), MHD_OPTION_STRICT_FOR_CLIENT, 1,
             MHD_OPTION_END);
-    if (!daemon)
+    if (!library.daemon)
         return false;
-    const MHD_DaemonInfo *info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    const MHD_DaemonInfo *info = MHD_get_daemon_info(library.daemon, MHD_DAEMON_INFO_EPOLL_FD);
     assert(info);
-    watcher = std::make_unique<IoWatcher>(loop, info->epoll_fd, [this](int) { run(); });
-    watcher->watch(EV_READ);
+    library.watcher = std::make_unique<IoWatcher>(loop, info->epoll_fd, [this](int) { run(); });
+    library.watcher->watch(EV_READ);
+    libraries.push_back(std::move(library));
     armTimer();
     return true;
 }
 
+/// Closes earlier instances whose connections are closed.
+void HttpGateway::Impl::closeUnusedLibraries()
+{
+    while (libraries.size() > 1 && libraries.front().connectionCount() == 0) {
+        libraries.front().watcher.reset();
+        MHD_stop_daemon(libraries.front().daemon);
+        libraries.erase(libraries.begin());
+    }
+}
+
 /// Returns the reason for closing a new connection unread, or null to accept it.
-const char *HttpGateway::Impl::dropReason(int descriptor) const
+const char *HttpGateway::Impl::dropReason(int descriptor, std::size_t acceptedAtOnce) const
 {
-    if (acceptAllowance && *acceptAllowance == 0)
-        return "late";
+    if ((acceptAllowance && *acceptAllowance == 0) || acceptedAtOnce >= maxAcceptsAtOnce)
+        return lateReason;
     if (connectionCount() >= limits.maxConnections)
         return "full";
     return limits.dropHalfClosed && hasPeerClosed(descriptor) ? "left" : nullptr;
@@ -139,6 +161,7 @@
 /// per run, so that under load caller after caller in the backlog would time out before its turn.
 void HttpGateway::Impl::acceptConnections()
 {
+    std::size_t accepted = 0;
     for (int calls = 0; calls < maxAcceptsPerWakeUp; ++calls) {
         sockaddr_in address{};
         socklen_t size = sizeof(address);
@@ -149,18 +172,19 @@
                 metrics.count("lovagecourse_accept_failures_total");
             break;
         }
-        if (const char *reason = dropReason(descriptor)) {
+        if (const char *reason = dropReason(descriptor, accepted)) {
             metrics.count("lovagecourse_connections_dropped_total", reason);
-            rejectedConnections += acceptAllowance && *acceptAllowance == 0 ? 1 : 0;
+            rejectedConnections += reason == lateReason ? 1 : 0;
             close(descriptor);
             continue;
         }
+        ++accepted;
         if (acceptAllowance)
             --*acceptAllowance;
         metrics.count("lovagecourse_connections_accepted_total");
         // MHD_add_connection() takes ownership of the descriptor, even if it fails.
-        if (MHD_add_connection(daemon, descriptor, reinterpret_cast<const sockaddr *>(&address),
-                               size)
+        if (MHD_add_connection(libraries.back().daemon, descriptor,
+                               reinterpret_cast<const sockaddr *>(&address), size)
             != MHD_YES)
             metrics.count("lovagecourse_connections_dropped_total", "library");
     }
@@ -170,7 +194,9 @@
 void HttpGateway::Impl::run()
 {
     const auto stillAlive = alive;
-    MHD_run(daemon);
+    for (const Library &library : libraries)
+        MHD_run(library.daemon);
+    closeUnusedLibraries();
     // Armed before the handlers are called, so that a handler that resumes a connection can
     // schedule an earlier run.
     armTimer();
@@ -198,9 +224,14 @@
 
 void HttpGateway::Impl::armTimer()
 {
-    MHD_UNSIGNED_LONG_LONG timeout = 0;
-    if (MHD_get_timeout(daemon, &timeout) == MHD_YES)
-        timer.startOnce(milliseconds(timeout));
+    std::optional<milliseconds> next;
+    for (const Library &library : libraries) {
+        MHD_UNSIGNED_LONG_LONG timeout = 0;
+        if (MHD_get_timeout(library.daemon, &timeout) == MHD_YES)
+            next = std::min(next.value_or(milliseconds(timeout)), milliseconds(timeout));
+    }
+    if (next)
+        timer.startOnce(*next);
     else
         timer.stop();
 }
@@ -210,12 +241,20 @@
     timer.startOnce(std::chrono::nanoseconds(0));
 }
 
-std::size_t HttpGateway::Impl::connectionCount() const
+std::size_t HttpGateway::Impl::Library::connectionCount() const
 {
     const MHD_DaemonInfo *info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
     return info ? info->num_connections : 0;
 }
 
+std::size_t HttpGateway::Impl::connectionCount() const
+{
+    std::size_t count = 0;
+    for (const Library &library : libraries)
+        count += library.connectionCount();
+    return count;
+}
+
 bool HttpGateway::Impl::isKeepAliveDisabled() const
 {
     return acceptAllowance || connectionCount() > limits.maxKeepAliveConnections;
@@ -364,7 +403,14 @@
 
 void HttpGateway::setIdleTimeout(seconds timeout)
 {
-    impl_->limits.idleTimeout = timeout;
+    if (timeout == impl_->limits.idleTimeout)
+        return;
+    const seconds previous = std::exchange(impl_->limits.idleTimeout, timeout);
+    if (impl_->openLibrary())
+        return;
+    impl_->limits.idleTimeout = previous;
+    logError(LogPart::Gateway, "event=idle-timeout-unchanged seconds=", previous.count(),
+             " wanted=", timeout.count());
 }
 
 void HttpGateway::limitAccepts(std::size_t count)
@@ -377,6 +423,11 @@
     impl_->acceptAllowance.reset();
 }
 
+void HttpGateway::limitAcceptsAtOnce(std::size_t count)
+{
+    impl_->maxAcceptsAtOnce = count;
+}
+
 std::size_t HttpGateway::takeRejectedConnections()
 {
     return std::exchange(impl_->rejectedConnections, 0);
--- a/src/gateway/HttpGateway.h
+++ b/src/gateway/HttpGateway.h
@@ -84,15 +84,18 @@
     void abortStream(CallerId caller);
     /// From now on, each answer closes its connection.
     void closeAfterAnswers();
-    /// Sets the idle time after which a connection is closed; applies to each connection from its
-    /// next request on.
+    /// Sets the idle time after which a connection is closed; applies to connections that are
+    /// accepted from now on.
     void setIdleTimeout(seconds timeout);
     /// Accepts this many connections until the next call and closes further ones unread, so that
     /// their callers can use another router at once. While limited, each answer closes its
     /// connection.
     void limitAccepts(std::size_t count);
     void unlimitAccepts();
-    /// Returns the number of connections rejected by limitAccepts() since the last call.
+    /// Of the connections that wait in one iteration of the event loop, accepts this many and
+    /// closes the others unread.
+    void limitAcceptsAtOnce(std::size_t count);
+    /// Returns the number of connections rejected by these limits since the last call.
     std::size_t takeRejectedConnections();
     /// Returns whether the caller has closed its sending side, even if onCallerLeft has not been
     /// called yet. Always false unless dropHalfClosed is set.
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -19,6 +19,8 @@
 // Per transfer. libcurl's defaults of 16 KB and 64 KB need much memory with hundreds of transfers.
 constexpr long receiveBufferBytes = 8L << 10;
 constexpr long sendBufferBytes = 16L << 10;
+// A longer head fails the transfer.
+constexpr std::size_t maxHeadBytes = 128U << 10;
 
 std::string_view trim(std::string_view text)
 {
@@ -47,6 +49,7 @@
     int tcpUserTimeoutMs = 0;
     HttpClient::Handlers handlers;
     HeaderList headers;
+    std::size_t headBytes = 0;
     bool headDelivered = false;
     bool paused = false;
     bool cancelled = false;
@@ -73,6 +76,10 @@
 {
     auto &transfer = *static_cast<Transfer *>(user);
     const std::string_view line(data, size * count);
+    // Counts the heads of interim answers too, which may follow each other without end.
+    transfer.headBytes += line.size();
+    if (transfer.headBytes > maxHeadBytes)
+        return 0;
     if (line.starts_with("HTTP/"))
         transfer.headers.clear();
     const std::size_t colon = line.find(':');
--- a/src/placing/IntakeLimit.cpp
+++ b/src/placing/IntakeLimit.cpp
@@ -16,23 +16,74 @@
 // The limit grows by half in a second of 50 ms intervals, while most of it is in use.
 constexpr double growthFactor = 1.02;
 constexpr double minUtilisationToGrow = 0.7;
+// In light load it grows by half in four seconds, so that it ends after an overload.
+constexpr double idleGrowthFactor = 1.005;
+// An overloaded process is busy all the time; one that was suspended, or waited for the processor
+// once, is not.
+constexpr double minOverloadBusyShare = 0.6;
+constexpr double minLearningBusyShare = 0.4;
+constexpr double measurementMs = 1000;
+constexpr std::size_t minMeasuredRequests = 20;
+// Processor time of a request with a streamed answer.
+constexpr double processorMsPerRequest = 0.45;
+constexpr double minProcessorShare = 0.01;
+// Weight of one second in the cost of a request.
+constexpr double requestCostWeight = 0.5;
 // A few requests are always allowed, so that a limit that fell too far can grow again.
 constexpr double minOpen = 8;
+constexpr double minAcceptsAtOnce = 16;
 
 } // namespace
 
-std::size_t IntakeLimit::onInterval(double loopDelayMs, std::size_t open, TimePoint now)
+IntakeLimit::IntakeLimit(double processorShare)
+    : requestCostMs_(processorMsPerRequest / std::max(processorShare, minProcessorShare))
+{}
+
+bool isOverloaded(const ProcessLoad &load)
+{
+    return load.loopDelayMs > maxLoopDelayMs && load.busyShare >= minOverloadBusyShare;
+}
+
+/// Divides the busy time of a second by its requests. In light load most of the time goes into
+/// other work, and with few requests into the rejection of others; both give no measurement.
+void IntakeLimit::learnRequestCost(const ProcessLoad &load)
 {
-    const auto count = static_cast<double>(open);
-    if (loopDelayMs > maxLoopDelayMs && now >= cooldownUntil_) {
-        maxOpen_ = std::max(minOpen, decreaseFactor * std::min(maxOpen_, count));
-        cooldownUntil_ = now + decreaseCooldown;
-    } else if (loopDelayMs <= maxLoopDelayMs && isLimited()
-               && count >= minUtilisationToGrow * maxOpen_) {
-        maxOpen_ = std::min(unlimitedOpen, maxOpen_ * growthFactor);
+    measuredMs_ += load.intervalMs;
+    measuredBusyMs_ += load.busyShare * load.intervalMs;
+    measuredRequests_ += load.received;
+    if (measuredMs_ < measurementMs)
+        return;
+    const bool isMeasured = measuredBusyMs_ >= minLearningBusyShare * measuredMs_
+                            && measuredRequests_ >= minMeasuredRequests;
+    if (isMeasured) {
+        const double costMs = measuredBusyMs_ / static_cast<double>(measuredRequests_);
+        requestCostMs_ += requestCostWeight * (costMs - requestCostMs_);
+    }
+    measuredMs_ = 0;
+    measuredBusyMs_ = 0;
+    measuredRequests_ = 0;
+}
+
+std::size_t IntakeLimit::onInterval(const ProcessLoad &load, TimePoint now)
+{
+    learnRequestCost(load);
+    const auto count = static_cast<double>(load.open);
+    if (isOverloaded(load)) {
+        if (now >= cooldownUntil_) {
+            maxOpen_ = std::max(minOpen, decreaseFactor * std::min(maxOpen_, count));
+            cooldownUntil_ = now + decreaseCooldown;
+        }
+    } else if (isLimited()) {
+        const bool isInUse = count >= minUtilisationToGrow * maxOpen_;
+        maxOpen_ = std::min(unlimitedOpen, maxOpen_ * (isInUse ? growthFactor : idleGrowthFactor));
     }
     // The platform expects a process that reports itself as ready to accept some connections.
     return static_cast<std::size_t>(std::max(1., maxOpen_ - count));
 }
 
+std::size_t IntakeLimit::acceptsAtOnce() const
+{
+    return static_cast<std::size_t>(std::max(minAcceptsAtOnce, maxLoopDelayMs / requestCostMs_));
+}
+
 } // namespace lovagecourse
--- a/src/placing/IntakeLimit.h
+++ b/src/placing/IntakeLimit.h
@@ -6,6 +6,25 @@
 
 namespace lovagecourse {
 
+/// Load of a process in one interval.
+struct ProcessLoad
+{
+    /// Delay of the event loop at the end of the interval, in ms.
+    double loopDelayMs = 0;
+    /// Part of the interval that was spent in callbacks, from 0 to 1.
+    double busyShare = 0;
+    /// Length of the interval, in ms.
+    double intervalMs = 0;
+    /// Requests that were received in the interval.
+    std::size_t received = 0;
+    /// Requests that are open at its end.
+    std::size_t open = 0;
+};
+
+/// True if the process has more work than processor time. A process that was suspended is late as
+/// well, but was not busy meanwhile.
+bool isOverloaded(const ProcessLoad &load);
+
 /// Limits the open requests of a process whose event loop is overloaded, such as one on a small
 /// host that the load balancer sends as many callers as a large one. Without the limit every caller
 /// waits for seconds and leaves before its answer; with it, excess callers are rejected at once and
@@ -13,19 +32,36 @@
 class IntakeLimit
 {
 public:
-    /// loopDelayMs: delay of the event loop in the last interval. open: number of open requests.
+    /// processorShare: part of a core that the process may use; gives the cost of a request until
+    /// it is measured.
+    explicit IntakeLimit(double processorShare);
+
     /// Returns the number of connections to accept in the next interval, at least 1.
-    std::size_t onInterval(double loopDelayMs, std::size_t open, TimePoint now);
+    std::size_t onInterval(const ProcessLoad &load, TimePoint now);
     bool isLimited() const { return maxOpen_ < unlimitedOpen; }
     double maxOpen() const { return maxOpen_; }
+    /// Number of waiting connections to accept at a time. The work of more of them would delay the
+    /// event loop so much that the last callers wait for too long; those are better off with
+    /// another router at once. Follows from the measured cost of a request, so that it fits hosts
+    /// of any speed.
+    std::size_t acceptsAtOnce() const;
+    /// Processing time of one request, with its answer, in ms of this host.
+    double requestCostMs() const { return requestCostMs_; }
 
 private:
     /// More requests than a router on the largest host has open; stands for no limit.
     static constexpr double unlimitedOpen = 10000;
 
+    void learnRequestCost(const ProcessLoad &load);
+
     double maxOpen_ = unlimitedOpen;
     /// Until then the limit does not fall again, because the last decrease has not taken effect.
     TimePoint cooldownUntil_;
+    double requestCostMs_;
+    /// Sums of the current measurement of the cost.
+    double measuredMs_ = 0;
+    double measuredBusyMs_ = 0;
+    std::size_t measuredRequests_ = 0;
 };
 
 } // namespace lovagecourse
--- a/src/placing/PrefixCacheModel.h
+++ b/src/placing/PrefixCacheModel.h
@@ -17,6 +17,8 @@
     /// Leading tokens of the prompt that are expected in the cache, so that their prefill is
     /// skipped.
     double cachedTokens(const std::vector<PromptPrefix> &prompt, double capacityTokens) const;
+    /// True if the prefix was sent to the server and its entry is kept, even if it has expired.
+    bool contains(std::uint64_t hash) const { return lastUse_.contains(hash); }
     /// True if other routers need a report that the prefix is used (again): it is not in this
     /// model, or so many tokens were sent since its last use that other routers would soon consider
     /// it evicted.
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -525,6 +525,37 @@
     }
 };
 
+/// Record of the store, as one router passes it on to another.
+struct ForwardedRecord
+{
+    std::string key;
+    std::string value;
+    /// The record deletes its key; value is empty.
+    bool isDeleted = false;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(key, value, isDeleted);
+    }
+};
+
+/// Datagram, router to router: of the server records in a range of store offsets, those that change
+/// something for a router that has applied all records before it, so that it need not read them.
+struct ServersChanged
+{
+    LogOffset from;
+    /// Offset after the last record.
+    LogOffset to;
+    std::vector<ForwardedRecord> records;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(from, to, records);
+    }
+};
+
 /// Datagram, router to router of the same data centre: the sender runs. Routers find each other by
 /// it after a start, before either has load to report.
 struct RouterPresence
@@ -590,6 +621,7 @@
                      Cancel, Credit, AnswerHead, AnswerData, AnswerEnd, AgentState,
                      CrashSuspectNotice, ConfigurationStateRequest, ConfigurationStateReply, Gossip,
                      ServiceReport, FairTotals, LeaveNotice, RouterReport, RouterAccountReport,
-                     ServersUnchanged, RouterPresence, DataCentreReport, DataCentreAccountReport>;
+                     ServersUnchanged, RouterPresence, DataCentreReport, DataCentreAccountReport,
+                     ServersChanged>;
 
 } // namespace lovagecourse
--- a/tests/core/EventLoopTest.cpp
+++ b/tests/core/EventLoopTest.cpp
@@ -28,3 +28,24 @@
     CHECK(idle < milliseconds(20));
     CHECK(busy >= milliseconds(59));
 }
+
+// Guards against an overload that is seen where the process waits, and against one that is not
+// seen.
+TEST_CASE("event loop, callbacks take half of the time, busy share tells it")
+{
+    EventLoop loop;
+    int rounds = 0;
+    Timer timer(loop, [&] {
+        const auto end = std::chrono::steady_clock::now() + milliseconds(10);
+        while (std::chrono::steady_clock::now() < end) {
+        }
+        if (++rounds == 10)
+            loop.stop();
+    });
+    loop.takeBusyShare();
+    timer.startRepeating(milliseconds(20));
+    loop.run();
+    const double share = loop.takeBusyShare();
+    CHECK(share > 0.2);
+    CHECK(share < 0.95);
+}
--- a/tests/direct/DirectRouterTest.cpp
+++ b/tests/direct/DirectRouterTest.cpp
@@ -467,3 +467,47 @@
     CHECK(call("POST", "/unsafe/x", {}, "b").status == 503);
     CHECK(clock.now() - startTime < milliseconds(100));
 }
+
+// Guards against a server in trouble whose bytes never end, in a head, a body or an event: the
+// request must end early, with the connection closed and without the bytes reaching the caller.
+TEST_CASE_METHOD(DirectRouterFixture,
+                 "direct router, bytes without end, closes the connection at once")
+{
+    const std::string filler(32U << 10, 'x');
+    const auto pick = [&](int kind,
+                          const std::string &request) -> std::pair<std::string, std::string> {
+        switch (kind) {
+        case 0:
+            return {"HTTP/1.1 200 OK\r\n", "X-Filler: " + filler + "\r\n"};
+        case 1:
+            return {"", "HTTP/1.1 100 Continue\r\nX-Filler: " + filler + "\r\n\r\n"};
+        case 2:
+            return {"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n", filler};
+        case 3:
+            return {"", filler};
+        default:
+            return {streamHead(request), chunk(filler)};
+        }
+    };
+    for (int kind = 0; kind < 5; ++kind) {
+        CAPTURE(kind);
+        std::vector<std::unique_ptr<Timer>> timers;
+        ScriptedServer &server = addServer([&](auto &connection, const std::string &request) {
+            const auto bytes = pick(kind, request);
+            connection.send(bytes.first);
+            timers.push_back(std::make_unique<Timer>(
+                    loop, [&connection, endless = bytes.second] { connection.send(endless); }));
+            timers.back()->startRepeating(milliseconds(1));
+        });
+        // A connection that is closed by the router must not be used by the timer again.
+        server.onClosed([&] { timers.clear(); });
+        const TimePoint begin = clock.now();
+        const CallerAnswer got = call("POST", kind == 4 ? "/stream/" : "/unsafe/", {}, "body");
+        CHECK(clock.now() - begin < milliseconds(500));
+        CHECK((got.status == 502 || (kind == 4 && !got.isComplete)));
+        runFor(milliseconds(50));
+        CHECK(server.closedByPeer() == 1);
+        pool.apply(RegistrationChange{ServerId("s" + std::to_string(servers.size())), {}},
+                   clock.now());
+    }
+}
--- a/tests/direct/ScriptedServer.cpp
+++ b/tests/direct/ScriptedServer.cpp
@@ -77,6 +77,7 @@
     const ssize_t count = recv(descriptor_, buffer.data(), buffer.size(), 0);
     if (count <= 0) {
         ++server_.closedByPeer_;
+        server_.onClosed_();
         server_.drop(descriptor_);
         return;
     }
--- a/tests/direct/ScriptedServer.h
+++ b/tests/direct/ScriptedServer.h
@@ -51,6 +51,8 @@
     const std::vector<std::string> &requests() const { return requests_; }
     /// Number of connections that the peer has closed.
     int closedByPeer() const { return closedByPeer_; }
+    /// Sets a function that is called before a connection that the peer has closed is destroyed.
+    void onClosed(std::function<void()> handler) { onClosed_ = std::move(handler); }
     /// Stops listening and resets the open connections.
     void crash();
 
@@ -66,6 +68,7 @@
     std::map<int, std::unique_ptr<Connection>> connections_;
     std::vector<std::string> requests_;
     int closedByPeer_ = 0;
+    std::function<void()> onClosed_ = [] {};
 };
 
 /// Returns the value of a header in a raw request; name must be in lower case.
--- a/tests/direct/StoreFollowerTest.cpp
+++ b/tests/direct/StoreFollowerTest.cpp
@@ -68,7 +68,7 @@
 
     static KeyedBatch batch(std::uint64_t next, std::size_t records)
     {
-        return KeyedBatch{std::vector<KeyedRecord>(records, KeyedRecord{"k", "v"}),
+        return KeyedBatch{std::vector<KeyedRecord>(records, KeyedRecord{"k", "v", {}}),
                           LogOffset(next)};
     }
 };
@@ -174,3 +174,30 @@
     loop.run();
     CHECK(ranges == std::vector<std::pair<std::uint64_t, std::uint64_t>>{{9, 9}, {9, 12}});
 }
+
+// Guards against an older change that is applied after a newer one, and against records that are
+// skipped without having been applied.
+TEST_CASE_METHOD(StoreFollowerFixture,
+                 "store follower, other router passes on changes, takes over only what comes next")
+{
+    store.results = {batch(7, 1)};
+    StoreFollower::Handlers handlers;
+    handlers.onFullRead = [](const auto &) {};
+    handlers.onRecords = [](const auto &, LogOffset, LogOffset) {};
+    handlers.onEmptyRead = [](LogOffset) {};
+    handlers.onStoreRecovered = [] {};
+    StoreFollower follower(loop, clock, store, KeyedTopic::Servers,
+                           PollTiming{milliseconds(40), milliseconds(0)}, std::move(handlers));
+    CHECK_FALSE(follower.takeOver(LogOffset(7), LogOffset(9)));
+    follower.start();
+    CHECK_FALSE(follower.takeOver(LogOffset(8), LogOffset(11)));
+    CHECK_FALSE(follower.takeOver(LogOffset(6), LogOffset(11)));
+    CHECK_FALSE(follower.takeOver(LogOffset(7), LogOffset(7)));
+    CHECK(follower.takeOver(LogOffset(7), LogOffset(11)));
+    CHECK_FALSE(follower.takeOver(LogOffset(7), LogOffset(11)));
+    CHECK(follower.takeOver(LogOffset(11), LogOffset(14)));
+    Timer timer(loop, [this] { loop.stop(); });
+    timer.startOnce(milliseconds(60));
+    loop.run();
+    CHECK(store.calls == std::vector<std::string>{"all", "from 14"});
+}
--- a/tests/gateway/HttpGatewayTest.cpp
+++ b/tests/gateway/HttpGatewayTest.cpp
@@ -351,3 +351,26 @@
     CHECK(gateway->hasCallerLeft(requests[0].id));
     CHECK(callersLeft.empty());
 }
+
+// Guards against connections that end, or that stay open for ever, when the idle timeout changes
+// with a new configuration.
+TEST_CASE_METHOD(GatewayFixture,
+                 "gateway, idle timeout changed, holds for new connections, old ones go on")
+{
+    onRequest = [this](const CallerRequest &request) {
+        gateway->answer(request.id, 200, {}, "answer");
+    };
+    const int earlier = connectRaw(plainGet);
+    runFor(milliseconds(50));
+    gateway->setIdleTimeout(seconds(1));
+    const int later = connectRaw(plainGet);
+    runFor(milliseconds(50));
+    CHECK(gateway->openConnections() == 2);
+    runFor(milliseconds(2500));
+    CHECK(gateway->openConnections() == 1);
+    REQUIRE(send(earlier, plainGet.data(), plainGet.size(), MSG_NOSIGNAL) > 0);
+    runFor(milliseconds(50));
+    CHECK(requests.size() == 3);
+    close(earlier);
+    close(later);
+}
--- a/tests/placing/IntakeLimitTest.cpp
+++ b/tests/placing/IntakeLimitTest.cpp
@@ -19,7 +19,7 @@
     static constexpr std::size_t callersPerInterval = 10;
     static constexpr milliseconds streamTime{1500};
 
-    IntakeLimit limit;
+    IntakeLimit limit{0.09};
     TimePoint now{std::chrono::hours(1)};
     std::deque<TimePoint> ends;
     std::size_t allowed = callersPerInterval;
@@ -34,7 +34,10 @@
             ends.insert(ends.end(), taken, now + streamTime);
             loopDelayMs =
                     ends.size() > capacity ? 4. * static_cast<double>(ends.size() - capacity) : 0;
-            allowed = limit.onInterval(loopDelayMs, ends.size(), now);
+            const double busyShare =
+                    std::min(1., static_cast<double>(ends.size()) / static_cast<double>(capacity));
+            allowed = limit.onInterval(
+                    ProcessLoad{loopDelayMs, busyShare, 50 + loopDelayMs, taken, ends.size()}, now);
         }
     }
 };
@@ -68,16 +71,65 @@
 // Guards against a router that accepts no connection while the platform considers it ready.
 TEST_CASE("intake limit, long event loop delay, still accepts some connections")
 {
-    IntakeLimit limit;
+    IntakeLimit limit{0.09};
     TimePoint now{std::chrono::hours(1)};
     for (int i = 0; i < 100; ++i, now += interval)
-        CHECK(limit.onInterval(500, 1000, now) >= 1);
+        CHECK(limit.onInterval(ProcessLoad{500, 1, 550, 100, 1000}, now) >= 1);
 }
 
 // Guards against a limit on a host whose event loop is not overloaded.
 TEST_CASE("intake limit, short event loop delay, does not limit")
 {
-    IntakeLimit limit;
-    limit.onInterval(50, 3000, TimePoint(std::chrono::hours(1)));
+    IntakeLimit limit{0.09};
+    limit.onInterval(ProcessLoad{50, 1, 100, 100, 3000}, TimePoint(std::chrono::hours(1)));
     CHECK_FALSE(limit.isLimited());
 }
+
+// Guards against a limit that stays after an overload, with which each answer ends its connection.
+TEST_CASE_METHOD(SmallHostFixture, "intake limit, light load after an overload, is lifted")
+{
+    play(seconds(4));
+    REQUIRE(limit.isLimited());
+    play(seconds(90), 1);
+    CHECK_FALSE(limit.isLimited());
+}
+
+// Guards against a process that takes its own suspension for an overload when it resumes.
+TEST_CASE("intake limit, process was suspended, does not limit")
+{
+    IntakeLimit limit{0.09};
+    limit.onInterval(ProcessLoad{4000, 0.01, 4050, 3, 20}, TimePoint(std::chrono::hours(1)));
+    CHECK_FALSE(limit.isLimited());
+}
+
+// Guards against a burst of callers on a slow host that is accepted at once, so that the event loop
+// is late by seconds before the limit can react.
+TEST_CASE("intake limit, hosts of different speed, accept what they can handle at once")
+{
+    IntakeLimit slow{0.09};
+    IntakeLimit fast{0.5};
+    CHECK(slow.acceptsAtOnce() < fast.acceptsAtOnce());
+    TimePoint now{std::chrono::hours(1)};
+    for (int i = 0; i < 300; ++i, now += interval) {
+        slow.onInterval(ProcessLoad{0, 0.8, 50, 8, 20}, now);
+        fast.onInterval(ProcessLoad{0, 0.8, 50, 40, 200}, now);
+    }
+    CHECK(slow.requestCostMs() == Approx(5).epsilon(0.01));
+    CHECK(slow.acceptsAtOnce() == 24);
+    CHECK(fast.requestCostMs() == Approx(1).epsilon(0.01));
+    CHECK(fast.acceptsAtOnce() >= 119);
+}
+
+// Guards against a cost that is learned while most of the time goes into other work.
+TEST_CASE("intake limit, few requests or light load, learns no cost")
+{
+    IntakeLimit limit{0.09};
+    const double initial = limit.requestCostMs();
+    TimePoint now{std::chrono::hours(1)};
+    for (int i = 0; i < 100; ++i, now += interval)
+        limit.onInterval(ProcessLoad{0, 0.3, 50, 5, 20}, now);
+    CHECK(limit.requestCostMs() == initial);
+    for (int i = 0; i < 100; ++i, now += interval)
+        limit.onInterval(ProcessLoad{0, 0.9, 50, i % 10 == 0 ? 1U : 0U, 20}, now);
+    CHECK(limit.requestCostMs() == initial);
+}
