--- a/src/direct/RouterNodePeers.cpp
+++ b/src/direct/RouterNodePeers.cpp
@@ -257,8 +257,7 @@
 
 void RouterNode::Impl::onDatagram(const DaemonId &sender, Message &&message)
 {
-    std::visit([&](auto &&received) { onMessage(sender, std::move(received)); },
-               std::move(message));
+    std::visit([&](auto &received) { onMessage(sender, std::move(received)); }, message);
     scheduleRelayReport();
 }
 
--- a/tests/benchmarks/DecisionBenchmark.cpp
+++ b/tests/benchmarks/DecisionBenchmark.cpp
@@ -1,3 +1,4 @@
+#include "direct/ServerPool.h"
 #include "fairness/AccountLedger.h"
 #include "fairness/FairnessHome.h"
 #include "fairness/HomePlacement.h"
@@ -177,6 +178,52 @@
             [&](int) { encodeDatagram(key, datagram); });
 }
 
+/// Placement of a request, and a report of another router about ten servers, while 20 routers of
+/// the data centre and 4 relays report every server.
+void measureServerPool(std::size_t servers)
+{
+    ServerPool pool{DataCentreId("a")};
+    auto configuration = std::make_shared<DirectConfiguration>();
+    configuration->services[ServiceId("llm")].cacheTokens = 700000;
+    configuration->fleetTokensPerSecond = 1e5 * static_cast<double>(servers);
+    pool.setConfiguration(configuration);
+    std::vector<RouterServerLoad> loads;
+    for (std::size_t i = 0; i < servers; ++i) {
+        ServerEntry entry;
+        entry.id = ServerId("server-" + std::to_string(i));
+        entry.service = ServiceId("llm");
+        entry.address = Endpoint{"10.0.0.1", 8060};
+        entry.slots = 64;
+        pool.apply(RegistrationChange{entry.id, entry}, start);
+        RouterServerLoad load;
+        load.server = reportHash(entry.id.value);
+        load.backlogMs = 20;
+        load.running = 2;
+        loads.push_back(load);
+    }
+    RouterReport all;
+    all.servers = loads;
+    for (int router = 0; router < 24; ++router)
+        pool.applyReport(DaemonId("router-" + std::to_string(router)), all, router < 20, start);
+    RouterReport some;
+    some.servers.assign(loads.begin(), loads.begin() + 10);
+    measure("ServerPool::applyReport of 10 servers", servers, 20000,
+            [&](int) { pool.applyReport(DaemonId("router-1"), some, true, start); });
+    measure("ServerPool::choose and onSent", servers, 5000, [&](int round) {
+        PlacementRequest request;
+        request.service = ServiceId("llm");
+        const auto part = static_cast<std::uint64_t>(round % 500);
+        request.prompt = makePrefixes(1, {PromptPart{part, 13000}, PromptPart{part + 1000, 4000}});
+        request.promptTokens = 17000;
+        request.objectiveMs = 600;
+        const auto placement = pool.choose(request, start);
+        if (!placement)
+            std::abort();
+        const SendNumber number = pool.onSent(*placement, request.prompt, start);
+        pool.onEnded(placement->server, number);
+    });
+}
+
 } // namespace
 
 int main()
@@ -190,4 +237,6 @@
     for (const std::size_t entries : {10U, 100U, 350U})
         measurePlacement(entries);
     measureCodec();
+    for (const std::size_t servers : {180U, 2000U})
+        measureServerPool(servers);
 }
--- a/tests/direct/RouterPeersTest.cpp
+++ b/tests/direct/RouterPeersTest.cpp
@@ -67,9 +67,9 @@
 TEST_CASE_METHOD(TwoDataCentresFixture,
                  "router peers, other relay unknown or silent, its routers are tried in turn")
 {
-    std::vector<Endpoint> tried;
-    for (int i = 0; i < 3; ++i)
-        tried.push_back(peers.relayTargets(now).at(0));
+    std::vector<Endpoint> tried(3);
+    for (Endpoint &endpoint : tried)
+        endpoint = peers.relayTargets(now).at(0);
     CHECK(tried == std::vector<Endpoint>{address(11), address(12), address(13)});
     peers.onDataCentreReport(DataCentreId("b"), address(12), 3, now);
     CHECK(peers.relayTargets(now) == std::vector<Endpoint>{address(12)});
--- a/tests/gateway/HttpGatewayTest.cpp
+++ b/tests/gateway/HttpGatewayTest.cpp
@@ -384,9 +384,9 @@
         gateway->answer(request.id, 200, {}, "answer");
     };
     gateway->limitAcceptsAtOnce(4);
-    std::vector<int> callers;
-    for (int i = 0; i < 40; ++i)
-        callers.push_back(connectRaw(plainGet));
+    std::vector<int> callers(40);
+    for (int &caller : callers)
+        caller = connectRaw(plainGet);
     runFor(milliseconds(20));
     CHECK(requests.size() == 4);
     CHECK(gateway->takeRejectedConnections() == 16);
