--- a/src/gateway/GatewayImpl.h
+++ b/src/gateway/GatewayImpl.h
@@ -16,7 +16,11 @@
 /// received bytes are still unread.
 bool hasPeerClosed(int descriptor);
 
-/// State of a gateway and its libmicrohttpd callbacks.
+/// Opens a non-blocking socket that listens at the endpoint.
+std::variant<int, SocketFailure> openListenSocket(const Endpoint &endpoint);
+
+/// State of a gateway and its libmicrohttpd callbacks. CallerListener.cpp accepts connections,
+/// CallerExchange.cpp receives requests and sends answers.
 struct HttpGateway::Impl
 {
     /// Request on a connection, from its request line until libmicrohttpd reports its completion.
