Test the limit on open requests by itself again

Cause: the fixture of IntakeLimitTest had come to apply the bound on accepts too, which hid the limit on open requests in the two older overload tests. Change: the fixture takes only the limit, as before; bounds and assertions are unchanged.

--- a/tests/placing/IntakeLimitTest.cpp
+++ b/tests/placing/IntakeLimitTest.cpp
@@ -30,7 +30,7 @@
         for (const TimePoint end = now + time; now < end; now += interval) {
             while (!ends.empty() && ends.front() <= now)
                 ends.pop_front();
-            const std::size_t taken = std::min({callers, allowed, limit.acceptsAtOnce()});
+            const std::size_t taken = std::min(callers, allowed);
             ends.insert(ends.end(), taken, now + streamTime);
             loopDelayMs =
                     ends.size() > capacity ? 4. * static_cast<double>(ends.size() - capacity) : 0;
