--- a/src/direct/DirectExchange.h
+++ b/src/direct/DirectExchange.h
@@ -72,6 +72,10 @@
     std::size_t candidateCount = 0;
     /// Time from arrival to the first byte of an answer; 0 when none arrived.
     double firstByteMs = 0;
+    /// Of the last attempt that was written: age of the list of servers at the choice of the
+    /// server, and time from the choice to the first byte of the request.
+    double listAgeMs = 0;
+    double sendDelayMs = 0;
     /// Predicted time to the first byte of the last attempt.
     double predictedMs = 0;
     /// A server may have started to run the request.
--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -256,9 +256,11 @@
             " unread_tokens=", attempt->placement.uncachedTokens,
             " prompt_tokens=", exchange.client.promptTokens,
             " prompt=", exchange.prompt.empty() ? 0 : exchange.prompt.front().hash,
-            " local=", attempt->placement.prediction.isLocal);
+            " local=", attempt->placement.prediction.isLocal,
+            " list_age_ms=", toMs(attempt->placement.listAge));
     const CallerId caller = exchange.caller;
     HttpClient::Handlers handlers;
+    handlers.onConnected = [this, caller] { onConnected(caller); };
     handlers.onHead = [this, caller](int status, const HeaderList &headers) {
         onHead(caller, status, headers);
     };
@@ -341,6 +343,7 @@
             " mean_wait_ms=", admissionInput.meanWaitMs,
             " objective_ms=", admissionInput.objectiveMs, " servers=", exchange.candidateCount,
             " predicted_ms=", exchange.predictedMs, " first_byte_ms=", exchange.firstByteMs,
+            " list_age_ms=", exchange.listAgeMs, " send_delay_ms=", exchange.sendDelayMs,
             " took_ms=", toMs(now() - exchange.arrived));
     exchanges.erase(exchange.caller);
 }
--- a/src/direct/DirectRouterAnswers.cpp
+++ b/src/direct/DirectRouterAnswers.cpp
@@ -23,6 +23,21 @@
 
 } // namespace
 
+/// The request is about to be written to its server.
+void DirectRouter::Impl::onConnected(CallerId caller)
+{
+    DirectExchange *exchange = find(caller);
+    if (!exchange || !exchange->attempt)
+        return;
+    const DirectAttempt &attempt = *exchange->attempt;
+    const auto sendDelay = now() - attempt.sentAt;
+    exchange->listAgeMs = toMs(attempt.placement.listAge);
+    exchange->sendDelayMs = toMs(sendDelay);
+    context.metrics.latency("lovagecourse_server_list_age_seconds",
+                            attempt.placement.listAge + sendDelay);
+    context.metrics.latency("lovagecourse_send_delay_seconds", sendDelay);
+}
+
 void DirectRouter::Impl::onHead(CallerId caller, int status, const HeaderList &headers)
 {
     DirectExchange *exchange = find(caller);
--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -40,6 +40,7 @@
     void announceChanges(const std::vector<KeyedRecord> &changes, LogOffset from, LogOffset to);
     std::optional<ServerEntry> decodeServer(const KeyedRecord &record);
     void applyChanges(const std::vector<RegistrationChange> &changes);
+    void updateListTime();
 
     void registerSelf();
     void readRouterRecords();
--- a/src/direct/RouterNodePeers.cpp
+++ b/src/direct/RouterNodePeers.cpp
@@ -326,6 +326,7 @@
 {
     metrics.count("lovagecourse_store_reads_saved_total");
     serversFollower->skipUnchanged(unchanged.from, unchanged.to);
+    updateListTime();
     if (peers.isInOtherDataCentre(sender))
         datagramSocket->sendToAll(peers.activePeers(clock.now()), unchanged);
 }
@@ -346,6 +347,7 @@
             record.value = forwarded.value;
         applyChanges(directory.apply(ServerId(record.key), decodeServer(record), clock.now()));
     }
+    updateListTime();
 }
 
 void RouterNode::Impl::onRequest(CallerRequest &&request)
--- a/src/direct/RouterNodeSync.cpp
+++ b/src/direct/RouterNodeSync.cpp
@@ -59,7 +59,10 @@
     forServers.onRecords = [this](const auto &records, LogOffset from, LogOffset to) {
         onServerRecords(records, from, to);
     };
-    forServers.onEmptyRead = [this](LogOffset next) { announceUnchanged(next, next); };
+    forServers.onEmptyRead = [this](LogOffset next) {
+        updateListTime();
+        announceUnchanged(next, next);
+    };
     forServers.onStoreRecovered = [this] { directory.onStoreRecovered(clock.now()); };
     serversFollower = std::make_unique<StoreFollower>(loop, clock, *store, KeyedTopic::Servers,
                                                       serversPollTiming(), std::move(forServers));
@@ -118,6 +121,7 @@
     }
     serversLoaded = true;
     applyChanges(directory.applyAll(entries, clock.now()));
+    updateListTime();
 }
 
 void RouterNode::Impl::onServerRecords(const std::vector<KeyedRecord> &records, LogOffset from,
@@ -131,12 +135,19 @@
             changes.push_back(record);
         applyChanges(directory.apply(id, entry, clock.now()));
     }
+    updateListTime();
     if (changes.empty())
         announceUnchanged(from, to);
     else
         announceChanges(changes, from, to);
 }
 
+void RouterNode::Impl::updateListTime()
+{
+    if (const auto asOf = serversFollower->asOf())
+        pool.setListTime(*asOf);
+}
+
 void RouterNode::Impl::applyChanges(const std::vector<RegistrationChange> &changes)
 {
     for (const RegistrationChange &change : changes)
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -171,6 +171,8 @@
     placement.prediction = candidates[*best];
     placement.candidateCount = candidates.size();
     placement.meanWaitMs = waitSum / static_cast<double>(candidates.size());
+    if (listTime_)
+        placement.listAge = now - *listTime_;
     return placement;
 }
 
--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -44,6 +44,8 @@
     /// objective.
     std::size_t candidateCount = 0;
     double meanWaitMs = 0;
+    /// Age of the list of servers at the choice.
+    std::chrono::nanoseconds listAge{0};
 };
 
 /// The backend servers of the fleet: registrations, performance models, estimated prompt caches and
@@ -57,6 +59,8 @@
     /// Sets the cache capacities of the services and the fleet's token rate.
     void setConfiguration(std::shared_ptr<const DirectConfiguration> configuration);
     void apply(const RegistrationChange &change, TimePoint now);
+    /// Sets the time of the store's list of servers that the changes so far amount to.
+    void setListTime(TimePoint asOf) { listTime_ = asOf; }
     /// isMember: the router is in this data centre, so its load is part of the data centre's sum.
     void applyReport(const DaemonId &router, const RouterReport &report, bool isMember,
                      TimePoint now);
@@ -154,6 +158,7 @@
     /// Servers for the data centre's next incremental report; each has hasUnrelayedLoad.
     std::vector<Server *> unrelayedServers_;
     std::chrono::nanoseconds loopDelay_{0};
+    std::optional<TimePoint> listTime_;
 };
 
 /// Returns the hash that identifies a server or an account in reports between routers.
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -48,6 +48,7 @@
 {
     const bool isFullRead = !next_.has_value();
     isReading_ = true;
+    readStart_ = clock_.now();
     const auto onDone = [this, isFullRead,
                          alive = std::weak_ptr<bool>(alive_)](const KeyedResult &result) {
         if (!alive.expired())
@@ -79,6 +80,7 @@
     const LogOffset from = wasFullRead_ ? batch.next : next_.value_or(batch.next);
     wasFullRead_ = isFullRead;
     next_ = batch.next;
+    asOf_ = readStart_;
     timer_.startOnce(timing_.interval);
     if (isFullRead)
         handlers_.onFullRead(batch.records);
@@ -93,6 +95,7 @@
     if (!canSkip() || *next_ < from || to < *next_)
         return;
     next_ = to;
+    asOf_ = clock_.now();
     timer_.startOnce(timing_.interval);
 }
 
@@ -101,6 +104,7 @@
     if (!canSkip() || *next_ != from || to <= from)
         return false;
     next_ = to;
+    asOf_ = clock_.now();
     timer_.startOnce(timing_.interval);
     return true;
 }
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -50,6 +50,9 @@
     /// a range without changes, it must begin where this follower is: an older change must not
     /// follow a newer one.
     bool takeOver(LogOffset from, LogOffset to);
+    /// Start of the last read whose records are applied, by this follower or by the router that
+    /// passed them on. Changes from before it are known. Empty before the first read.
+    std::optional<TimePoint> asOf() const { return asOf_; }
     /// True while the last read failed.
     bool isFailing() const { return failures_ > 0; }
 
@@ -67,6 +70,8 @@
     Timer timer_;
     std::optional<LogOffset> next_;
     bool isReading_ = false;
+    TimePoint readStart_;
+    std::optional<TimePoint> asOf_;
     /// The last successful read was a full read.
     bool wasFullRead_ = false;
     unsigned failures_ = 0;
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -111,6 +111,14 @@
     return CURL_SOCKOPT_OK;
 }
 
+int onBeforeRequest(void *user, char *, char *, int, int)
+{
+    const auto &transfer = *static_cast<Transfer *>(user);
+    if (!transfer.cancelled && transfer.handlers.onConnected)
+        transfer.handlers.onConnected();
+    return CURL_PREREQFUNC_OK;
+}
+
 std::size_t onBodyBytes(char *data, std::size_t size, std::size_t count, void *user)
 {
     auto &transfer = *static_cast<Transfer *>(user);
@@ -295,6 +303,8 @@
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBodyBytes);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &onBeforeRequest);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.freshConnection ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request.freshConnection ? 1L : 0L);
     if (request.method == "HEAD") {
