Look at a server again before a request is written to it

Callers: a request could reach a server later than the bound after it had said that it leaves.

Cause: a server is chosen, then its connection is made. Class: a decision that is carried out later than it is made.

Fix: HttpClient asks when the connection is ready, before any byte is sent; a server that has begun to leave or is gone gets nothing, and the request goes to another as one that was not sent.

Test: "server leaves while its connection is made, sends to another" failed before (the leaving server got the request) and passes.

--- a/src/direct/DirectExchange.h
+++ b/src/direct/DirectExchange.h
@@ -32,6 +32,8 @@
     std::string body;
     bool hasHead = false;
     bool hasBodyBytes = false;
+    /// Not sent, because the server had begun to leave when the connection was ready.
+    bool isWithdrawn = false;
     /// The answer has the wrong attempt id, no signature or no end.
     bool isInvalid = false;
     /// Received bytes after the last end of an event.
--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -260,7 +260,7 @@
             " list_age_ms=", toMs(attempt->placement.listAge));
     const CallerId caller = exchange.caller;
     HttpClient::Handlers handlers;
-    handlers.onConnected = [this, caller] { onConnected(caller); };
+    handlers.onConnected = [this, caller] { return onConnected(caller); };
     handlers.onHead = [this, caller](int status, const HeaderList &headers) {
         onHead(caller, status, headers);
     };
--- a/src/direct/DirectRouterAnswers.cpp
+++ b/src/direct/DirectRouterAnswers.cpp
@@ -23,19 +23,28 @@
 
 } // namespace
 
-/// The request is about to be written to its server.
-void DirectRouter::Impl::onConnected(CallerId caller)
+/// Decides when the connection is ready whether the request is sent. The server may have begun to
+/// leave since it was chosen.
+bool DirectRouter::Impl::onConnected(CallerId caller)
 {
     DirectExchange *exchange = find(caller);
     if (!exchange || !exchange->attempt)
-        return;
-    const DirectAttempt &attempt = *exchange->attempt;
+        return false;
+    DirectAttempt &attempt = *exchange->attempt;
     const auto sendDelay = now() - attempt.sentAt;
+    if (!context.pool.accepts(attempt.placement.server)) {
+        attempt.isWithdrawn = true;
+        context.metrics.count("lovagecourse_sends_withdrawn_total");
+        logInfo(LogPart::Routing, "event=send-withdrawn request=", exchange->client.attemptId,
+                " server=", attempt.placement.server, " send_delay_ms=", toMs(sendDelay));
+        return false;
+    }
     exchange->listAgeMs = toMs(attempt.placement.listAge);
     exchange->sendDelayMs = toMs(sendDelay);
     context.metrics.latency("lovagecourse_server_list_age_seconds",
                             attempt.placement.listAge + sendDelay);
     context.metrics.latency("lovagecourse_send_delay_seconds", sendDelay);
+    return true;
 }
 
 void DirectRouter::Impl::onHead(CallerId caller, int status, const HeaderList &headers)
@@ -158,6 +167,8 @@
     const DirectAttempt &attempt = *exchange->attempt;
     const ServerId server = attempt.placement.server;
     context.pool.onEnded(server, attempt.number);
+    if (attempt.isWithdrawn)
+        return onNotSent(*exchange);
     if (failure) {
         logInfo(LogPart::Backend, "event=send-failed request=", exchange->client.attemptId,
                 " server=", server, " curl=", failure->curlCode, " sent=", failure->maybeSent,
--- a/src/direct/DirectRouterImpl.h
+++ b/src/direct/DirectRouterImpl.h
@@ -37,7 +37,7 @@
     void armStallTimer(DirectExchange &exchange);
     bool tryTakeRetry(DirectExchange &exchange);
 
-    void onConnected(CallerId caller);
+    bool onConnected(CallerId caller);
     void onHead(CallerId caller, int status, const HeaderList &headers);
     void onData(CallerId caller, std::string_view bytes);
     void onDone(CallerId caller, const std::optional<HttpFailure> &failure);
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -52,6 +52,18 @@
             }));
 }
 
+bool ServerPool::accepts(const ServerId &server) const
+{
+    const auto found = servers_.find(server);
+    return found != servers_.end() && !found->second.entry.isDraining;
+}
+
+unsigned ServerPool::running(const ServerId &server) const
+{
+    const auto found = servers_.find(server);
+    return found == servers_.end() ? 0 : found->second.model.running();
+}
+
 /// Returns the learned speed of a service; its initial value is the fleet's token rate from the
 /// configuration divided by the number of servers.
 PrefillSpeed &ServerPool::speed(const ServiceId &service) const
--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -97,6 +97,10 @@
     /// Logs one line per service with the learned speed and one per server with slowness and load.
     void logState(TimePoint now) const;
     std::size_t count(const ServiceId &service) const;
+    /// True when the server is registered and is not leaving.
+    bool accepts(const ServerId &server) const;
+    /// Requests of this router in flight at the server; 0 for an unknown server.
+    unsigned running(const ServerId &server) const;
 
 private:
     struct Server
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -114,9 +114,10 @@
 int onBeforeRequest(void *user, char *, char *, int, int)
 {
     const auto &transfer = *static_cast<Transfer *>(user);
-    if (!transfer.cancelled && transfer.handlers.onConnected)
-        transfer.handlers.onConnected();
-    return CURL_PREREQFUNC_OK;
+    if (transfer.cancelled)
+        return CURL_PREREQFUNC_ABORT;
+    const bool isWanted = !transfer.handlers.onConnected || transfer.handlers.onConnected();
+    return isWanted ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
 std::size_t onBodyBytes(char *data, std::size_t size, std::size_t count, void *user)
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -61,8 +61,9 @@
     /// Callbacks of one transfer; onDone is called exactly once unless the transfer is cancelled.
     struct Handlers
     {
-        /// Called when the connection is ready, before any byte of the request is sent.
-        std::function<void()> onConnected;
+        /// Called when the connection is ready, before any byte of the request is sent. If it
+        /// returns false, nothing is sent and the transfer fails.
+        std::function<bool()> onConnected;
         /// Called before any data; header names are in lower case.
         std::function<void(int status, const HeaderList &headers)> onHead;
         std::function<void(std::string_view bytes)> onData;
--- a/tests/direct/DirectRouterTest.cpp
+++ b/tests/direct/DirectRouterTest.cpp
@@ -38,6 +38,8 @@
     std::unique_ptr<HttpGateway> gateway;
     Endpoint callers;
     std::vector<std::unique_ptr<ScriptedServer>> servers;
+    /// Registrations of the servers above.
+    std::vector<ServerEntry> entries;
     std::shared_ptr<DirectConfiguration> configuration = std::make_shared<DirectConfiguration>();
 
     DirectRouterFixture()
@@ -97,6 +99,7 @@
         entry.dataCentre = DataCentreId("a");
         entry.slots = 8;
         pool.apply(RegistrationChange{entry.id, entry}, clock.now());
+        entries.push_back(entry);
         return *servers.back();
     }
 
@@ -311,6 +314,37 @@
     CHECK(second.requests().size() == 4);
 }
 
+// Guards against a request that reaches a server after it has said that it leaves, because the
+// connection took long.
+TEST_CASE_METHOD(DirectRouterFixture,
+                 "direct router, server leaves while its connection is made, sends to another")
+{
+    const auto handler = [](auto &connection, const std::string &request) {
+        connection.send(answer(request, 200, headerValue(request, "x-lovagecourse-expect-instance")));
+    };
+    addServer(handler);
+    addServer(handler);
+    const auto got = start("POST", "/unsafe/x", {}, "b");
+    const TimePoint limit = clock.now() + seconds(2);
+    std::optional<std::size_t> chosen;
+    while (!chosen && clock.now() < limit) {
+        ev_run(loop.handle(), EVRUN_ONCE);
+        for (std::size_t i = 0; i < entries.size(); ++i) {
+            if (pool.running(entries[i].id) > 0)
+                chosen = i;
+        }
+    }
+    REQUIRE(chosen);
+    REQUIRE(servers[*chosen]->requests().empty());
+    entries[*chosen].isDraining = true;
+    pool.apply(RegistrationChange{entries[*chosen].id, entries[*chosen]}, clock.now());
+    while (!got->isDone && clock.now() < limit)
+        runFor(milliseconds(10));
+    CHECK(servers[*chosen]->requests().empty());
+    CHECK(got->status == 200);
+    CHECK(got->body == entries[1 - *chosen].id.value);
+}
+
 // Guards against forwarding the answer of another request or an answer without the server's
 // signature.
 TEST_CASE_METHOD(DirectRouterFixture,
