Time the reads of the store so that one may get no answer

Callers: a change of the configuration in force late, a request at a server that had left.

Cause: the servers were read at 0.55 to 0.65 of the bound and a read was given up after 800 ms, so a change just after one read and no answer to the next took 1.3 + 0.8 + 0.1 s of 2 s; the long poll of the configuration was as long as the whole bound and was given up after 2.8 s. Class: a schedule that keeps its bound only while every call is answered.

Fix: all times are parts of the bound (PollTiming): interval 0.35 to 0.45, long poll 0.45, answer 0.3, retry 0.05, the rest for a late loop and the send. The time for an answer doubles after a failure, so that a slow store is still read. Price: more calls to the store.

Test: "connection to the store silent, reads a change within its bound", with the former shares 581 ms and 441 ms of 400 allowed; passes now.

--- /dev/null
+++ b/src/direct/PollTiming.cpp
@@ -0,0 +1,49 @@
+#include "direct/PollTiming.h"
+
+namespace lovagecourse {
+
+namespace {
+
+// Parts of the longest delay of a change. Together with an interval or a long poll, one read
+// without an answer and its retry leave the rest for a late event loop, the answer to the retry and
+// the send of a request.
+constexpr double longPollShare = 0.45;
+constexpr double intervalShare = 0.35;
+// The router that reads first announces its result to the others, and they postpone their own
+// read. Intervals differ by up to this part, so that routers don't read at the same time.
+constexpr double staggerShare = 0.1;
+constexpr double answerTimeoutShare = 0.3;
+constexpr double firstRetryShare = 0.05;
+constexpr double maxRetryShare = 0.2;
+
+milliseconds part(milliseconds whole, double share)
+{
+    return std::chrono::duration_cast<milliseconds>(whole * share);
+}
+
+PollTiming commonTiming(milliseconds maxDelay)
+{
+    PollTiming timing;
+    timing.answerTimeout = part(maxDelay, answerTimeoutShare);
+    timing.firstRetryDelay = part(maxDelay, firstRetryShare);
+    timing.maxRetryDelay = part(maxDelay, maxRetryShare);
+    return timing;
+}
+
+} // namespace
+
+PollTiming configurationPollTiming(milliseconds maxDelay)
+{
+    PollTiming timing = commonTiming(maxDelay);
+    timing.longPollWait = part(maxDelay, longPollShare);
+    return timing;
+}
+
+PollTiming serversPollTiming(milliseconds maxDelay, double stagger)
+{
+    PollTiming timing = commonTiming(maxDelay);
+    timing.interval = part(maxDelay, intervalShare + staggerShare * stagger);
+    return timing;
+}
+
+} // namespace lovagecourse
--- /dev/null
+++ b/src/direct/PollTiming.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/Clock.h"
+
+namespace lovagecourse {
+
+/// Timing of a topic's reads.
+struct PollTiming
+{
+    /// Time from the start of a read to the start of the next.
+    milliseconds interval{0};
+    /// Time for which the store may hold a read until a record arrives; 0 for no long poll.
+    milliseconds longPollWait{0};
+    /// Time from a failed read to the next one; grows with each further failure up to
+    /// maxRetryDelay.
+    milliseconds firstRetryDelay{100};
+    milliseconds maxRetryDelay{400};
+    /// Time after which a read without an answer has failed, besides longPollWait. Doubled after a
+    /// failure, in case that the store is slow.
+    milliseconds answerTimeout{800};
+};
+
+/// Timing for the configuration: a long poll, which returns changes at once. A change is read
+/// within maxDelay of its write, also when one read gets no answer.
+PollTiming configurationPollTiming(milliseconds maxDelay);
+/// Timing for the registrations of servers: reads at an interval, because the heartbeats of all
+/// servers would end a long poll many times a second. A change is read within maxDelay of its
+/// write, also when one read gets no answer. stagger, from 0 to 1, spreads the reads of routers.
+PollTiming serversPollTiming(milliseconds maxDelay, double stagger);
+
+} // namespace lovagecourse
--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -25,8 +25,7 @@
 
     std::optional<SocketFailure> openSockets();
     void start();
-    PollTiming configurationPollTiming() const;
-    PollTiming serversPollTiming() const;
+    double pollStagger() const;
     DirectContext routerContext();
     RetryLimits retryLimits() const;
     HttpGateway::Handlers gatewayHandlers();
--- a/src/direct/RouterNodeSync.cpp
+++ b/src/direct/RouterNodeSync.cpp
@@ -7,38 +7,17 @@
 
 namespace {
 
-// Server records are polled at an interval, because the heartbeats of all servers would end a long
-// poll many times a second. The interval is this part of maxLeavingDelay; the rest is left for the
-// answer and one retransmission.
-constexpr double serversPollShare = 0.55;
-// The router that reads first announces to the others that nothing has changed, and they postpone
-// their own read. Poll intervals differ by up to this part of maxLeavingDelay, so that routers
-// don't read at the same time.
-constexpr double serversPollStagger = 0.1;
-// After failed reads, this many fit into the time within which a change must take effect.
-constexpr int retriesPerDelayBound = 5;
 // Added to the idle timeout, so that a caller that keeps to it never sends on a connection that is
 // being closed.
 constexpr seconds idleTimeoutSlack{1};
 
 } // namespace
 
-/// A long poll returns changes at once; its wait time bounds how long a dead connection stays
-/// undetected.
-PollTiming RouterNode::Impl::configurationPollTiming() const
-{
-    return PollTiming{milliseconds(0), settings.maxConfigurationDelay,
-                      settings.maxConfigurationDelay / retriesPerDelayBound};
-}
-
-/// A fixed interval without long poll; a hash of the router's name staggers it.
-PollTiming RouterNode::Impl::serversPollTiming() const
+/// Spreads the reads of routers by a hash of their names; from 0 to 1.
+double RouterNode::Impl::pollStagger() const
 {
     constexpr double hashRange = 4294967296.;
-    const double stagger = serversPollStagger * reportHash(settings.name.value) / hashRange;
-    const auto interval = std::chrono::duration_cast<milliseconds>(settings.maxLeavingDelay
-                                                                   * (serversPollShare + stagger));
-    return PollTiming{interval, milliseconds(0), settings.maxLeavingDelay / retriesPerDelayBound};
+    return reportHash(settings.name.value) / hashRange;
 }
 
 void RouterNode::Impl::restartFollowers()
@@ -51,9 +30,9 @@
     };
     forConfiguration.onEmptyRead = [](LogOffset) {};
     forConfiguration.onStoreRecovered = [] {};
-    configurationFollower =
-            std::make_unique<StoreFollower>(loop, clock, *store, KeyedTopic::Configuration,
-                                            configurationPollTiming(), std::move(forConfiguration));
+    configurationFollower = std::make_unique<StoreFollower>(
+            loop, clock, *store, KeyedTopic::Configuration,
+            configurationPollTiming(settings.maxConfigurationDelay), std::move(forConfiguration));
     StoreFollower::Handlers forServers;
     forServers.onFullRead = [this](const auto &records) { onAllServers(records); };
     forServers.onRecords = [this](const auto &records, LogOffset from, LogOffset to) {
@@ -64,8 +43,9 @@
         announceUnchanged(next, next);
     };
     forServers.onStoreRecovered = [this] { directory.onStoreRecovered(clock.now()); };
-    serversFollower = std::make_unique<StoreFollower>(loop, clock, *store, KeyedTopic::Servers,
-                                                      serversPollTiming(), std::move(forServers));
+    serversFollower = std::make_unique<StoreFollower>(
+            loop, clock, *store, KeyedTopic::Servers,
+            serversPollTiming(settings.maxLeavingDelay, pollStagger()), std::move(forServers));
     configurationFollower->start();
     serversFollower->start();
 }
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-// Three times the slowest answer that the platform documents.
-constexpr milliseconds answerTimeout{800};
-constexpr milliseconds firstRetryDelay{100};
-
 constexpr std::array<std::string_view, 3> topicNames{"configuration", "servers", "daemons"};
 constexpr std::array<std::string_view, 5> faultNames{"no-answer", "overloaded", "unavailable",
                                                      "expired", "malformed"};
@@ -54,6 +50,7 @@
         if (!alive.expired())
             onResult(result, isFullRead);
     };
+    const milliseconds answerTimeout = timing_.answerTimeout * (failures_ > 0 ? 2 : 1);
     if (isFullRead)
         store_.readNewest(topic_, answerTimeout, onDone);
     else
@@ -132,7 +129,7 @@
     }
     ++failures_;
     timer_.startOnce(
-            std::min(timing_.maxRetryDelay, firstRetryDelay * static_cast<int>(failures_)));
+            std::min(timing_.maxRetryDelay, timing_.firstRetryDelay * static_cast<int>(failures_)));
 }
 
 } // namespace lovagecourse
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -2,22 +2,12 @@
 
 #include "core/EventLoop.h"
 #include "direct/FleetStore.h"
+#include "direct/PollTiming.h"
 
 #include <memory>
 
 namespace lovagecourse {
 
-/// Timing of a topic's reads.
-struct PollTiming
-{
-    /// Time from the end of a read to the start of the next.
-    milliseconds interval{0};
-    /// Time for which the store may hold a read until a record arrives; 0 for no long poll.
-    milliseconds longPollWait{0};
-    /// Longest time from a failed read to the next one.
-    milliseconds maxRetryDelay{400};
-};
-
 /// Follows one topic of the store: reads the newest record of every key first, then new records.
 /// Retries failed reads, and starts over when the next records have expired.
 class StoreFollower
--- a/tests/direct/DirectRouterTest.cpp
+++ b/tests/direct/DirectRouterTest.cpp
@@ -320,7 +320,8 @@
                  "direct router, server leaves while its connection is made, sends to another")
 {
     const auto handler = [](auto &connection, const std::string &request) {
-        connection.send(answer(request, 200, headerValue(request, "x-lovagecourse-expect-instance")));
+        connection.send(
+                answer(request, 200, headerValue(request, "x-lovagecourse-expect-instance")));
     };
     addServer(handler);
     addServer(handler);
--- a/tests/direct/StoreFollowerTest.cpp
+++ b/tests/direct/StoreFollowerTest.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+constexpr PollTiming everyMillisecond{.interval = milliseconds(1)};
+constexpr PollTiming every40Milliseconds{.interval = milliseconds(40)};
+
 /// Store that answers with prepared results and records the calls.
 class ScriptedStore final : public FleetStore
 {
@@ -42,6 +45,40 @@
     }
 };
 
+/// Store whose connection has gone silent: the call in progress gets no answer, further calls, on
+/// a new connection, are answered. Times out as the real client does.
+class SilentOnceStore final : public FleetStore
+{
+public:
+    explicit SilentOnceStore(EventLoop &loop)
+        : loop_(loop)
+    {}
+
+    void readNewest(KeyedTopic, milliseconds,
+                    std::function<void(const KeyedResult &)> onDone) override
+    {
+        onDone(KeyedBatch{{}, LogOffset(7)});
+    }
+    void readFrom(KeyedTopic, LogOffset, milliseconds, milliseconds timeout,
+                  std::function<void(const KeyedResult &)> onDone) override
+    {
+        if (std::exchange(wasSilent_, true)) {
+            onDone(KeyedBatch{{KeyedRecord{"k", "v", {}}}, LogOffset(8)});
+            return;
+        }
+        timeout_ = std::make_unique<Timer>(loop_, [onDone] { onDone(StoreFault::NoAnswer); });
+        timeout_->startOnce(timeout);
+    }
+    void writeDaemon(const std::string &, const std::string &, milliseconds,
+                     std::function<void(const WriteResult &)>) override
+    {}
+
+private:
+    EventLoop &loop_;
+    bool wasSilent_ = false;
+    std::unique_ptr<Timer> timeout_;
+};
+
 struct StoreFollowerFixture
 {
     EventLoop loop;
@@ -58,8 +95,8 @@
         handlers.onRecords = [this](const auto &, LogOffset, LogOffset) { ++recordReads; };
         handlers.onEmptyRead = [](LogOffset) {};
         handlers.onStoreRecovered = [this] { ++recoveries; };
-        StoreFollower follower(loop, clock, store, KeyedTopic::Servers,
-                               PollTiming{milliseconds(1), milliseconds(0)}, std::move(handlers));
+        StoreFollower follower(loop, clock, store, KeyedTopic::Servers, everyMillisecond,
+                               std::move(handlers));
         follower.start();
         Timer timer(loop, [this] { loop.stop(); });
         timer.startOnce(time);
@@ -116,8 +153,8 @@
     handlers.onRecords = [](const auto &, LogOffset, LogOffset) {};
     handlers.onEmptyRead = [](LogOffset) {};
     handlers.onStoreRecovered = [] {};
-    StoreFollower follower(loop, clock, store, KeyedTopic::Servers,
-                           PollTiming{milliseconds(40), milliseconds(0)}, std::move(handlers));
+    StoreFollower follower(loop, clock, store, KeyedTopic::Servers, every40Milliseconds,
+                           std::move(handlers));
     follower.start();
     // Begins after this follower's offset: a record between them may be a change.
     follower.skipUnchanged(LogOffset(9), LogOffset(11));
@@ -140,8 +177,8 @@
     handlers.onRecords = [](const auto &, LogOffset, LogOffset) {};
     handlers.onEmptyRead = [](LogOffset) {};
     handlers.onStoreRecovered = [this] { ++recoveries; };
-    StoreFollower follower(loop, clock, store, KeyedTopic::Servers,
-                           PollTiming{milliseconds(1), milliseconds(0)}, std::move(handlers));
+    StoreFollower follower(loop, clock, store, KeyedTopic::Servers, everyMillisecond,
+                           std::move(handlers));
     follower.start();
     Timer other(loop, [&] { follower.skipUnchanged(LogOffset(7), LogOffset(9)); });
     other.startOnce(milliseconds(20));
@@ -166,8 +203,8 @@
     };
     handlers.onEmptyRead = [](LogOffset) {};
     handlers.onStoreRecovered = [] {};
-    StoreFollower follower(loop, clock, store, KeyedTopic::Servers,
-                           PollTiming{milliseconds(1), milliseconds(0)}, std::move(handlers));
+    StoreFollower follower(loop, clock, store, KeyedTopic::Servers, everyMillisecond,
+                           std::move(handlers));
     follower.start();
     Timer timer(loop, [this] { loop.stop(); });
     timer.startOnce(milliseconds(60));
@@ -186,8 +223,8 @@
     handlers.onRecords = [](const auto &, LogOffset, LogOffset) {};
     handlers.onEmptyRead = [](LogOffset) {};
     handlers.onStoreRecovered = [] {};
-    StoreFollower follower(loop, clock, store, KeyedTopic::Servers,
-                           PollTiming{milliseconds(40), milliseconds(0)}, std::move(handlers));
+    StoreFollower follower(loop, clock, store, KeyedTopic::Servers, every40Milliseconds,
+                           std::move(handlers));
     CHECK_FALSE(follower.takeOver(LogOffset(7), LogOffset(9)));
     follower.start();
     CHECK_FALSE(follower.takeOver(LogOffset(8), LogOffset(11)));
@@ -201,3 +238,32 @@
     loop.run();
     CHECK(store.calls == std::vector<std::string>{"all", "from 14"});
 }
+
+// Guards against changes that are in force late because one read gets no answer.
+TEST_CASE_METHOD(StoreFollowerFixture,
+                 "store follower, connection to the store silent, reads a change within its bound")
+{
+    constexpr milliseconds maxDelay{400};
+    const PollTiming timing =
+            GENERATE_COPY(configurationPollTiming(maxDelay), serversPollTiming(maxDelay, 1));
+    SilentOnceStore silentStore(loop);
+    TimePoint fullRead;
+    std::optional<TimePoint> applied;
+    StoreFollower::Handlers handlers;
+    handlers.onFullRead = [&](const auto &) { fullRead = clock.now(); };
+    handlers.onRecords = [&](const auto &, LogOffset, LogOffset) {
+        applied = clock.now();
+        loop.stop();
+    };
+    handlers.onEmptyRead = [](LogOffset) {};
+    handlers.onStoreRecovered = [] {};
+    StoreFollower follower(loop, clock, silentStore, KeyedTopic::Servers, timing,
+                           std::move(handlers));
+    follower.start();
+    Timer timer(loop, [this] { loop.stop(); });
+    timer.startOnce(4 * maxDelay);
+    loop.run();
+    REQUIRE(applied);
+    // The change was written just after the full read.
+    CHECK(*applied - fullRead < maxDelay);
+}
