Time the next read of the store from the start of the last one

Callers: a request at a server later than the bound after it had said that it leaves, from a router that was late.

Cause: the interval to the next read began when an answer, or another router's announcement that nothing changed, was handled. Class: age counted from the handling of a message and not from the time of its content.

Fix: a read's records are as old as the start of the read. Announcements carry that age, a relay adds its own delay, and a receiver adds the time that the message may have waited in its socket. Of the parts of one read's changes only the last one postpones the next read.

Test: "answer or announcement handled late, reads in time": with the former timing the second read had not begun after 330 ms with an interval of 200 ms; passes now.

--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -40,6 +40,9 @@
     std::optional<ServerEntry> decodeServer(const KeyedRecord &record);
     void applyChanges(const std::vector<RegistrationChange> &changes);
     void updateListTime();
+    TimePoint readStartOf(std::uint32_t ageMs) const;
+    std::uint32_t ageMs(TimePoint asOf) const;
+    std::uint32_t listAgeMs() const;
 
     void registerSelf();
     void readRouterRecords();
--- a/src/direct/RouterNodePeers.cpp
+++ b/src/direct/RouterNodePeers.cpp
@@ -26,6 +26,8 @@
 // Records of the store that fit into one datagram, with the lengths of each.
 constexpr std::size_t maxForwardedBytes = 1100;
 constexpr std::size_t recordOverheadBytes = 9;
+// Older than any read; does not postpone the receiver's next read.
+constexpr std::uint32_t unknownAgeMs = UINT32_MAX;
 constexpr milliseconds registryRetryInterval{500};
 constexpr milliseconds registryTimeout{1000};
 constexpr seconds presenceInterval{1};
@@ -224,7 +226,7 @@
 /// the store.
 void RouterNode::Impl::announceUnchanged(LogOffset from, LogOffset to)
 {
-    datagramSocket->sendToAll(storeReadTargets(), ServersUnchanged{from, to});
+    datagramSocket->sendToAll(storeReadTargets(), ServersUnchanged{from, to, listAgeMs()});
 }
 
 /// Passes on the changes in this range of records, in as many datagrams as they need. A router that
@@ -236,7 +238,8 @@
     if (from == to)
         return;
     const std::vector<Endpoint> targets = storeReadTargets();
-    ServersChanged part{from, to, {}};
+    // Before the last part, a receiver does not know all changes from before the read.
+    ServersChanged part{from, to, unknownAgeMs, {}};
     std::size_t partBytes = 0;
     for (const KeyedRecord &record : changes) {
         const std::size_t bytes =
@@ -246,12 +249,13 @@
         if (partBytes + bytes > maxForwardedBytes) {
             part.to = record.offset;
             datagramSocket->sendToAll(targets, part);
-            part = ServersChanged{record.offset, to, {}};
+            part = ServersChanged{record.offset, to, unknownAgeMs, {}};
             partBytes = 0;
         }
         part.records.push_back({record.key, record.value.value_or(""), !record.value.has_value()});
         partBytes += bytes;
     }
+    part.ageMs = listAgeMs();
     datagramSocket->sendToAll(targets, part);
 }
 
@@ -322,10 +326,31 @@
     datagramSocket->sendToAll(peers.activePeers(now), std::move(report));
 }
 
+/// Start of another router's read of the store. The message may have waited in the socket while
+/// this process was late.
+TimePoint RouterNode::Impl::readStartOf(std::uint32_t ageMs) const
+{
+    return clock.now() - loop.delay() - milliseconds(ageMs);
+}
+
+std::uint32_t RouterNode::Impl::ageMs(TimePoint asOf) const
+{
+    const auto age = std::chrono::ceil<milliseconds>(clock.now() - asOf).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX));
+}
+
+/// Age of the servers' records in this process.
+std::uint32_t RouterNode::Impl::listAgeMs() const
+{
+    return ageMs(serversFollower->asOf().value_or(clock.now()));
+}
+
 void RouterNode::Impl::onMessage(const DaemonId &sender, ServersUnchanged &&unchanged)
 {
     metrics.count("lovagecourse_store_reads_saved_total");
-    serversFollower->skipUnchanged(unchanged.from, unchanged.to);
+    const TimePoint asOf = readStartOf(unchanged.ageMs);
+    unchanged.ageMs = ageMs(asOf);
+    serversFollower->skipUnchanged(unchanged.from, unchanged.to, asOf);
     updateListTime();
     if (peers.isInOtherDataCentre(sender))
         datagramSocket->sendToAll(peers.activePeers(clock.now()), unchanged);
@@ -333,9 +358,11 @@
 
 void RouterNode::Impl::onMessage(const DaemonId &sender, ServersChanged &&changed)
 {
+    const TimePoint asOf = readStartOf(changed.ageMs);
+    changed.ageMs = ageMs(asOf);
     if (peers.isInOtherDataCentre(sender))
         datagramSocket->sendToAll(peers.activePeers(clock.now()), changed);
-    if (!serversFollower->takeOver(changed.from, changed.to))
+    if (!serversFollower->takeOver(changed.from, changed.to, asOf))
         return;
     metrics.count("lovagecourse_store_reads_saved_total");
     logInfo(LogPart::Membership, "event=servers-passed-on by=", sender,
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -76,9 +76,7 @@
     // to routers that have not read them, so its range must not cover them.
     const LogOffset from = wasFullRead_ ? batch.next : next_.value_or(batch.next);
     wasFullRead_ = isFullRead;
-    next_ = batch.next;
-    asOf_ = readStart_;
-    timer_.startOnce(timing_.interval);
+    setCurrent(batch.next, readStart_);
     if (isFullRead)
         handlers_.onFullRead(batch.records);
     else if (batch.records.empty())
@@ -87,25 +85,31 @@
         handlers_.onRecords(batch.records, from, batch.next);
 }
 
-void StoreFollower::skipUnchanged(LogOffset from, LogOffset to)
+void StoreFollower::skipUnchanged(LogOffset from, LogOffset to, TimePoint asOf)
 {
     if (!canSkip() || *next_ < from || to < *next_)
         return;
-    next_ = to;
-    asOf_ = clock_.now();
-    timer_.startOnce(timing_.interval);
+    setCurrent(to, asOf);
 }
 
-bool StoreFollower::takeOver(LogOffset from, LogOffset to)
+bool StoreFollower::takeOver(LogOffset from, LogOffset to, TimePoint asOf)
 {
     if (!canSkip() || *next_ != from || to <= from)
         return false;
-    next_ = to;
-    asOf_ = clock_.now();
-    timer_.startOnce(timing_.interval);
+    setCurrent(to, asOf);
     return true;
 }
 
+/// Sets how far the records are known. The next read is timed from the start of the read that
+/// returned them, because changes from after it may be missing.
+void StoreFollower::setCurrent(LogOffset next, TimePoint asOf)
+{
+    next_ = next;
+    asOf_ = std::max(asOf_.value_or(asOf), asOf);
+    const auto age = clock_.now() - *asOf_;
+    timer_.startOnce(std::max<std::chrono::nanoseconds>(timing_.interval - age, milliseconds(0)));
+}
+
 /// A read in progress returns the same records. After a failure, only a read by this follower
 /// detects that the store has recovered.
 bool StoreFollower::canSkip() const
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -33,13 +33,14 @@
 
     void start();
     /// Another router has read this range of records and found no change in it. Skips the range and
-    /// postpones the next read, if this follower has read all records before it.
-    void skipUnchanged(LogOffset from, LogOffset to);
+    /// postpones the next read, if this follower has read all records before it. asOf: start of the
+    /// other router's read.
+    void skipUnchanged(LogOffset from, LogOffset to, TimePoint asOf);
     /// Another router has read this range of records and passes on those that are changes. Returns
     /// true if this follower continues after the range, so that the caller must apply them. Unlike
     /// a range without changes, it must begin where this follower is: an older change must not
     /// follow a newer one.
-    bool takeOver(LogOffset from, LogOffset to);
+    bool takeOver(LogOffset from, LogOffset to, TimePoint asOf);
     /// Start of the last read whose records are applied, by this follower or by the router that
     /// passed them on. Changes from before it are known. Empty before the first read.
     std::optional<TimePoint> asOf() const { return asOf_; }
@@ -51,6 +52,7 @@
     void onResult(const KeyedResult &result, bool isFullRead);
     void onFault(StoreFault fault);
     bool canSkip() const;
+    void setCurrent(LogOffset next, TimePoint asOf);
 
     const Clock &clock_;
     FleetStore &store_;
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -517,11 +517,13 @@
     LogOffset from;
     /// Offset after the last record.
     LogOffset to;
+    /// Time since the start of the read, in milliseconds.
+    std::uint32_t ageMs = 0;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(from, to);
+        archive(from, to, ageMs);
     }
 };
 
@@ -547,12 +549,14 @@
     LogOffset from;
     /// Offset after the last record.
     LogOffset to;
+    /// Time since the start of the read, in milliseconds.
+    std::uint32_t ageMs = 0;
     std::vector<ForwardedRecord> records;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(from, to, records);
+        archive(from, to, ageMs, records);
     }
 };
 
--- a/tests/direct/StoreFollowerTest.cpp
+++ b/tests/direct/StoreFollowerTest.cpp
@@ -79,6 +79,46 @@
     std::unique_ptr<Timer> timeout_;
 };
 
+/// Store whose answers are handled late.
+class DelayingStore final : public FleetStore
+{
+public:
+    DelayingStore(EventLoop &loop, const Clock &clock, milliseconds delay)
+        : loop_(loop)
+        , clock_(clock)
+        , delay_(delay)
+    {}
+
+    void readNewest(KeyedTopic, milliseconds,
+                    std::function<void(const KeyedResult &)> onDone) override
+    {
+        answer(onDone);
+    }
+    void readFrom(KeyedTopic, LogOffset, milliseconds, milliseconds,
+                  std::function<void(const KeyedResult &)> onDone) override
+    {
+        answer(onDone);
+    }
+    void writeDaemon(const std::string &, const std::string &, milliseconds,
+                     std::function<void(const WriteResult &)>) override
+    {}
+
+    std::vector<TimePoint> starts;
+
+private:
+    void answer(const std::function<void(const KeyedResult &)> &onDone)
+    {
+        starts.push_back(clock_.now());
+        timer_ = std::make_unique<Timer>(loop_, [onDone] { onDone(KeyedBatch{{}, LogOffset(7)}); });
+        timer_->startOnce(delay_);
+    }
+
+    EventLoop &loop_;
+    const Clock &clock_;
+    milliseconds delay_;
+    std::unique_ptr<Timer> timer_;
+};
+
 struct StoreFollowerFixture
 {
     EventLoop loop;
@@ -157,10 +197,10 @@
                            std::move(handlers));
     follower.start();
     // Begins after this follower's offset: a record between them may be a change.
-    follower.skipUnchanged(LogOffset(9), LogOffset(11));
+    follower.skipUnchanged(LogOffset(9), LogOffset(11), clock.now());
     // Ends before this follower's offset.
-    follower.skipUnchanged(LogOffset(2), LogOffset(5));
-    follower.skipUnchanged(LogOffset(6), LogOffset(20));
+    follower.skipUnchanged(LogOffset(2), LogOffset(5), clock.now());
+    follower.skipUnchanged(LogOffset(6), LogOffset(20), clock.now());
     Timer timer(loop, [this] { loop.stop(); });
     timer.startOnce(milliseconds(60));
     loop.run();
@@ -180,7 +220,7 @@
     StoreFollower follower(loop, clock, store, KeyedTopic::Servers, everyMillisecond,
                            std::move(handlers));
     follower.start();
-    Timer other(loop, [&] { follower.skipUnchanged(LogOffset(7), LogOffset(9)); });
+    Timer other(loop, [&] { follower.skipUnchanged(LogOffset(7), LogOffset(9), clock.now()); });
     other.startOnce(milliseconds(20));
     Timer timer(loop, [this] { loop.stop(); });
     timer.startOnce(milliseconds(200));
@@ -225,14 +265,14 @@
     handlers.onStoreRecovered = [] {};
     StoreFollower follower(loop, clock, store, KeyedTopic::Servers, every40Milliseconds,
                            std::move(handlers));
-    CHECK_FALSE(follower.takeOver(LogOffset(7), LogOffset(9)));
+    CHECK_FALSE(follower.takeOver(LogOffset(7), LogOffset(9), clock.now()));
     follower.start();
-    CHECK_FALSE(follower.takeOver(LogOffset(8), LogOffset(11)));
-    CHECK_FALSE(follower.takeOver(LogOffset(6), LogOffset(11)));
-    CHECK_FALSE(follower.takeOver(LogOffset(7), LogOffset(7)));
-    CHECK(follower.takeOver(LogOffset(7), LogOffset(11)));
-    CHECK_FALSE(follower.takeOver(LogOffset(7), LogOffset(11)));
-    CHECK(follower.takeOver(LogOffset(11), LogOffset(14)));
+    CHECK_FALSE(follower.takeOver(LogOffset(8), LogOffset(11), clock.now()));
+    CHECK_FALSE(follower.takeOver(LogOffset(6), LogOffset(11), clock.now()));
+    CHECK_FALSE(follower.takeOver(LogOffset(7), LogOffset(7), clock.now()));
+    CHECK(follower.takeOver(LogOffset(7), LogOffset(11), clock.now()));
+    CHECK_FALSE(follower.takeOver(LogOffset(7), LogOffset(11), clock.now()));
+    CHECK(follower.takeOver(LogOffset(11), LogOffset(14), clock.now()));
     Timer timer(loop, [this] { loop.stop(); });
     timer.startOnce(milliseconds(60));
     loop.run();
@@ -267,3 +307,29 @@
     // The change was written just after the full read.
     CHECK(*applied - fullRead < maxDelay);
 }
+
+// Guards against reads that are late by as much as the process or the router that announces is.
+TEST_CASE_METHOD(StoreFollowerFixture,
+                 "store follower, answer or announcement handled late, reads in time")
+{
+    StoreFollower::Handlers handlers;
+    handlers.onFullRead = [](const auto &) {};
+    handlers.onRecords = [](const auto &, LogOffset, LogOffset) {};
+    handlers.onEmptyRead = [](LogOffset) {};
+    handlers.onStoreRecovered = [] {};
+    constexpr PollTiming timing{.interval = milliseconds(200)};
+    DelayingStore delayingStore(loop, clock, milliseconds(150));
+    StoreFollower follower(loop, clock, delayingStore, KeyedTopic::Servers, timing,
+                           std::move(handlers));
+    follower.start();
+    Timer announcement(loop, [&] {
+        follower.skipUnchanged(LogOffset(7), LogOffset(9), clock.now() - milliseconds(150));
+    });
+    announcement.startOnce(milliseconds(180));
+    Timer timer(loop, [this] { loop.stop(); });
+    timer.startOnce(milliseconds(330));
+    loop.run();
+    // Starts at 0 ms; the announced read began at 30 ms.
+    REQUIRE(delayingStore.starts.size() == 2);
+    CHECK(delayingStore.starts[1] - delayingStore.starts[0] < milliseconds(280));
+}
