Handle the store's answers before callers' input, and never as lost when late

Cause: an answer of the store that had arrived was handled behind callers' input of the same iteration, and libcurl fails a transfer whose time is over before it reads the bytes that wait in the socket. A loop that is late by more than the timeout took each answer for a lost one, counted the store as failing and read again later. Class: a delay of this process taken for one of its peer.

Fix: the client of the store and the timers of its reads have a higher priority than other events; HttpClient ends a transfer by a timer of its own, after the input of the iteration.

--- a/src/core/EventLoop.cpp
+++ b/src/core/EventLoop.cpp
@@ -87,11 +87,12 @@
     ev_break(loop_, EVBREAK_ALL);
 }
 
-Timer::Timer(EventLoop &loop, Callback callback)
+Timer::Timer(EventLoop &loop, Callback callback, EventPriority priority)
     : loop_(loop)
     , callback_(std::move(callback))
 {
     ev_timer_init(&watcher_, &Timer::onEvent, 0., 0.);
+    ev_set_priority(&watcher_, static_cast<int>(priority));
     watcher_.data = this;
 }
 
@@ -134,12 +135,13 @@
     callback();
 }
 
-IoWatcher::IoWatcher(EventLoop &loop, int descriptor, Callback callback)
+IoWatcher::IoWatcher(EventLoop &loop, int descriptor, Callback callback, EventPriority priority)
     : loop_(loop)
     , callback_(std::move(callback))
     , descriptor_(descriptor)
 {
     ev_io_init(&watcher_, &IoWatcher::onEvent, descriptor, 0);
+    ev_set_priority(&watcher_, static_cast<int>(priority));
     watcher_.data = this;
 }
 
--- a/src/core/EventLoop.h
+++ b/src/core/EventLoop.h
@@ -4,11 +4,21 @@
 
 #include <ev.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
 namespace lovagecourse {
 
+/// Order of the events that are handled in one iteration of the loop.
+enum class EventPriority : std::int8_t {
+    /// After all others.
+    Low = -1,
+    Normal = 0,
+    /// Before callers' input, for what the process must know in time.
+    High = 1
+};
+
 /// Single-threaded event loop on libev.
 class EventLoop
 {
@@ -57,7 +67,7 @@
 public:
     using Callback = std::function<void()>;
 
-    Timer(EventLoop &loop, Callback callback);
+    Timer(EventLoop &loop, Callback callback, EventPriority priority = EventPriority::Normal);
     ~Timer();
     Timer(const Timer &) = delete;
     Timer &operator=(const Timer &) = delete;
@@ -83,7 +93,8 @@
 public:
     using Callback = std::function<void(int events)>;
 
-    IoWatcher(EventLoop &loop, int descriptor, Callback callback);
+    IoWatcher(EventLoop &loop, int descriptor, Callback callback,
+              EventPriority priority = EventPriority::Normal);
     ~IoWatcher();
     IoWatcher(const IoWatcher &) = delete;
     IoWatcher &operator=(const IoWatcher &) = delete;
--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -87,6 +87,7 @@
     , fleetKey(settings.fleetKey)
     , wire{loop, clock, metrics, fleetKey, makeHello(settings, clock)}
     , http(loop)
+    , storeHttp(loop, EventPriority::High)
     , pool(settings.dataCentre)
     , peers(settings.name, settings.dataCentre, settings.processorPermille)
     , router(std::make_unique<DirectRouter>(routerContext()))
--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -91,6 +91,8 @@
     Authenticator fleetKey;
     WireContext wire;
     HttpClient http;
+    /// Of the store; its answers are handled before callers' requests.
+    HttpClient storeHttp;
     std::unique_ptr<FleetStore> store;
     std::shared_ptr<const DirectConfiguration> configuration;
     ServerDirectory directory;
--- a/src/direct/RouterNodeSync.cpp
+++ b/src/direct/RouterNodeSync.cpp
@@ -22,7 +22,7 @@
 
 void RouterNode::Impl::restartFollowers()
 {
-    store = platform.openStore(http, settings.platformUrl);
+    store = platform.openStore(storeHttp, settings.platformUrl);
     StoreFollower::Handlers forConfiguration;
     forConfiguration.onFullRead = [this](const auto &records) { onConfigurationRecords(records); };
     forConfiguration.onRecords = [this](const auto &records, LogOffset, LogOffset) {
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -32,7 +32,8 @@
     , topic_(topic)
     , timing_(timing)
     , handlers_(std::move(handlers))
-    , timer_(loop, [this] { read(); })
+    , timer_(
+              loop, [this] { read(); }, EventPriority::High)
 {}
 
 void StoreFollower::start()
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -47,6 +47,8 @@
     std::string body;
     std::size_t bodyBytesRead = 0;
     int tcpUserTimeoutMs = 0;
+    /// libcurl's own timeout would fail a transfer before its received bytes are read.
+    std::unique_ptr<Timer> timeout;
     HttpClient::Handlers handlers;
     HeaderList headers;
     std::size_t headBytes = 0;
@@ -137,8 +139,9 @@
 
 struct HttpClient::Impl
 {
-    explicit Impl(EventLoop &eventLoop)
+    Impl(EventLoop &eventLoop, EventPriority ioPriority)
         : loop(eventLoop)
+        , priority(ioPriority)
         , timer(loop, [this] { runSocketAction(CURL_SOCKET_TIMEOUT, 0); })
         , destroyTimer(loop, [this] { destroyCancelled(); })
     {
@@ -179,9 +182,11 @@
     void runSocketAction(curl_socket_t socket, int action);
     void collectDone();
     void finish(Transfer &transfer, CURLcode code);
+    void onTimeout(HttpTransferId id);
     void destroyCancelled();
 
     EventLoop &loop;
+    EventPriority priority;
     CURLM *multi = nullptr;
     Timer timer;
     /// Destroys cancelled transfers outside of libcurl's callbacks.
@@ -199,11 +204,14 @@
     }
     auto &watcher = watchers[socket];
     if (!watcher) {
-        watcher = std::make_unique<IoWatcher>(loop, socket, [this, socket](int events) {
-            const int action = ((events & EV_READ) ? CURL_CSELECT_IN : 0)
-                               | ((events & EV_WRITE) ? CURL_CSELECT_OUT : 0);
-            runSocketAction(socket, action);
-        });
+        watcher = std::make_unique<IoWatcher>(
+                loop, socket,
+                [this, socket](int events) {
+                    const int action = ((events & EV_READ) ? CURL_CSELECT_IN : 0)
+                                       | ((events & EV_WRITE) ? CURL_CSELECT_OUT : 0);
+                    runSocketAction(socket, action);
+                },
+                priority);
     }
     watcher->watch(((what & CURL_POLL_IN) ? EV_READ : 0) | ((what & CURL_POLL_OUT) ? EV_WRITE : 0));
 }
@@ -248,6 +256,13 @@
         owned->handlers.onDone(failure);
 }
 
+void HttpClient::Impl::onTimeout(HttpTransferId id)
+{
+    const auto found = transfers.find(id);
+    if (found != transfers.end() && !found->second->cancelled)
+        finish(*found->second, CURLE_OPERATION_TIMEDOUT);
+}
+
 void HttpClient::Impl::destroyCancelled()
 {
     std::vector<HttpTransferId> cancelled;
@@ -261,8 +276,8 @@
     }
 }
 
-HttpClient::HttpClient(EventLoop &loop)
-    : impl_(std::make_unique<Impl>(loop))
+HttpClient::HttpClient(EventLoop &loop, EventPriority priority)
+    : impl_(std::make_unique<Impl>(loop, priority))
 {}
 
 HttpClient::~HttpClient() = default;
@@ -297,7 +312,6 @@
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(request.connectTimeout.count()));
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(request.totalTimeout.count()));
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headerLines);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeaderLine);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
@@ -335,6 +349,11 @@
         curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
 
     const HttpTransferId id = transfer->id;
+    if (request.totalTimeout.count() > 0) {
+        transfer->timeout = std::make_unique<Timer>(
+                impl_->loop, [impl = impl_.get(), id] { impl->onTimeout(id); }, EventPriority::Low);
+        transfer->timeout->startOnce(request.totalTimeout);
+    }
     impl_->transfers.emplace(id, std::move(transfer));
     curl_multi_add_handle(impl_->multi, easy);
     return id;
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -21,7 +21,8 @@
     HeaderList headers;
     std::string body;
     milliseconds connectTimeout{1000};
-    /// Timeout of the whole transfer; 0 means none.
+    /// Timeout of the whole transfer; 0 means none. Bytes that arrived in time are read first, also
+    /// when this process is late.
     milliseconds totalTimeout{0};
     /// Uses a new connection for this request only. On a reused connection that turns out to be
     /// closed, libcurl sends the request again, which must not happen to a request that must not
@@ -71,7 +72,8 @@
         std::function<void(const std::optional<HttpFailure> &failure)> onDone;
     };
 
-    explicit HttpClient(EventLoop &loop);
+    /// priority: of reading answers and writing requests.
+    explicit HttpClient(EventLoop &loop, EventPriority priority = EventPriority::Normal);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
--- a/tests/core/EventLoopTest.cpp
+++ b/tests/core/EventLoopTest.cpp
@@ -49,3 +49,23 @@
     CHECK(share > 0.2);
     CHECK(share < 0.95);
 }
+
+// Guards against what must be known in time waiting behind callers' input.
+TEST_CASE("event loop, events in one iteration, handled by priority")
+{
+    EventLoop loop;
+    std::string order;
+    Timer low(
+            loop, [&] { order += 'l'; }, EventPriority::Low);
+    Timer high(
+            loop, [&] { order += 'h'; }, EventPriority::High);
+    Timer normal(loop, [&] { order += 'n'; });
+    Timer late(loop, [] { std::this_thread::sleep_for(milliseconds(20)); });
+    Timer end(loop, [&] { loop.stop(); });
+    for (Timer *timer : {&low, &high, &normal})
+        timer->startOnce(milliseconds(10));
+    late.startOnce(milliseconds(1));
+    end.startOnce(milliseconds(60));
+    loop.run();
+    CHECK(order == "hnl");
+}
