Reject requests with a part that crashes each server

Cause: the router treats a broken connection as the server's fault only and sends the request, and each further one of its kind, to the next server. Class: the blast radius of one input is the whole fleet.

Fix: placing/CrashTraits. A trait is a part of the prompt but the last. A connection that breaks before the answer begins is evidence against each trait of the request, an answer that begins clears its traits. Evidence from three servers in two rounds without an answer in between rejects a trait for ten minutes: new requests and retries get 503 with a Retry-After until then, or 502 if one may have run. Routers report evidence and clearing to each other after 5 ms, over the relays too, and repeat what they know every second and to routers that start.

--- a/src/direct/DirectExchange.h
+++ b/src/direct/DirectExchange.h
@@ -7,6 +7,7 @@
 #include "gateway/HttpGateway.h"
 #include "http/HttpClient.h"
 #include "placing/Admission.h"
+#include "placing/CrashTraits.h"
 #include "placing/FairShares.h"
 
 #include <memory>
@@ -56,6 +57,8 @@
     AccountHash accountHash = 0;
     std::vector<PromptPrefix> prompt;
     double costTokens = 0;
+    /// What the request may have in common with others that crash servers.
+    std::vector<TraitHash> traits;
     TimePoint arrived;
     /// Upper bound of the time that the request waited unread in this process before its arrival.
     std::chrono::nanoseconds waitedUnread{0};
--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -148,6 +148,7 @@
     exchange.service = selectService(*exchange.route, static_cast<double>(random()) / range);
     const std::string &model = exchange.client.model;
     exchange.prompt = makePrefixes(XXH64(model.data(), model.size(), 0), exchange.client.prompt);
+    exchange.traits = sharedPartHashes(exchange.client.prompt);
     exchange.costTokens =
             exchange.client.promptTokens + outputTokenCost * exchange.client.maxOutputTokens;
     milliseconds limit = exchange.route->timeout;
@@ -176,6 +177,8 @@
         return finish(exchange, "caller-left", 0, "left-before-send");
     if (now() >= exchange.deadline)
         return onDeadline(exchange.caller);
+    if (const auto trait = context.crashTraits.findRejected(exchange.traits, now()))
+        return rejectCrashing(exchange, *trait);
     auto placement = context.pool.choose(placementRequest(exchange), now());
     if (!placement) {
         if (exchange.mayHaveRun)
@@ -187,6 +190,17 @@
     send(exchange, std::move(*placement));
 }
 
+/// Ends a request that would crash the server that begins to answer it.
+void DirectRouter::Impl::rejectCrashing(DirectExchange &exchange, TraitHash trait)
+{
+    logInfo(LogPart::Routing, "event=crashes-servers request=", exchange.client.attemptId,
+            " trait=", trait, " sends=", exchange.sendCount);
+    if (exchange.isStreaming || exchange.mayHaveRun)
+        return fail(exchange, statusBadGateway, "crashes-servers");
+    refuse(exchange, "crashes-servers",
+           std::chrono::duration_cast<milliseconds>(context.crashTraits.rejectedFor(trait, now())));
+}
+
 bool DirectRouter::Impl::admit(DirectExchange &exchange, const Placement &placement)
 {
     AdmissionInput input;
--- a/src/direct/DirectRouter.h
+++ b/src/direct/DirectRouter.h
@@ -7,6 +7,7 @@
 #include "direct/ServerPool.h"
 #include "gateway/HttpGateway.h"
 #include "http/HttpClient.h"
+#include "placing/CrashTraits.h"
 #include "placing/FairShares.h"
 #include "placing/FleetRetryBudget.h"
 
@@ -28,6 +29,10 @@
     RetryLimits retryLimits;
     /// Number of live routers in the fleet, including this one.
     std::function<std::size_t()> routerCount;
+    CrashTraits &crashTraits;
+    /// Called when this router has seen a crash that is new, or an answer that clears a trait.
+    std::function<void(const TraitCrash &crash)> onTraitCrash;
+    std::function<void(TraitHash trait)> onTraitCleared;
 };
 
 /// Forwards callers' requests directly to backend servers and their answers back. Retries at other
--- a/src/direct/DirectRouterAnswers.cpp
+++ b/src/direct/DirectRouterAnswers.cpp
@@ -110,6 +110,7 @@
         attempt.hasBodyBytes = true;
         exchange->firstByteMs = toMs(now() - exchange->arrived);
         context.metrics.latency("lovagecourse_first_byte_seconds", now() - exchange->arrived);
+        onAnswerBegun(*exchange);
     }
     if (attempt.isInvalid)
         return;
@@ -172,12 +173,14 @@
     if (failure) {
         logInfo(LogPart::Backend, "event=send-failed request=", exchange->client.attemptId,
                 " server=", server, " curl=", failure->curlCode, " sent=", failure->maybeSent,
-                " head=", attempt.hasHead);
+                " head=", attempt.hasHead, " body=", attempt.hasBodyBytes);
         if (!attempt.hasHead)
             context.pool.onUnreachable(server, now());
         context.pool.onOutcome(server, true);
         if (!failure->maybeSent)
             return onNotSent(*exchange);
+        if (!attempt.hasBodyBytes)
+            onBrokenBeforeAnswer(*exchange);
         return onAttemptFailed(*exchange, "connection-broken");
     }
     if (attempt.isInvalid)
@@ -188,6 +191,33 @@
     onAnswerComplete(*exchange);
 }
 
+/// The server may have crashed when it began to answer this request.
+void DirectRouter::Impl::onBrokenBeforeAnswer(const DirectExchange &exchange)
+{
+    const DirectAttempt &attempt = *exchange.attempt;
+    TraitCrash crash;
+    crash.serverRun = context.pool.runOf(attempt.placement.server);
+    crash.sentAt = attempt.sentAt;
+    crash.brokenAt = now();
+    for (const TraitHash trait : exchange.traits) {
+        crash.trait = trait;
+        if (context.crashTraits.onCrash(crash, crash.brokenAt))
+            context.onTraitCrash(crash);
+    }
+}
+
+/// The server has not crashed when it began to answer this request.
+void DirectRouter::Impl::onAnswerBegun(const DirectExchange &exchange)
+{
+    const DirectAttempt &attempt = *exchange.attempt;
+    if (attempt.isInvalid || attempt.status >= firstErrorStatus)
+        return;
+    for (const TraitHash trait : exchange.traits) {
+        if (context.crashTraits.onBegun(trait, now(), now()))
+            context.onTraitCleared(trait);
+    }
+}
+
 void DirectRouter::Impl::endAttempt(DirectExchange &exchange)
 {
     if (exchange.stallTimer)
--- a/src/direct/DirectRouterImpl.h
+++ b/src/direct/DirectRouterImpl.h
@@ -32,6 +32,7 @@
     bool accept(DirectExchange &exchange);
     void dispatch(DirectExchange &exchange);
     PlacementRequest placementRequest(const DirectExchange &exchange) const;
+    void rejectCrashing(DirectExchange &exchange, TraitHash trait);
     bool admit(DirectExchange &exchange, const Placement &placement);
     void send(DirectExchange &exchange, Placement placement);
     void armStallTimer(DirectExchange &exchange);
@@ -41,6 +42,8 @@
     void onHead(CallerId caller, int status, const HeaderList &headers);
     void onData(CallerId caller, std::string_view bytes);
     void onDone(CallerId caller, const std::optional<HttpFailure> &failure);
+    void onBrokenBeforeAnswer(const DirectExchange &exchange);
+    void onAnswerBegun(const DirectExchange &exchange);
     void onNotSent(DirectExchange &exchange);
     void onNotExecuted(DirectExchange &exchange);
     void rejectAnswer(DirectExchange &exchange, std::string_view reason);
--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -98,6 +98,7 @@
     , relayFullTimer(loop, [this] { sendFullRelayReport(); })
     , relayTimer(loop, [this] { sendIncrementalRelayReport(); })
     , presenceTimer(loop, [this] { sendPresence(); })
+    , traitReportTimer(loop, [this] { sendTraitReport(); })
     , registerTimer(loop, [this] { registerSelf(); })
     , routerRecordsTimer(loop, [this] { readRouterRecords(); })
     , stateLogTimer(loop, [this] { logState(); })
@@ -109,10 +110,18 @@
 
 DirectContext RouterNode::Impl::routerContext()
 {
-    return DirectContext{
-            loop, clock, metrics, http, *platform.requests, pool, shares, retryLimits(), [this] {
-                return peers.liveCount(clock.now());
-            }};
+    return DirectContext{loop,
+                         clock,
+                         metrics,
+                         http,
+                         *platform.requests,
+                         pool,
+                         shares,
+                         retryLimits(),
+                         [this] { return peers.liveCount(clock.now()); },
+                         crashTraits,
+                         [this](const TraitCrash &crash) { onTraitCrash(crash); },
+                         [this](TraitHash trait) { onTraitCleared(trait); }};
 }
 
 HttpGateway::Handlers RouterNode::Impl::gatewayHandlers()
@@ -335,6 +344,7 @@
     updateProcessLoad(now);
     updateRelay(now);
     applyChanges(directory.expire(now));
+    crashTraits.expire(now);
     flushLog();
     if (!terminatedAt)
         return;
--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -17,7 +17,7 @@
 
 /// Implementation of RouterNode. RouterNode.cpp contains sockets, settings and lifecycle,
 /// RouterNodeSync.cpp what is read from the store, RouterNodePeers.cpp the exchange of state with
-/// the other routers.
+/// the other routers, RouterNodeTraits.cpp of it what concerns requests that crash servers.
 struct RouterNode::Impl
 {
     Impl(EventLoop &eventLoop, const Clock &nodeClock, RouterSettings nodeSettings,
@@ -67,6 +67,13 @@
     void onMessage(const DaemonId &sender, DataCentreAccountReport &&report);
     void onMessage(const DaemonId &sender, ServersUnchanged &&unchanged);
     void onMessage(const DaemonId &sender, ServersChanged &&changed);
+    void onMessage(const DaemonId &sender, CrashTraitReport &&report);
+    void onTraitCrash(const TraitCrash &crash);
+    void onTraitCleared(TraitHash trait);
+    void scheduleTraitReport();
+    void sendTraitReport();
+    void sendKnownTraits(const std::vector<Endpoint> &targets);
+    void reportCleared(TraitHash trait, TimePoint clearedAt);
     /// Messages between other roles.
     template <class Other>
     void onMessage(const DaemonId &, Other &&)
@@ -100,6 +107,10 @@
     bool serversLoaded = false;
     ServerPool pool;
     FairShares shares;
+    CrashTraits crashTraits;
+    /// Seen by this router and not yet reported to the others.
+    std::vector<TraitCrash> unreportedCrashes;
+    std::vector<std::pair<TraitHash, TimePoint>> unreportedClears;
     RouterPeers peers;
     /// This router relays the load of its data centre to the others.
     bool isRelaying = false;
@@ -129,6 +140,7 @@
     Timer relayFullTimer;
     Timer relayTimer;
     Timer presenceTimer;
+    Timer traitReportTimer;
     Timer registerTimer;
     Timer routerRecordsTimer;
     Timer stateLogTimer;
--- a/src/direct/RouterNodePeers.cpp
+++ b/src/direct/RouterNodePeers.cpp
@@ -110,6 +110,7 @@
     const TimePoint now = clock.now();
     datagramSocket->sendToAll(isStarting ? peers.knownPeers() : peers.activePeers(now),
                               presence(false));
+    sendKnownTraits(storeReadTargets());
 }
 
 RouterPresence RouterNode::Impl::presence(bool isReply) const
@@ -277,6 +278,7 @@
     if (!presence.isReply)
         datagramSocket->send(presence.datagramEndpoint, this->presence(true));
     sendReports(pool.makeReports(false, now), {presence.datagramEndpoint});
+    sendKnownTraits({presence.datagramEndpoint});
 }
 
 void RouterNode::Impl::onMessage(const DaemonId &sender, RouterReport &&report)
--- /dev/null
+++ b/src/direct/RouterNodeTraits.cpp
@@ -0,0 +1,139 @@
+#include "core/Log.h"
+#include "direct/RouterNodeImpl.h"
+
+#include <algorithm>
+
+namespace lovagecourse {
+
+namespace {
+
+// Collects what one crash of a server shows into few datagrams.
+constexpr milliseconds traitReportDelay{5};
+// Fit into one datagram of 1,400 bytes together.
+constexpr std::size_t crashesPerReport = 36;
+constexpr std::size_t clearsPerReport = 24;
+// Bounds the reports of one crash. The traits of a request that crashes servers come again with the
+// next one.
+constexpr std::size_t maxUnreported = 1000;
+
+std::uint32_t elapsedMs(TimePoint time, TimePoint now)
+{
+    const auto age = std::chrono::duration_cast<milliseconds>(now - time).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX));
+}
+
+CrashEvidence toEvidence(const TraitCrash &crash, TimePoint now)
+{
+    return CrashEvidence{crash.trait, crash.serverRun, elapsedMs(crash.sentAt, now),
+                         elapsedMs(crash.brokenAt, now)};
+}
+
+TraitCrash toCrash(const CrashEvidence &evidence, TimePoint sent)
+{
+    return TraitCrash{evidence.trait, evidence.serverRun, sent - milliseconds(evidence.sentAgeMs),
+                      sent - milliseconds(evidence.brokenAgeMs)};
+}
+
+/// Moves up to count items from the end of the list into the result.
+template <class Item>
+std::vector<Item> takeLast(std::vector<Item> &items, std::size_t count)
+{
+    const auto first = items.end() - static_cast<std::ptrdiff_t>(std::min(items.size(), count));
+    std::vector<Item> taken(first, items.end());
+    items.erase(first, items.end());
+    return taken;
+}
+
+} // namespace
+
+/// This router has seen a crash that was not known.
+void RouterNode::Impl::onTraitCrash(const TraitCrash &crash)
+{
+    const TimePoint now = clock.now();
+    logInfo(LogPart::Routing, "event=trait-suspected trait=", crash.trait,
+            " server_run=", crash.serverRun, " sent_ms_ago=", toMs(now - crash.sentAt),
+            " rejected=", crashTraits.findRejected({crash.trait}, now).has_value());
+    if (unreportedCrashes.size() < maxUnreported)
+        unreportedCrashes.push_back(crash);
+    scheduleTraitReport();
+}
+
+/// An answer that this router has seen clears a trait.
+void RouterNode::Impl::onTraitCleared(TraitHash trait)
+{
+    logInfo(LogPart::Routing, "event=trait-cleared trait=", trait, " by=", settings.name);
+    reportCleared(trait, clock.now());
+}
+
+void RouterNode::Impl::reportCleared(TraitHash trait, TimePoint clearedAt)
+{
+    if (unreportedClears.size() < maxUnreported)
+        unreportedClears.emplace_back(trait, clearedAt);
+    scheduleTraitReport();
+}
+
+void RouterNode::Impl::scheduleTraitReport()
+{
+    if (!traitReportTimer.isActive())
+        traitReportTimer.startOnce(traitReportDelay);
+}
+
+void RouterNode::Impl::sendTraitReport()
+{
+    const TimePoint now = clock.now();
+    const std::vector<Endpoint> targets = storeReadTargets();
+    while (!unreportedCrashes.empty() || !unreportedClears.empty()) {
+        CrashTraitReport report;
+        for (const TraitCrash &crash : takeLast(unreportedCrashes, crashesPerReport))
+            report.crashes.push_back(toEvidence(crash, now));
+        for (const auto &[trait, clearedAt] : takeLast(unreportedClears, clearsPerReport))
+            report.cleared.push_back(ClearedTrait{trait, elapsedMs(clearedAt, now)});
+        datagramSocket->sendToAll(targets, report);
+    }
+}
+
+/// Repeats what is known, for routers that have started since or have missed a report.
+void RouterNode::Impl::sendKnownTraits(const std::vector<Endpoint> &targets)
+{
+    if (crashTraits.isEmpty())
+        return;
+    const TimePoint now = clock.now();
+    CrashTraitReport report;
+    for (const TraitCrash &crash : crashTraits.crashes(now, crashesPerReport))
+        report.crashes.push_back(toEvidence(crash, now));
+    datagramSocket->sendToAll(targets, report);
+}
+
+void RouterNode::Impl::onMessage(const DaemonId &sender, CrashTraitReport &&report)
+{
+    const TimePoint now = clock.now();
+    // The message may have waited in the socket while this process was late.
+    const TimePoint sent = now - loop.delay();
+    for (CrashEvidence &evidence : report.crashes) {
+        const TraitCrash crash = toCrash(evidence, sent);
+        evidence = toEvidence(crash, now);
+        const auto clearedAt = crashTraits.clearedAt(crash.trait);
+        if (clearedAt && crash.brokenAt <= *clearedAt) {
+            // The sender has missed the answer that clears the trait.
+            reportCleared(crash.trait, *clearedAt);
+        } else if (crashTraits.onCrash(crash, now)
+                   && crashTraits.findRejected({crash.trait}, now)) {
+            logInfo(LogPart::Routing, "event=trait-rejected trait=", crash.trait,
+                    " server_run=", crash.serverRun, " by=", sender,
+                    " broken_ms_ago=", toMs(now - crash.brokenAt));
+        }
+    }
+    for (ClearedTrait &cleared : report.cleared) {
+        const TimePoint clearedAt = sent - milliseconds(cleared.ageMs);
+        cleared.ageMs = elapsedMs(clearedAt, now);
+        if (crashTraits.onBegun(cleared.trait, clearedAt, now))
+            logInfo(LogPart::Routing, "event=trait-cleared trait=", cleared.trait, " by=", sender,
+                    " age_ms=", cleared.ageMs);
+    }
+    metrics.gauge("lovagecourse_rejected_traits",
+                  static_cast<double>(crashTraits.rejectedCount(now)));
+    if (peers.isInOtherDataCentre(sender))
+        datagramSocket->sendToAll(peers.activePeers(now), report);
+}
+
+} // namespace lovagecourse
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -52,6 +52,13 @@
             }));
 }
 
+ServerRunHash ServerPool::runOf(const ServerId &server) const
+{
+    const auto found = servers_.find(server);
+    const std::uint64_t started = found == servers_.end() ? 0 : found->second.entry.startedMs;
+    return XXH64(server.value.data(), server.value.size(), started);
+}
+
 bool ServerPool::accepts(const ServerId &server) const
 {
     const auto found = servers_.find(server);
--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -4,6 +4,7 @@
 #include "direct/DirectConfiguration.h"
 #include "direct/LoadSources.h"
 #include "direct/ServerDirectory.h"
+#include "placing/CrashTraits.h"
 #include "placing/PeerLoads.h"
 #include "placing/PlacementChoice.h"
 #include "placing/PrefixCacheModel.h"
@@ -97,6 +98,8 @@
     /// Logs one line per service with the learned speed and one per server with slowness and load.
     void logState(TimePoint now) const;
     std::size_t count(const ServiceId &service) const;
+    /// Identifies the server's present run among those of all servers.
+    ServerRunHash runOf(const ServerId &server) const;
     /// True when the server is registered and is not leaving.
     bool accepts(const ServerId &server) const;
     /// Requests of this router in flight at the server; 0 for an unknown server.
--- /dev/null
+++ b/src/placing/CrashTraits.cpp
@@ -0,0 +1,150 @@
+#include "placing/CrashTraits.h"
+
+#include <algorithm>
+
+namespace lovagecourse {
+
+namespace {
+
+// Two servers may break off requests with the same sound trait by chance.
+constexpr std::size_t serversToReject = 3;
+// Requests that break at one moment, as when a host loses its network, are one piece of evidence.
+// One that was sent after the first had broken is another.
+constexpr int roundsToReject = 2;
+// More than what is needed for a rejection; the latest are kept.
+constexpr std::size_t maxCrashesPerTrait = 8;
+constexpr std::chrono::minutes suspectLifetime{10};
+// A report of a crash may arrive after the answer that clears its trait.
+constexpr seconds clearedLifetime{30};
+
+} // namespace
+
+bool CrashTraits::onCrash(const TraitCrash &crash, TimePoint now)
+{
+    if (now - crash.brokenAt >= suspectLifetime)
+        return false;
+    const auto cleared = cleared_.find(crash.trait);
+    if (cleared != cleared_.end() && crash.brokenAt <= cleared->second)
+        return false;
+    Suspect &suspect = suspects_[crash.trait];
+    const bool isNew =
+            suspect.crashes.emplace(crash.serverRun, Seen{crash.sentAt, crash.brokenAt}).second;
+    if (!isNew)
+        return false;
+    suspect.lastCrash = std::max(suspect.lastCrash, crash.brokenAt);
+    if (suspect.crashes.size() > maxCrashesPerTrait) {
+        const auto oldest =
+                std::min_element(suspect.crashes.begin(), suspect.crashes.end(),
+                                 [](const auto &left, const auto &right) {
+                                     return left.second.brokenAt < right.second.brokenAt;
+                                 });
+        suspect.crashes.erase(oldest);
+    }
+    return true;
+}
+
+bool CrashTraits::onBegun(TraitHash trait, TimePoint begunAt, TimePoint now)
+{
+    const auto found = suspects_.find(trait);
+    if (found == suspects_.end())
+        return false;
+    auto &crashes = found->second.crashes;
+    const std::size_t dropped = std::erase_if(
+            crashes, [&](const auto &crash) { return crash.second.brokenAt <= begunAt; });
+    if (dropped == 0)
+        return false;
+    if (crashes.empty())
+        suspects_.erase(found);
+    TimePoint &cleared = cleared_[trait];
+    cleared = std::max(cleared, std::min(begunAt, now));
+    return true;
+}
+
+std::optional<TimePoint> CrashTraits::clearedAt(TraitHash trait) const
+{
+    const auto found = cleared_.find(trait);
+    return found == cleared_.end() ? std::nullopt : std::optional(found->second);
+}
+
+const CrashTraits::Suspect *CrashTraits::rejectedSuspect(TraitHash trait, TimePoint now) const
+{
+    const auto found = suspects_.find(trait);
+    if (found == suspects_.end())
+        return nullptr;
+    const Suspect &suspect = found->second;
+    if (suspect.crashes.size() < serversToReject || now - suspect.lastCrash >= suspectLifetime)
+        return nullptr;
+    std::vector<Seen> seen;
+    seen.reserve(suspect.crashes.size());
+    for (const auto &[serverRun, crash] : suspect.crashes)
+        seen.push_back(crash);
+    std::sort(seen.begin(), seen.end(),
+              [](const Seen &left, const Seen &right) { return left.brokenAt < right.brokenAt; });
+    int rounds = 1;
+    TimePoint roundEnd = seen.front().brokenAt;
+    for (const Seen &crash : seen) {
+        if (crash.sentAt <= roundEnd)
+            continue;
+        ++rounds;
+        roundEnd = crash.brokenAt;
+    }
+    return rounds >= roundsToReject ? &suspect : nullptr;
+}
+
+std::optional<TraitHash> CrashTraits::findRejected(const std::vector<TraitHash> &traits,
+                                                   TimePoint now) const
+{
+    if (isEmpty())
+        return std::nullopt;
+    for (const TraitHash trait : traits) {
+        if (rejectedSuspect(trait, now))
+            return trait;
+    }
+    return std::nullopt;
+}
+
+std::chrono::nanoseconds CrashTraits::rejectedFor(TraitHash trait, TimePoint now) const
+{
+    const Suspect *rejected = rejectedSuspect(trait, now);
+    return rejected ? rejected->lastCrash + suspectLifetime - now : std::chrono::nanoseconds(0);
+}
+
+std::vector<TraitCrash> CrashTraits::crashes(TimePoint now, std::size_t maxCount) const
+{
+    std::vector<TraitCrash> all;
+    for (const auto &[trait, suspect] : suspects_) {
+        if (now - suspect.lastCrash >= suspectLifetime)
+            continue;
+        for (const auto &[serverRun, crash] : suspect.crashes)
+            all.push_back(TraitCrash{trait, serverRun, crash.sentAt, crash.brokenAt});
+    }
+    // Rejected traits first: a router that starts must not learn them from further crashes.
+    const auto rank = [&](const TraitCrash &crash) {
+        return std::pair(rejectedSuspect(crash.trait, now) == nullptr, now - crash.brokenAt);
+    };
+    std::sort(all.begin(), all.end(), [&](const TraitCrash &left, const TraitCrash &right) {
+        return rank(left) < rank(right);
+    });
+    if (all.size() > maxCount)
+        all.resize(maxCount);
+    return all;
+}
+
+void CrashTraits::expire(TimePoint now)
+{
+    std::erase_if(suspects_, [&](const auto &suspect) {
+        return now - suspect.second.lastCrash >= suspectLifetime;
+    });
+    std::erase_if(cleared_,
+                  [&](const auto &cleared) { return now - cleared.second >= clearedLifetime; });
+}
+
+std::size_t CrashTraits::rejectedCount(TimePoint now) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(suspects_.begin(), suspects_.end(), [&](const auto &suspect) {
+                return rejectedSuspect(suspect.first, now) != nullptr;
+            }));
+}
+
+} // namespace lovagecourse
--- /dev/null
+++ b/src/placing/CrashTraits.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "core/Clock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace lovagecourse {
+
+/// Hash of something that requests may have in common, such as one part of their prompts.
+using TraitHash = std::uint64_t;
+/// Identifies one run of a server, from its start to its end.
+using ServerRunHash = std::uint64_t;
+
+/// A server broke the connection of a request with the trait before the answer began.
+struct TraitCrash
+{
+    TraitHash trait = 0;
+    ServerRunHash serverRun = 0;
+    TimePoint sentAt;
+    TimePoint brokenAt;
+};
+
+/// Finds the traits of requests that crash each server that begins to answer them, from what the
+/// routers see: connections that break before the answer begins, and answers that begin. A trait is
+/// rejected when several servers have broken off requests with it and none has begun to answer one
+/// in the meantime. Sound traits of a request that crashes servers are cleared by the answers to
+/// other requests.
+class CrashTraits
+{
+public:
+    /// Adds what this or another router has seen. Returns whether it was new.
+    bool onCrash(const TraitCrash &crash, TimePoint now);
+    /// An answer to a request with the trait has begun; drops what was seen before. Returns whether
+    /// the trait was suspected.
+    bool onBegun(TraitHash trait, TimePoint begunAt, TimePoint now);
+    /// When an answer last cleared the trait; kept for 30 seconds.
+    std::optional<TimePoint> clearedAt(TraitHash trait) const;
+    /// Returns the first of the traits that is rejected.
+    std::optional<TraitHash> findRejected(const std::vector<TraitHash> &traits,
+                                          TimePoint now) const;
+    /// Time until the trait is accepted again; 0 when it is not rejected.
+    std::chrono::nanoseconds rejectedFor(TraitHash trait, TimePoint now) const;
+    /// All that is known of suspected traits, for other routers; the latest are kept.
+    std::vector<TraitCrash> crashes(TimePoint now, std::size_t maxCount) const;
+    /// Removes what has expired.
+    void expire(TimePoint now);
+    /// True when nothing is suspected.
+    bool isEmpty() const { return suspects_.empty(); }
+    std::size_t rejectedCount(TimePoint now) const;
+
+private:
+    struct Seen
+    {
+        TimePoint sentAt;
+        TimePoint brokenAt;
+    };
+
+    struct Suspect
+    {
+        std::map<ServerRunHash, Seen> crashes;
+        TimePoint lastCrash;
+    };
+
+    const Suspect *rejectedSuspect(TraitHash trait, TimePoint now) const;
+
+    std::unordered_map<TraitHash, Suspect> suspects_;
+    /// Latest answers of traits that were suspected; crashes from before are ignored.
+    std::unordered_map<TraitHash, TimePoint> cleared_;
+};
+
+} // namespace lovagecourse
--- a/src/placing/PromptPart.cpp
+++ b/src/placing/PromptPart.cpp
@@ -17,4 +17,12 @@
     return prefixes;
 }
 
+std::vector<std::uint64_t> sharedPartHashes(const std::vector<PromptPart> &parts)
+{
+    std::vector<std::uint64_t> hashes;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i)
+        hashes.push_back(XXH64(&parts[i].id, sizeof(parts[i].id), 0));
+    return hashes;
+}
+
 } // namespace lovagecourse
--- a/src/placing/PromptPart.h
+++ b/src/placing/PromptPart.h
@@ -27,4 +27,8 @@
 std::vector<PromptPrefix> makePrefixes(std::uint64_t modelHash,
                                        const std::vector<PromptPart> &parts);
 
+/// Returns hashes of the parts by themselves, without the last one, which belongs to the request or
+/// its session.
+std::vector<std::uint64_t> sharedPartHashes(const std::vector<PromptPart> &parts);
+
 } // namespace lovagecourse
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -618,6 +618,52 @@
     }
 };
 
+/// A server broke the connection of a request with a trait before the answer began; see
+/// CrashTraits.
+struct CrashEvidence
+{
+    std::uint64_t trait = 0;
+    /// Identifies the run of the server.
+    std::uint64_t serverRun = 0;
+    /// Times since the request was sent and since its connection broke, in milliseconds.
+    std::uint32_t sentAgeMs = 0;
+    std::uint32_t brokenAgeMs = 0;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(trait, serverRun, sentAgeMs, brokenAgeMs);
+    }
+};
+
+/// The answer to a request with a suspected trait has begun.
+struct ClearedTrait
+{
+    std::uint64_t trait = 0;
+    /// Time since then, in milliseconds.
+    std::uint32_t ageMs = 0;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(trait, ageMs);
+    }
+};
+
+/// Datagram, router to router: what the sender knows of requests that may crash servers. A router
+/// of another data centre forwards it to the routers of its own.
+struct CrashTraitReport
+{
+    std::vector<CrashEvidence> crashes;
+    std::vector<ClearedTrait> cleared;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(crashes, cleared);
+    }
+};
+
 /// Any message between daemons. The index identifies the type in the protocol, so new types must be
 /// appended.
 using Message =
@@ -626,6 +672,6 @@
                      CrashSuspectNotice, ConfigurationStateRequest, ConfigurationStateReply, Gossip,
                      ServiceReport, FairTotals, LeaveNotice, RouterReport, RouterAccountReport,
                      ServersUnchanged, RouterPresence, DataCentreReport, DataCentreAccountReport,
-                     ServersChanged>;
+                     ServersChanged, CrashTraitReport>;
 
 } // namespace lovagecourse
--- a/tests/direct/DirectRouterTest.cpp
+++ b/tests/direct/DirectRouterTest.cpp
@@ -34,6 +34,9 @@
     platform::HeaderCodec codec;
     ServerPool pool{DataCentreId("a")};
     FairShares shares;
+    CrashTraits crashTraits;
+    std::vector<TraitCrash> reportedCrashes;
+    std::vector<TraitHash> reportedClears;
     std::unique_ptr<DirectRouter> router;
     std::unique_ptr<HttpGateway> gateway;
     Endpoint callers;
@@ -44,9 +47,11 @@
 
     DirectRouterFixture()
     {
-        router = std::make_unique<DirectRouter>(
-                DirectContext{loop, clock, metrics, serverSide, codec, pool, shares,
-                              RetryLimits{0.2, 50, seconds(10)}, [] { return std::size_t(1); }});
+        router = std::make_unique<DirectRouter>(DirectContext{
+                loop, clock, metrics, serverSide, codec, pool, shares,
+                RetryLimits{0.2, 50, seconds(10)}, [] { return std::size_t(1); }, crashTraits,
+                [this](const TraitCrash &crash) { reportedCrashes.push_back(crash); },
+                [this](TraitHash trait) { reportedClears.push_back(trait); }});
         HttpGateway::Handlers handlers;
         handlers.onRequest = [this](CallerRequest &&request) {
             router->onRequest(std::move(request));
@@ -546,3 +551,47 @@
                    clock.now());
     }
 }
+
+// Guards against requests with one part in their prompts that crash one server after the other, and
+// against the rejection of sound requests of the same caller that share the other parts.
+TEST_CASE_METHOD(DirectRouterFixture,
+                 "direct router, prompts with one part crash servers, only these are rejected")
+{
+    const std::string crashing = "c0ffee:10";
+    for (int i = 0; i < 12; ++i) {
+        addServer([&](auto &connection, const std::string &request) {
+            const std::string prompt = headerValue(request, "x-lovagecourse-prompt-prefix");
+            if (prompt.find(crashing) != std::string::npos)
+                connection.reset();
+            else
+                connection.send(streamHead(request) + chunk(event(1)) + chunk(""));
+        });
+    }
+    int sound = 0;
+    const auto prompt = [](const std::string &middle, int own) {
+        return HeaderList{{"x-lovagecourse-prompt-prefix",
+                           "a:100," + middle + ",b:50," + std::to_string(1000 + own) + ":5"}};
+    };
+    const auto sends = [this] {
+        std::size_t count = 0;
+        for (const auto &server : servers)
+            count += server->requests().size();
+        return count;
+    };
+    for (int i = 0; i < 8; ++i) {
+        call("POST", "/resume/x", prompt(crashing, i), "b");
+        sound += call("POST", "/resume/x", prompt("d00d:10", i), "b").status == 200 ? 1 : 0;
+    }
+    CHECK(sound == 8);
+    const std::size_t before = sends();
+    const CallerAnswer got = call("POST", "/resume/x", prompt(crashing, 99), "b");
+    CHECK(got.status == 503);
+    CHECK(std::stod(std::string(findHeader(got.headers, "retry-after"))) > 60);
+    CHECK(sends() == before);
+    // Two attempts of each request until three servers are known to have crashed.
+    CHECK(before - 8 <= 4);
+    CHECK_FALSE(reportedCrashes.empty());
+    // The shared parts were suspected with the others until a sound answer began.
+    CHECK(reportedClears.size() >= 2);
+    CHECK(crashTraits.rejectedCount(clock.now()) == 1);
+}
