Try a part alone that has so far come only with the one that crashes servers

Callers: sound requests that share the first part of their prompts with those that crash servers were rejected for ten minutes, when no other request with it was answered between the first and the third crash.

Class: a verdict on what only coincides with the cause.

Fix: a request without the other trait is tried by a fifth of such requests, at most once in 2 s by a router. An answer clears the trait; a crash proves it, and then the other one is tried alone.

--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -144,8 +144,7 @@
     if (isTooLarge)
         return refused(statusTooLarge, RefusalReason::BodyTooLarge, "body-too-large");
     exchange.accountHash = reportHash(exchange.account.value);
-    constexpr double range = 18446744073709551616.;
-    exchange.service = selectService(*exchange.route, static_cast<double>(random()) / range);
+    exchange.service = selectService(*exchange.route, drawShare());
     const std::string &model = exchange.client.model;
     exchange.prompt = makePrefixes(XXH64(model.data(), model.size(), 0), exchange.client.prompt);
     exchange.traits = sharedPartHashes(exchange.client.prompt);
@@ -177,8 +176,8 @@
         return finish(exchange, "caller-left", 0, "left-before-send");
     if (now() >= exchange.deadline)
         return onDeadline(exchange.caller);
-    if (const auto trait = context.crashTraits.findRejected(exchange.traits, now()))
-        return rejectCrashing(exchange, *trait);
+    if (rejectsTraits(exchange))
+        return;
     auto placement = context.pool.choose(placementRequest(exchange), now());
     if (!placement) {
         if (exchange.mayHaveRun)
@@ -190,15 +189,32 @@
     send(exchange, std::move(*placement));
 }
 
-/// Ends a request that would crash the server that begins to answer it.
-void DirectRouter::Impl::rejectCrashing(DirectExchange &exchange, TraitHash trait)
+/// Ends a request that would crash the server that begins to answer it; false when it may be sent.
+bool DirectRouter::Impl::rejectsTraits(DirectExchange &exchange)
 {
+    const auto trait = context.crashTraits.findRejected(exchange.traits, now());
+    if (!trait)
+        return false;
+    const TraitDecision decision = context.crashTraits.decide(exchange.traits, drawShare(), now());
     logInfo(LogPart::Routing, "event=crashes-servers request=", exchange.client.attemptId,
-            " trait=", trait, " sends=", exchange.sendCount);
+            " trait=", *trait, " decision=", toString(decision), " sends=", exchange.sendCount);
+    if (decision == TraitDecision::Accept || decision == TraitDecision::Try)
+        return false;
+    const milliseconds rejectedFor = std::chrono::duration_cast<milliseconds>(
+            context.crashTraits.rejectedFor(*trait, now()));
     if (exchange.isStreaming || exchange.mayHaveRun)
-        return fail(exchange, statusBadGateway, "crashes-servers");
-    refuse(exchange, "crashes-servers",
-           std::chrono::duration_cast<milliseconds>(context.crashTraits.rejectedFor(trait, now())));
+        fail(exchange, statusBadGateway, "crashes-servers");
+    else
+        refuse(exchange, "crashes-servers",
+               decision == TraitDecision::Reject ? rejectedFor : defaultRetryAfter);
+    return true;
+}
+
+/// Returns a random number in [0, 1).
+double DirectRouter::Impl::drawShare()
+{
+    constexpr double range = 18446744073709551616.;
+    return static_cast<double>(random()) / range;
 }
 
 bool DirectRouter::Impl::admit(DirectExchange &exchange, const Placement &placement)
--- a/src/direct/DirectRouterImpl.h
+++ b/src/direct/DirectRouterImpl.h
@@ -32,7 +32,8 @@
     bool accept(DirectExchange &exchange);
     void dispatch(DirectExchange &exchange);
     PlacementRequest placementRequest(const DirectExchange &exchange) const;
-    void rejectCrashing(DirectExchange &exchange, TraitHash trait);
+    bool rejectsTraits(DirectExchange &exchange);
+    double drawShare();
     bool admit(DirectExchange &exchange, const Placement &placement);
     void send(DirectExchange &exchange, Placement placement);
     void armStallTimer(DirectExchange &exchange);
--- a/src/placing/CrashTraits.cpp
+++ b/src/placing/CrashTraits.cpp
@@ -1,6 +1,7 @@
 #include "placing/CrashTraits.h"
 
 #include <algorithm>
+#include <array>
 
 namespace lovagecourse {
 
@@ -17,8 +18,19 @@
 // A report of a crash may arrive after the answer that clears its trait.
 constexpr seconds clearedLifetime{30};
 
+// Routers learn of each other's tries after the prefill time of a prompt. Few of the requests that
+// come meanwhile are tried as well.
+constexpr double tryShare = 0.2;
+constexpr seconds tryInterval{2};
+
 } // namespace
 
+std::string_view toString(TraitDecision decision)
+{
+    constexpr std::array<std::string_view, 4> names{"accept", "try", "reject-for-now", "reject"};
+    return names[static_cast<std::size_t>(decision)];
+}
+
 bool CrashTraits::onCrash(const TraitCrash &crash, TimePoint now)
 {
     if (now - crash.brokenAt >= suspectLifetime)
@@ -91,6 +103,49 @@
     return rounds >= roundsToReject ? &suspect : nullptr;
 }
 
+/// True when a rejected trait that is not among the given ones was part of all of the suspect's
+/// crashes.
+bool CrashTraits::isExplained(const Suspect &suspect, const std::vector<TraitHash> &traits,
+                              TimePoint now) const
+{
+    const auto explains = [&](const auto &item) {
+        const auto &[trait, other] = item;
+        if (&other == &suspect || std::find(traits.begin(), traits.end(), trait) != traits.end())
+            return false;
+        return rejectedSuspect(trait, now)
+               && std::all_of(
+                       suspect.crashes.begin(), suspect.crashes.end(),
+                       [&](const auto &crash) { return other.crashes.contains(crash.first); });
+    };
+    return std::any_of(suspects_.begin(), suspects_.end(), explains);
+}
+
+TraitDecision CrashTraits::decide(const std::vector<TraitHash> &traits, double draw, TimePoint now)
+{
+    if (isEmpty())
+        return TraitDecision::Accept;
+    std::vector<Suspect *> unproven;
+    for (const TraitHash trait : traits) {
+        const Suspect *rejected = rejectedSuspect(trait, now);
+        if (!rejected)
+            continue;
+        if (!isExplained(*rejected, traits, now))
+            return TraitDecision::Reject;
+        unproven.push_back(&suspects_.at(trait));
+    }
+    if (unproven.empty())
+        return TraitDecision::Accept;
+    const bool isTriedLately =
+            std::any_of(unproven.begin(), unproven.end(), [&](const Suspect *suspect) {
+                return suspect->lastTry != TimePoint() && now - suspect->lastTry < tryInterval;
+            });
+    if (isTriedLately || draw >= tryShare)
+        return TraitDecision::RejectForNow;
+    for (Suspect *suspect : unproven)
+        suspect->lastTry = now;
+    return TraitDecision::Try;
+}
+
 std::optional<TraitHash> CrashTraits::findRejected(const std::vector<TraitHash> &traits,
                                                    TimePoint now) const
 {
--- a/src/placing/CrashTraits.h
+++ b/src/placing/CrashTraits.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -24,11 +25,24 @@
     TimePoint brokenAt;
 };
 
+/// What happens to a request with certain traits.
+enum class TraitDecision : std::uint8_t {
+    Accept,
+    /// Accepted to find out whether a trait crashes servers.
+    Try,
+    /// Another trait, which this request does not have, may be the cause of all crashes.
+    RejectForNow,
+    Reject
+};
+
+std::string_view toString(TraitDecision decision);
+
 /// Finds the traits of requests that crash each server that begins to answer them, from what the
 /// routers see: connections that break before the answer begins, and answers that begin. A trait is
 /// rejected when several servers have broken off requests with it and none has begun to answer one
 /// in the meantime. Sound traits of a request that crashes servers are cleared by the answers to
-/// other requests.
+/// other requests. Two traits that have always come together are rejected together; a request with
+/// only one of them is tried now and then.
 class CrashTraits
 {
 public:
@@ -39,6 +53,8 @@
     bool onBegun(TraitHash trait, TimePoint begunAt, TimePoint now);
     /// When an answer last cleared the trait; kept for 30 seconds.
     std::optional<TimePoint> clearedAt(TraitHash trait) const;
+    /// Decides about a request with these traits; draw is a random number in [0, 1).
+    TraitDecision decide(const std::vector<TraitHash> &traits, double draw, TimePoint now);
     /// Returns the first of the traits that is rejected.
     std::optional<TraitHash> findRejected(const std::vector<TraitHash> &traits,
                                           TimePoint now) const;
@@ -63,8 +79,11 @@
     {
         std::map<ServerRunHash, Seen> crashes;
         TimePoint lastCrash;
+        TimePoint lastTry;
     };
 
+    bool isExplained(const Suspect &suspect, const std::vector<TraitHash> &traits,
+                     TimePoint now) const;
     const Suspect *rejectedSuspect(TraitHash trait, TimePoint now) const;
 
     std::unordered_map<TraitHash, Suspect> suspects_;
--- a/tests/placing/CrashTraitsTest.cpp
+++ b/tests/placing/CrashTraitsTest.cpp
@@ -131,3 +131,34 @@
             CHECK(first.findRejected({trait}, end) == second.findRejected({trait}, end));
     }
 }
+
+// Guards against the rejection of sound requests with a part that has so far come only together
+// with the one that crashes servers, and against further crashes while this is found out.
+TEST_CASE_METHOD(CrashTraitsFixture, "crash traits, two always come together, one alone is tried")
+{
+    constexpr TraitHash crashing = 1;
+    constexpr TraitHash companion = 2;
+    for (ServerRunHash server = 1; server <= 4; ++server) {
+        crash(crashing, server);
+        traits.onCrash(TraitCrash{companion, server, now - milliseconds(200), now}, now);
+    }
+    REQUIRE(isRejected(crashing));
+    CHECK(traits.decide({companion, crashing}, 0, now) == TraitDecision::Reject);
+    CHECK(traits.decide({companion}, 0.99, now) == TraitDecision::RejectForNow);
+    CHECK(traits.decide({companion}, 0, now) == TraitDecision::Try);
+    CHECK(traits.decide({companion}, 0, now) == TraitDecision::RejectForNow);
+    SECTION("answer begins")
+    {
+        traits.onBegun(companion, now, now);
+        CHECK(traits.decide({companion}, 0.99, now) == TraitDecision::Accept);
+        CHECK(traits.decide({companion, crashing}, 0, now) == TraitDecision::Reject);
+        CHECK(traits.decide({crashing}, 0, now) == TraitDecision::Reject);
+    }
+    SECTION("server crashes")
+    {
+        crash(companion, 5);
+        now += seconds(10);
+        CHECK(traits.decide({companion}, 0, now) == TraitDecision::Reject);
+        CHECK(traits.decide({crashing}, 0, now) == TraitDecision::Try);
+    }
+}
