Don't count a crash of a server that goes on answering

Cause: a broken connection was taken for a crash without regard to what the server did next.

Fix: an answer to a request that was sent after the break, within two seconds, drops the crash. Later answers may come from the server's next run under the same id.

Test: "server answers later requests, crash not counted".

--- a/src/direct/DirectRouterAnswers.cpp
+++ b/src/direct/DirectRouterAnswers.cpp
@@ -86,8 +86,12 @@
         context.pool.onLoad(attempt.placement.server, *answer.load, now());
     if (exchange->stallTimer)
         exchange->stallTimer->stop();
-    if (!attempt.isInvalid)
+    if (!attempt.isInvalid) {
+        if (!context.crashTraits.isEmpty())
+            context.crashTraits.onAlive(context.pool.runOf(attempt.placement.server),
+                                        attempt.sentAt, now());
         return;
+    }
     logWarning(LogPart::Routing, "event=garbled-answer request=", exchange->client.attemptId,
                " server=", attempt.placement.server, " status=", status,
                " answer_id=", answer.attemptId, " signed=", answer.isSigned);
--- a/src/placing/CrashTraits.cpp
+++ b/src/placing/CrashTraits.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::minutes suspectLifetime{10};
 // A report of a crash may arrive after the answer that clears its trait.
 constexpr seconds clearedLifetime{30};
+// An answer from later may come from the next run of a server that keeps its id.
+constexpr seconds maxAliveDelay{2};
 
 // Routers learn of each other's tries after the prefill time of a prompt. Few of the requests that
 // come meanwhile are tried as well.
@@ -38,6 +40,9 @@
     const auto cleared = cleared_.find(crash.trait);
     if (cleared != cleared_.end() && crash.brokenAt <= cleared->second)
         return false;
+    const auto alive = alive_.find(crash.serverRun);
+    if (alive != alive_.end() && crash.brokenAt < alive->second)
+        return false;
     Suspect &suspect = suspects_[crash.trait];
     const bool isNew =
             suspect.crashes.emplace(crash.serverRun, Seen{crash.sentAt, crash.brokenAt}).second;
@@ -72,6 +77,21 @@
     return true;
 }
 
+void CrashTraits::onAlive(ServerRunHash serverRun, TimePoint sentAt, TimePoint now)
+{
+    for (auto suspect = suspects_.begin(); suspect != suspects_.end();) {
+        auto &crashes = suspect->second.crashes;
+        const auto crash = crashes.find(serverRun);
+        const bool isRefuted = crash != crashes.end() && crash->second.brokenAt < sentAt
+                               && now - crash->second.brokenAt < maxAliveDelay;
+        if (isRefuted) {
+            crashes.erase(crash);
+            alive_[serverRun] = sentAt;
+        }
+        suspect = crashes.empty() ? suspects_.erase(suspect) : std::next(suspect);
+    }
+}
+
 std::optional<TimePoint> CrashTraits::clearedAt(TraitHash trait) const
 {
     const auto found = cleared_.find(trait);
@@ -192,6 +212,7 @@
     });
     std::erase_if(cleared_,
                   [&](const auto &cleared) { return now - cleared.second >= clearedLifetime; });
+    std::erase_if(alive_, [&](const auto &alive) { return now - alive.second >= clearedLifetime; });
 }
 
 std::size_t CrashTraits::rejectedCount(TimePoint now) const
--- a/src/placing/CrashTraits.h
+++ b/src/placing/CrashTraits.h
@@ -51,6 +51,9 @@
     /// An answer to a request with the trait has begun; drops what was seen before. Returns whether
     /// the trait was suspected.
     bool onBegun(TraitHash trait, TimePoint begunAt, TimePoint now);
+    /// The server has answered a request that was sent at the given time, so it had not crashed
+    /// before; drops its crashes from shortly before.
+    void onAlive(ServerRunHash serverRun, TimePoint sentAt, TimePoint now);
     /// When an answer last cleared the trait; kept for 30 seconds.
     std::optional<TimePoint> clearedAt(TraitHash trait) const;
     /// Decides about a request with these traits; draw is a random number in [0, 1).
@@ -89,6 +92,8 @@
     std::unordered_map<TraitHash, Suspect> suspects_;
     /// Latest answers of traits that were suspected; crashes from before are ignored.
     std::unordered_map<TraitHash, TimePoint> cleared_;
+    /// When the latest request was sent that a server answered, for servers with dropped crashes.
+    std::unordered_map<ServerRunHash, TimePoint> alive_;
 };
 
 } // namespace lovagecourse
--- a/tests/placing/CrashTraitsTest.cpp
+++ b/tests/placing/CrashTraitsTest.cpp
@@ -162,3 +162,27 @@
         CHECK(traits.decide({crashing}, 0, now) == TraitDecision::Try);
     }
 }
+
+// Guards against the rejection of requests that were broken off by servers that have not crashed.
+TEST_CASE_METHOD(CrashTraitsFixture,
+                 "crash traits, server answers later requests, crash not counted")
+{
+    crash(7, 1);
+    crash(7, 2);
+    const TimePoint brokenAt = now - milliseconds(1);
+    traits.onAlive(2, brokenAt + milliseconds(20), now + milliseconds(100));
+    crash(7, 3);
+    CHECK_FALSE(isRejected(7));
+    // Another router repeats what it has seen.
+    traits.onCrash(TraitCrash{7, 2, brokenAt - milliseconds(200), brokenAt}, now);
+    CHECK_FALSE(isRejected(7));
+    crash(7, 4);
+    CHECK(isRejected(7));
+    // The server has crashed and started again under its id.
+    now += seconds(4);
+    traits.onAlive(4, now - milliseconds(20), now);
+    CHECK(isRejected(7));
+    // Answered, but sent before the crash.
+    traits.onAlive(3, TimePoint(), now);
+    CHECK(isRejected(7));
+}
