--- a/src/placing/CrashTraits.cpp
+++ b/src/placing/CrashTraits.cpp
@@ -128,14 +128,15 @@
 bool CrashTraits::isExplained(const Suspect &suspect, const std::vector<TraitHash> &traits,
                               TimePoint now) const
 {
-    const auto explains = [&](const auto &item) {
-        const auto &[trait, other] = item;
-        if (&other == &suspect || std::find(traits.begin(), traits.end(), trait) != traits.end())
+    const auto explains = [&](const std::pair<const TraitHash, Suspect> &other) {
+        if (&other.second == &suspect
+            || std::find(traits.begin(), traits.end(), other.first) != traits.end())
             return false;
-        return rejectedSuspect(trait, now)
-               && std::all_of(
-                       suspect.crashes.begin(), suspect.crashes.end(),
-                       [&](const auto &crash) { return other.crashes.contains(crash.first); });
+        const auto isShared = [&](const auto &crash) {
+            return other.second.crashes.contains(crash.first);
+        };
+        return rejectedSuspect(other.first, now)
+               && std::all_of(suspect.crashes.begin(), suspect.crashes.end(), isShared);
     };
     return std::any_of(suspects_.begin(), suspects_.end(), explains);
 }
