--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -189,27 +189,6 @@
     send(exchange, std::move(*placement));
 }
 
-/// Ends a request that would crash the server that begins to answer it; false when it may be sent.
-bool DirectRouter::Impl::rejectsTraits(DirectExchange &exchange)
-{
-    const auto trait = context.crashTraits.findRejected(exchange.traits, now());
-    if (!trait)
-        return false;
-    const TraitDecision decision = context.crashTraits.decide(exchange.traits, drawShare(), now());
-    logInfo(LogPart::Routing, "event=crashes-servers request=", exchange.client.attemptId,
-            " trait=", *trait, " decision=", toString(decision), " sends=", exchange.sendCount);
-    if (decision == TraitDecision::Accept || decision == TraitDecision::Try)
-        return false;
-    const milliseconds rejectedFor = std::chrono::duration_cast<milliseconds>(
-            context.crashTraits.rejectedFor(*trait, now()));
-    if (exchange.isStreaming || exchange.mayHaveRun)
-        fail(exchange, statusBadGateway, "crashes-servers");
-    else
-        refuse(exchange, "crashes-servers",
-               decision == TraitDecision::Reject ? rejectedFor : defaultRetryAfter);
-    return true;
-}
-
 /// Returns a random number in [0, 1).
 double DirectRouter::Impl::drawShare()
 {
--- a/src/direct/DirectRouterAnswers.cpp
+++ b/src/direct/DirectRouterAnswers.cpp
@@ -20,7 +20,6 @@
 constexpr std::size_t maxEventBytes = 1U << 20;
 // Length of the longest end of an event.
 constexpr std::size_t maxEventEndBytes = 4;
-constexpr int firstErrorStatus = 400;
 constexpr int firstServerErrorStatus = 500;
 
 /// Keeps the last bytes of a stream.
@@ -86,12 +85,8 @@
         context.pool.onLoad(attempt.placement.server, *answer.load, now());
     if (exchange->stallTimer)
         exchange->stallTimer->stop();
-    if (!attempt.isInvalid) {
-        if (!context.crashTraits.isEmpty())
-            context.crashTraits.onAlive(context.pool.runOf(attempt.placement.server),
-                                        attempt.sentAt, now());
-        return;
-    }
+    if (!attempt.isInvalid)
+        return onServerAnswers(attempt);
     logWarning(LogPart::Routing, "event=garbled-answer request=", exchange->client.attemptId,
                " server=", attempt.placement.server, " status=", status,
                " answer_id=", answer.attemptId, " signed=", answer.isSigned);
@@ -215,33 +210,6 @@
     onAnswerComplete(*exchange);
 }
 
-/// The server may have crashed when it began to answer this request.
-void DirectRouter::Impl::onBrokenBeforeAnswer(const DirectExchange &exchange)
-{
-    const DirectAttempt &attempt = *exchange.attempt;
-    TraitCrash crash;
-    crash.serverRun = context.pool.runOf(attempt.placement.server);
-    crash.sentAt = attempt.sentAt;
-    crash.brokenAt = now();
-    for (const TraitHash trait : exchange.traits) {
-        crash.trait = trait;
-        if (context.crashTraits.onCrash(crash, crash.brokenAt))
-            context.onTraitCrash(crash);
-    }
-}
-
-/// The server has not crashed when it began to answer this request.
-void DirectRouter::Impl::onAnswerBegun(const DirectExchange &exchange)
-{
-    const DirectAttempt &attempt = *exchange.attempt;
-    if (attempt.isInvalid || attempt.status >= firstErrorStatus)
-        return;
-    for (const TraitHash trait : exchange.traits) {
-        if (context.crashTraits.onBegun(trait, now(), now()))
-            context.onTraitCleared(trait);
-    }
-}
-
 void DirectRouter::Impl::endAttempt(DirectExchange &exchange)
 {
     if (exchange.stallTimer)
--- a/src/direct/DirectRouterImpl.h
+++ b/src/direct/DirectRouterImpl.h
@@ -9,6 +9,7 @@
 
 namespace lovagecourse {
 
+constexpr int firstErrorStatus = 400;
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
 constexpr int statusGatewayTimeout = 504;
@@ -16,7 +17,8 @@
 constexpr milliseconds defaultRetryAfter{300};
 
 /// Implementation of DirectRouter. DirectRouter.cpp accepts requests and sends them to servers,
-/// DirectRouterAnswers.cpp handles answers, failures and timeouts.
+/// DirectRouterAnswers.cpp handles answers, failures and timeouts, DirectRouterTraits.cpp finds and
+/// rejects requests that crash servers.
 struct DirectRouter::Impl
 {
     explicit Impl(DirectContext routerContext)
@@ -44,6 +46,7 @@
     void onData(CallerId caller, std::string_view bytes);
     void onDone(CallerId caller, const std::optional<HttpFailure> &failure);
     void onBrokenBeforeAnswer(const DirectExchange &exchange);
+    void onServerAnswers(const DirectAttempt &attempt);
     void onAnswerBegun(const DirectExchange &exchange);
     void onNotSent(DirectExchange &exchange);
     void onNotExecuted(DirectExchange &exchange);
