Share the handlers and the store stub of StoreFollowerTest

Cause: each test of the follower listed four handlers that ignore everything and its own timer, and three stores the same empty write. Change: ignoringHandlers(), runFor() and ReadOnlyStore.

--- a/tests/direct/StoreFollowerTest.cpp
+++ b/tests/direct/StoreFollowerTest.cpp
@@ -11,8 +11,17 @@
 constexpr PollTiming everyMillisecond{.interval = milliseconds(1)};
 constexpr PollTiming every40Milliseconds{.interval = milliseconds(40)};
 
+/// Store of which only the reads are used.
+class ReadOnlyStore : public FleetStore
+{
+public:
+    void writeDaemon(const std::string &, const std::string &, milliseconds,
+                     std::function<void(const WriteResult &)>) override
+    {}
+};
+
 /// Store that answers with prepared results and records the calls.
-class ScriptedStore final : public FleetStore
+class ScriptedStore final : public ReadOnlyStore
 {
 public:
     void readNewest(KeyedTopic, milliseconds,
@@ -27,10 +36,6 @@
         calls.push_back("from " + std::to_string(from.value));
         answer(onDone);
     }
-    void writeDaemon(const std::string &, const std::string &, milliseconds,
-                     std::function<void(const WriteResult &)>) override
-    {}
-
     std::deque<KeyedResult> results;
     std::vector<std::string> calls;
 
@@ -47,7 +52,7 @@
 
 /// Store whose connection has gone silent: the call in progress gets no answer, further calls, on
 /// a new connection, are answered. Times out as the real client does.
-class SilentOnceStore final : public FleetStore
+class SilentOnceStore final : public ReadOnlyStore
 {
 public:
     explicit SilentOnceStore(EventLoop &loop)
@@ -69,9 +74,6 @@
         timeout_ = std::make_unique<Timer>(loop_, [onDone] { onDone(StoreFault::NoAnswer); });
         timeout_->startOnce(timeout);
     }
-    void writeDaemon(const std::string &, const std::string &, milliseconds,
-                     std::function<void(const WriteResult &)>) override
-    {}
 
 private:
     EventLoop &loop_;
@@ -80,7 +82,7 @@
 };
 
 /// Store whose answers are handled late.
-class DelayingStore final : public FleetStore
+class DelayingStore final : public ReadOnlyStore
 {
 public:
     DelayingStore(EventLoop &loop, const Clock &clock, milliseconds delay)
@@ -99,10 +101,6 @@
     {
         answer(onDone);
     }
-    void writeDaemon(const std::string &, const std::string &, milliseconds,
-                     std::function<void(const WriteResult &)>) override
-    {}
-
     std::vector<TimePoint> starts;
 
 private:
@@ -128,19 +126,34 @@
     int recordReads = 0;
     int recoveries = 0;
 
-    void follow(milliseconds time)
+    /// Handlers that ignore everything.
+    static StoreFollower::Handlers ignoringHandlers()
     {
         StoreFollower::Handlers handlers;
+        handlers.onFullRead = [](const auto &) {};
+        handlers.onRecords = [](const auto &, LogOffset, LogOffset) {};
+        handlers.onEmptyRead = [](LogOffset) {};
+        handlers.onStoreRecovered = [] {};
+        return handlers;
+    }
+
+    void runFor(milliseconds time)
+    {
+        Timer timer(loop, [this] { loop.stop(); });
+        timer.startOnce(time);
+        loop.run();
+    }
+
+    void follow(milliseconds time)
+    {
+        StoreFollower::Handlers handlers = ignoringHandlers();
         handlers.onFullRead = [this](const auto &) { ++fullReads; };
         handlers.onRecords = [this](const auto &, LogOffset, LogOffset) { ++recordReads; };
-        handlers.onEmptyRead = [](LogOffset) {};
         handlers.onStoreRecovered = [this] { ++recoveries; };
         StoreFollower follower(loop, clock, store, KeyedTopic::Servers, everyMillisecond,
                                std::move(handlers));
         follower.start();
-        Timer timer(loop, [this] { loop.stop(); });
-        timer.startOnce(time);
-        loop.run();
+        runFor(time);
     }
 
     static KeyedBatch batch(std::uint64_t next, std::size_t records)
@@ -188,22 +201,15 @@
                  "store follower, other router found no change, continues after that range")
 {
     store.results = {batch(7, 1), batch(30, 1)};
-    StoreFollower::Handlers handlers;
-    handlers.onFullRead = [](const auto &) {};
-    handlers.onRecords = [](const auto &, LogOffset, LogOffset) {};
-    handlers.onEmptyRead = [](LogOffset) {};
-    handlers.onStoreRecovered = [] {};
     StoreFollower follower(loop, clock, store, KeyedTopic::Servers, every40Milliseconds,
-                           std::move(handlers));
+                           ignoringHandlers());
     follower.start();
     // Begins after this follower's offset: a record between them may be a change.
     follower.skipUnchanged(LogOffset(9), LogOffset(11), clock.now());
     // Ends before this follower's offset.
     follower.skipUnchanged(LogOffset(2), LogOffset(5), clock.now());
     follower.skipUnchanged(LogOffset(6), LogOffset(20), clock.now());
-    Timer timer(loop, [this] { loop.stop(); });
-    timer.startOnce(milliseconds(60));
-    loop.run();
+    runFor(milliseconds(60));
     CHECK(store.calls == std::vector<std::string>{"all", "from 20"});
 }
 
@@ -212,19 +218,14 @@
 TEST_CASE_METHOD(StoreFollowerFixture, "store follower, last read failed, ignores announcements")
 {
     store.results = {batch(7, 1), StoreFault::NoAnswer, batch(9, 1)};
-    StoreFollower::Handlers handlers;
-    handlers.onFullRead = [](const auto &) {};
-    handlers.onRecords = [](const auto &, LogOffset, LogOffset) {};
-    handlers.onEmptyRead = [](LogOffset) {};
+    StoreFollower::Handlers handlers = ignoringHandlers();
     handlers.onStoreRecovered = [this] { ++recoveries; };
     StoreFollower follower(loop, clock, store, KeyedTopic::Servers, everyMillisecond,
                            std::move(handlers));
     follower.start();
     Timer other(loop, [&] { follower.skipUnchanged(LogOffset(7), LogOffset(9), clock.now()); });
     other.startOnce(milliseconds(20));
-    Timer timer(loop, [this] { loop.stop(); });
-    timer.startOnce(milliseconds(200));
-    loop.run();
+    runFor(milliseconds(200));
     CHECK(store.calls == std::vector<std::string>{"all", "from 7", "from 7", "from 9"});
     CHECK(recoveries == 1);
 }
@@ -236,19 +237,14 @@
 {
     store.results = {batch(7, 2), batch(9, 2), batch(12, 1)};
     std::vector<std::pair<std::uint64_t, std::uint64_t>> ranges;
-    StoreFollower::Handlers handlers;
-    handlers.onFullRead = [](const auto &) {};
+    StoreFollower::Handlers handlers = ignoringHandlers();
     handlers.onRecords = [&](const auto &, LogOffset from, LogOffset to) {
         ranges.emplace_back(from.value, to.value);
     };
-    handlers.onEmptyRead = [](LogOffset) {};
-    handlers.onStoreRecovered = [] {};
     StoreFollower follower(loop, clock, store, KeyedTopic::Servers, everyMillisecond,
                            std::move(handlers));
     follower.start();
-    Timer timer(loop, [this] { loop.stop(); });
-    timer.startOnce(milliseconds(60));
-    loop.run();
+    runFor(milliseconds(60));
     CHECK(ranges == std::vector<std::pair<std::uint64_t, std::uint64_t>>{{9, 9}, {9, 12}});
 }
 
@@ -258,13 +254,8 @@
                  "store follower, other router passes on changes, takes over only what comes next")
 {
     store.results = {batch(7, 1)};
-    StoreFollower::Handlers handlers;
-    handlers.onFullRead = [](const auto &) {};
-    handlers.onRecords = [](const auto &, LogOffset, LogOffset) {};
-    handlers.onEmptyRead = [](LogOffset) {};
-    handlers.onStoreRecovered = [] {};
     StoreFollower follower(loop, clock, store, KeyedTopic::Servers, every40Milliseconds,
-                           std::move(handlers));
+                           ignoringHandlers());
     CHECK_FALSE(follower.takeOver(LogOffset(7), LogOffset(9), clock.now()));
     follower.start();
     CHECK_FALSE(follower.takeOver(LogOffset(8), LogOffset(11), clock.now()));
@@ -273,9 +264,7 @@
     CHECK(follower.takeOver(LogOffset(7), LogOffset(11), clock.now()));
     CHECK_FALSE(follower.takeOver(LogOffset(7), LogOffset(11), clock.now()));
     CHECK(follower.takeOver(LogOffset(11), LogOffset(14), clock.now()));
-    Timer timer(loop, [this] { loop.stop(); });
-    timer.startOnce(milliseconds(60));
-    loop.run();
+    runFor(milliseconds(60));
     CHECK(store.calls == std::vector<std::string>{"all", "from 14"});
 }
 
@@ -289,20 +278,16 @@
     SilentOnceStore silentStore(loop);
     TimePoint fullRead;
     std::optional<TimePoint> applied;
-    StoreFollower::Handlers handlers;
+    StoreFollower::Handlers handlers = ignoringHandlers();
     handlers.onFullRead = [&](const auto &) { fullRead = clock.now(); };
     handlers.onRecords = [&](const auto &, LogOffset, LogOffset) {
         applied = clock.now();
         loop.stop();
     };
-    handlers.onEmptyRead = [](LogOffset) {};
-    handlers.onStoreRecovered = [] {};
     StoreFollower follower(loop, clock, silentStore, KeyedTopic::Servers, timing,
                            std::move(handlers));
     follower.start();
-    Timer timer(loop, [this] { loop.stop(); });
-    timer.startOnce(4 * maxDelay);
-    loop.run();
+    runFor(4 * maxDelay);
     REQUIRE(applied);
     // The change was written just after the full read.
     CHECK(*applied - fullRead < maxDelay);
@@ -312,11 +297,7 @@
 TEST_CASE_METHOD(StoreFollowerFixture,
                  "store follower, answer or announcement handled late, reads in time")
 {
-    StoreFollower::Handlers handlers;
-    handlers.onFullRead = [](const auto &) {};
-    handlers.onRecords = [](const auto &, LogOffset, LogOffset) {};
-    handlers.onEmptyRead = [](LogOffset) {};
-    handlers.onStoreRecovered = [] {};
+    StoreFollower::Handlers handlers = ignoringHandlers();
     constexpr PollTiming timing{.interval = milliseconds(200)};
     DelayingStore delayingStore(loop, clock, milliseconds(150));
     StoreFollower follower(loop, clock, delayingStore, KeyedTopic::Servers, timing,
@@ -326,9 +307,7 @@
         follower.skipUnchanged(LogOffset(7), LogOffset(9), clock.now() - milliseconds(150));
     });
     announcement.startOnce(milliseconds(180));
-    Timer timer(loop, [this] { loop.stop(); });
-    timer.startOnce(milliseconds(330));
-    loop.run();
+    runFor(milliseconds(330));
     // Starts at 0 ms; the announced read began at 30 ms.
     REQUIRE(delayingStore.starts.size() == 2);
     CHECK(delayingStore.starts[1] - delayingStore.starts[0] < milliseconds(280));
