Use one way to turn times into ages of messages and back

Cause: RouterNodeTraits had its own copy of RouterNode's ageMs() and of the rule that a message may have waited in its socket; logState shadowed the name with a third. Change: ageMs() and timeOf(), formerly readStartOf(), serve both kinds of message. Ages of crashes are rounded up like those of reads, by less than 1 ms; a relay that forwards one adds as little.

--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -243,12 +243,12 @@
             " requests=", metrics.counterValue("lovagecourse_caller_requests_total"),
             " routers=", peers.liveCount(clock.now()), " busy=", meanBusyShare,
             " request_cost_ms=", intake.requestCostMs());
-    const auto ageMs = [this](const StoreFollower &follower) {
+    const auto readAgeMs = [this](const StoreFollower &follower) {
         return follower.asOf() ? toMs(clock.now() - *follower.asOf()) : -1;
     };
     logInfo(LogPart::Platform,
-            "event=store-reads configuration_age_ms=", ageMs(*configurationFollower),
-            " servers_age_ms=", ageMs(*serversFollower),
+            "event=store-reads configuration_age_ms=", readAgeMs(*configurationFollower),
+            " servers_age_ms=", readAgeMs(*serversFollower),
             " configuration_failing=", configurationFollower->isFailing(),
             " servers_failing=", serversFollower->isFailing());
     metrics.gauge("lovagecourse_caller_connections",
--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -40,8 +40,8 @@
     std::optional<ServerEntry> decodeServer(const KeyedRecord &record);
     void applyChanges(const std::vector<RegistrationChange> &changes);
     void updateListTime();
-    TimePoint readStartOf(std::uint32_t ageMs) const;
-    std::uint32_t ageMs(TimePoint asOf) const;
+    TimePoint timeOf(std::uint32_t ageMs) const;
+    std::uint32_t ageMs(TimePoint time) const;
     std::uint32_t listAgeMs() const;
 
     void registerSelf();
@@ -73,6 +73,8 @@
     void scheduleTraitReport();
     void sendTraitReport();
     void sendKnownTraits(const std::vector<Endpoint> &targets);
+    CrashEvidence toEvidence(const TraitCrash &crash) const;
+    TraitCrash toCrash(const CrashEvidence &evidence) const;
     void reportCleared(TraitHash trait, TimePoint clearedAt);
     /// Messages between other roles.
     template <class Other>
--- a/src/direct/RouterNodePeers.cpp
+++ b/src/direct/RouterNodePeers.cpp
@@ -328,16 +328,17 @@
     datagramSocket->sendToAll(peers.activePeers(now), std::move(report));
 }
 
-/// Start of another router's read of the store. The message may have waited in the socket while
-/// this process was late.
-TimePoint RouterNode::Impl::readStartOf(std::uint32_t ageMs) const
+/// Time that a message which is being handled gives as an age. The message may have waited in the
+/// socket while this process was late.
+TimePoint RouterNode::Impl::timeOf(std::uint32_t ageMs) const
 {
     return clock.now() - loop.delay() - milliseconds(ageMs);
 }
 
-std::uint32_t RouterNode::Impl::ageMs(TimePoint asOf) const
+/// Age of a time as messages contain it, rounded up.
+std::uint32_t RouterNode::Impl::ageMs(TimePoint time) const
 {
-    const auto age = std::chrono::ceil<milliseconds>(clock.now() - asOf).count();
+    const auto age = std::chrono::ceil<milliseconds>(clock.now() - time).count();
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX));
 }
 
@@ -350,7 +351,7 @@
 void RouterNode::Impl::onMessage(const DaemonId &sender, ServersUnchanged &&unchanged)
 {
     metrics.count("lovagecourse_store_reads_saved_total");
-    const TimePoint asOf = readStartOf(unchanged.ageMs);
+    const TimePoint asOf = timeOf(unchanged.ageMs);
     unchanged.ageMs = ageMs(asOf);
     serversFollower->skipUnchanged(unchanged.from, unchanged.to, asOf);
     updateListTime();
@@ -360,7 +361,7 @@
 
 void RouterNode::Impl::onMessage(const DaemonId &sender, ServersChanged &&changed)
 {
-    const TimePoint asOf = readStartOf(changed.ageMs);
+    const TimePoint asOf = timeOf(changed.ageMs);
     changed.ageMs = ageMs(asOf);
     if (peers.isInOtherDataCentre(sender))
         datagramSocket->sendToAll(peers.activePeers(clock.now()), changed);
--- a/src/direct/RouterNodeTraits.cpp
+++ b/src/direct/RouterNodeTraits.cpp
@@ -16,24 +16,6 @@
 // next one.
 constexpr std::size_t maxUnreported = 1000;
 
-std::uint32_t elapsedMs(TimePoint time, TimePoint now)
-{
-    const auto age = std::chrono::duration_cast<milliseconds>(now - time).count();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX));
-}
-
-CrashEvidence toEvidence(const TraitCrash &crash, TimePoint now)
-{
-    return CrashEvidence{crash.trait, crash.serverRun, elapsedMs(crash.sentAt, now),
-                         elapsedMs(crash.brokenAt, now)};
-}
-
-TraitCrash toCrash(const CrashEvidence &evidence, TimePoint sent)
-{
-    return TraitCrash{evidence.trait, evidence.serverRun, sent - milliseconds(evidence.sentAgeMs),
-                      sent - milliseconds(evidence.brokenAgeMs)};
-}
-
 /// Moves up to count items from the end of the list into the result.
 template <class Item>
 std::vector<Item> takeLast(std::vector<Item> &items, std::size_t count)
@@ -46,6 +28,17 @@
 
 } // namespace
 
+CrashEvidence RouterNode::Impl::toEvidence(const TraitCrash &crash) const
+{
+    return CrashEvidence{crash.trait, crash.serverRun, ageMs(crash.sentAt), ageMs(crash.brokenAt)};
+}
+
+TraitCrash RouterNode::Impl::toCrash(const CrashEvidence &evidence) const
+{
+    return TraitCrash{evidence.trait, evidence.serverRun, timeOf(evidence.sentAgeMs),
+                      timeOf(evidence.brokenAgeMs)};
+}
+
 /// This router has seen a crash that was not known.
 void RouterNode::Impl::onTraitCrash(const TraitCrash &crash)
 {
@@ -80,14 +73,13 @@
 
 void RouterNode::Impl::sendTraitReport()
 {
-    const TimePoint now = clock.now();
     const std::vector<Endpoint> targets = storeReadTargets();
     while (!unreportedCrashes.empty() || !unreportedClears.empty()) {
         CrashTraitReport report;
         for (const TraitCrash &crash : takeLast(unreportedCrashes, crashesPerReport))
-            report.crashes.push_back(toEvidence(crash, now));
+            report.crashes.push_back(toEvidence(crash));
         for (const auto &[trait, clearedAt] : takeLast(unreportedClears, clearsPerReport))
-            report.cleared.push_back(ClearedTrait{trait, elapsedMs(clearedAt, now)});
+            report.cleared.push_back(ClearedTrait{trait, ageMs(clearedAt)});
         datagramSocket->sendToAll(targets, report);
     }
 }
@@ -97,21 +89,18 @@
 {
     if (crashTraits.isEmpty())
         return;
-    const TimePoint now = clock.now();
     CrashTraitReport report;
-    for (const TraitCrash &crash : crashTraits.crashes(now, crashesPerReport))
-        report.crashes.push_back(toEvidence(crash, now));
+    for (const TraitCrash &crash : crashTraits.crashes(clock.now(), crashesPerReport))
+        report.crashes.push_back(toEvidence(crash));
     datagramSocket->sendToAll(targets, report);
 }
 
 void RouterNode::Impl::onMessage(const DaemonId &sender, CrashTraitReport &&report)
 {
     const TimePoint now = clock.now();
-    // The message may have waited in the socket while this process was late.
-    const TimePoint sent = now - loop.delay();
     for (CrashEvidence &evidence : report.crashes) {
-        const TraitCrash crash = toCrash(evidence, sent);
-        evidence = toEvidence(crash, now);
+        const TraitCrash crash = toCrash(evidence);
+        evidence = toEvidence(crash);
         const auto clearedAt = crashTraits.clearedAt(crash.trait);
         if (clearedAt && crash.brokenAt <= *clearedAt) {
             // The sender has missed the answer that clears the trait.
@@ -124,8 +113,8 @@
         }
     }
     for (ClearedTrait &cleared : report.cleared) {
-        const TimePoint clearedAt = sent - milliseconds(cleared.ageMs);
-        cleared.ageMs = elapsedMs(clearedAt, now);
+        const TimePoint clearedAt = timeOf(cleared.ageMs);
+        cleared.ageMs = ageMs(clearedAt);
         if (crashTraits.onBegun(cleared.trait, clearedAt, now))
             logInfo(LogPart::Routing, "event=trait-cleared trait=", cleared.trait, " by=", sender,
                     " age_ms=", cleared.ageMs);
