--- a/src/direct/RouterNodeTraits.cpp
+++ b/src/direct/RouterNodeTraits.cpp
@@ -1,7 +1,6 @@
 #include "core/Log.h"
 #include "direct/RouterNodeImpl.h"
-
-#include <algorithm>
+#include "direct/TakeFirst.h"
 
 namespace lovagecourse {
 
@@ -16,16 +15,6 @@
 // next one.
 constexpr std::size_t maxUnreported = 1000;
 
-/// Moves up to count items from the end of the list into the result.
-template <class Item>
-std::vector<Item> takeLast(std::vector<Item> &items, std::size_t count)
-{
-    const auto first = items.end() - static_cast<std::ptrdiff_t>(std::min(items.size(), count));
-    std::vector<Item> taken(first, items.end());
-    items.erase(first, items.end());
-    return taken;
-}
-
 } // namespace
 
 CrashEvidence RouterNode::Impl::toEvidence(const TraitCrash &crash) const
@@ -76,9 +65,9 @@
     const std::vector<Endpoint> targets = storeReadTargets();
     while (!unreportedCrashes.empty() || !unreportedClears.empty()) {
         CrashTraitReport report;
-        for (const TraitCrash &crash : takeLast(unreportedCrashes, crashesPerReport))
+        for (const TraitCrash &crash : takeFirst(unreportedCrashes, crashesPerReport))
             report.crashes.push_back(toEvidence(crash));
-        for (const auto &[trait, clearedAt] : takeLast(unreportedClears, clearsPerReport))
+        for (const auto &[trait, clearedAt] : takeFirst(unreportedClears, clearsPerReport))
             report.cleared.push_back(ClearedTrait{trait, ageMs(clearedAt)});
         datagramSocket->sendToAll(targets, report);
     }
--- a/src/direct/ServerPoolReports.cpp
+++ b/src/direct/ServerPoolReports.cpp
@@ -1,4 +1,5 @@
 #include "direct/ServerPool.h"
+#include "direct/TakeFirst.h"
 
 #include <algorithm>
 #include <utility>
@@ -27,16 +28,6 @@
     return reports.back();
 }
 
-/// Moves up to prefixesPerReport prefixes into the report.
-template <class Report>
-void takePrefixes(std::vector<RouterSentPrefix> &unreported, Report &report)
-{
-    const std::size_t count = std::min(unreported.size(), prefixesPerReport);
-    const auto end = unreported.begin() + static_cast<std::ptrdiff_t>(count);
-    report.prefixes.assign(unreported.begin(), end);
-    unreported.erase(unreported.begin(), end);
-}
-
 /// Adds the server's last reported slowness with its age.
 void addSlowness(RouterServerLoad &load, const ServerModel &model, TimePoint now)
 {
@@ -197,7 +188,7 @@
     }
     for (Server *server : included)
         reportForServer(reports).servers.push_back(ownLoad(*server, now));
-    takePrefixes(unreportedPrefixes_, reports.back());
+    reports.back().prefixes = takeFirst(unreportedPrefixes_, prefixesPerReport);
     return reports;
 }
 
@@ -218,10 +209,10 @@
         if (onlyUnrelayed || wasRelayed || server->wasRelayed)
             reportForServer(reports).servers.push_back(load);
     }
-    takePrefixes(unrelayedPrefixes_, reports.back());
+    reports.back().prefixes = takeFirst(unrelayedPrefixes_, prefixesPerReport);
     while (!unrelayedPrefixes_.empty()) {
         reports.emplace_back();
-        takePrefixes(unrelayedPrefixes_, reports.back());
+        reports.back().prefixes = takeFirst(unrelayedPrefixes_, prefixesPerReport);
     }
     return reports;
 }
