Ask CrashTraits once whether a request is accepted

Cause: rejectsTraits() searched for a rejected trait and then let decide() search again for each dispatched request while traits were suspected, with an answer "accept" that could not come; onBegun() took the time of the call only to bound a time that is never later. Change: decide() comes first, the trait is looked up for the log line and the Retry-After of the rest; onBegun() takes the time of the answer alone. Result: all unit tests pass (125,337 assertions, 242 cases).

--- a/src/direct/DirectRouterTraits.cpp
+++ b/src/direct/DirectRouterTraits.cpp
@@ -6,16 +6,17 @@
 /// Ends a request that would crash the server that begins to answer it; false when it may be sent.
 bool DirectRouter::Impl::rejectsTraits(DirectExchange &exchange)
 {
-    const auto trait = context.crashTraits.findRejected(exchange.traits, now());
-    if (!trait)
-        return false;
     const TraitDecision decision = context.crashTraits.decide(exchange.traits, drawShare(), now());
+    if (decision == TraitDecision::Accept)
+        return false;
+    const TraitHash trait =
+            context.crashTraits.findRejected(exchange.traits, now()).value_or(TraitHash(0));
     logInfo(LogPart::Routing, "event=crashes-servers request=", exchange.client.attemptId,
-            " trait=", *trait, " decision=", toString(decision), " sends=", exchange.sendCount);
-    if (decision == TraitDecision::Accept || decision == TraitDecision::Try)
+            " trait=", trait, " decision=", toString(decision), " sends=", exchange.sendCount);
+    if (decision == TraitDecision::Try)
         return false;
-    const milliseconds rejectedFor = std::chrono::duration_cast<milliseconds>(
-            context.crashTraits.rejectedFor(*trait, now()));
+    const milliseconds rejectedFor =
+            std::chrono::duration_cast<milliseconds>(context.crashTraits.rejectedFor(trait, now()));
     if (exchange.isStreaming || exchange.mayHaveRun)
         fail(exchange, statusBadGateway, "crashes-servers");
     else
@@ -46,7 +47,7 @@
     if (attempt.isInvalid || attempt.status >= firstErrorStatus)
         return;
     for (const TraitHash trait : exchange.traits) {
-        if (context.crashTraits.onBegun(trait, now(), now()))
+        if (context.crashTraits.onBegun(trait, now()))
             context.onTraitCleared(trait);
     }
 }
--- a/src/direct/RouterNodeTraits.cpp
+++ b/src/direct/RouterNodeTraits.cpp
@@ -104,7 +104,7 @@
     for (ClearedTrait &cleared : report.cleared) {
         const TimePoint clearedAt = timeOf(cleared.ageMs);
         cleared.ageMs = ageMs(clearedAt);
-        if (crashTraits.onBegun(cleared.trait, clearedAt, now))
+        if (crashTraits.onBegun(cleared.trait, clearedAt))
             logInfo(LogPart::Routing, "event=trait-cleared trait=", cleared.trait, " by=", sender,
                     " age_ms=", cleared.ageMs);
     }
--- a/src/placing/CrashTraits.cpp
+++ b/src/placing/CrashTraits.cpp
@@ -60,7 +60,7 @@
     return true;
 }
 
-bool CrashTraits::onBegun(TraitHash trait, TimePoint begunAt, TimePoint now)
+bool CrashTraits::onBegun(TraitHash trait, TimePoint begunAt)
 {
     const auto found = suspects_.find(trait);
     if (found == suspects_.end())
@@ -73,7 +73,7 @@
     if (crashes.empty())
         suspects_.erase(found);
     TimePoint &cleared = cleared_[trait];
-    cleared = std::max(cleared, std::min(begunAt, now));
+    cleared = std::max(cleared, begunAt);
     return true;
 }
 
--- a/src/placing/CrashTraits.h
+++ b/src/placing/CrashTraits.h
@@ -50,7 +50,7 @@
     bool onCrash(const TraitCrash &crash, TimePoint now);
     /// An answer to a request with the trait has begun; drops what was seen before. Returns whether
     /// the trait was suspected.
-    bool onBegun(TraitHash trait, TimePoint begunAt, TimePoint now);
+    bool onBegun(TraitHash trait, TimePoint begunAt);
     /// The server has answered a request that was sent at the given time, so it had not crashed
     /// before; drops its crashes from shortly before.
     void onAlive(ServerRunHash serverRun, TimePoint sentAt, TimePoint now);
--- a/tests/placing/CrashTraitsTest.cpp
+++ b/tests/placing/CrashTraitsTest.cpp
@@ -54,7 +54,7 @@
         crash(crashing, server);
         traits.onCrash(TraitCrash{shared, server, now - milliseconds(200), now}, now);
         now += milliseconds(50);
-        traits.onBegun(shared, now, now);
+        traits.onBegun(shared, now);
         CHECK_FALSE(isRejected(shared));
     }
     CHECK(isRejected(crashing));
@@ -89,10 +89,10 @@
     const TraitCrash late{7, 3, now, now + milliseconds(200)};
     crash(7, 3);
     REQUIRE(isRejected(7));
-    CHECK(traits.onBegun(7, now, now));
+    CHECK(traits.onBegun(7, now));
     CHECK_FALSE(isRejected(7));
     CHECK_FALSE(traits.onCrash(late, now));
-    CHECK_FALSE(traits.onBegun(7, now, now));
+    CHECK_FALSE(traits.onBegun(7, now));
     CHECK(traits.isEmpty());
 }
 
@@ -149,7 +149,7 @@
     CHECK(traits.decide({companion}, 0, now) == TraitDecision::RejectForNow);
     SECTION("answer begins")
     {
-        traits.onBegun(companion, now, now);
+        traits.onBegun(companion, now);
         CHECK(traits.decide({companion}, 0.99, now) == TraitDecision::Accept);
         CHECK(traits.decide({companion, crashing}, 0, now) == TraitDecision::Reject);
         CHECK(traits.decide({crashing}, 0, now) == TraitDecision::Reject);
