Name the routers that are told what concerns the whole fleet

Cause: storeReadTargets() serves reports of crashing requests as well. Change: renamed to fleetTargets(), with its meaning.

--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -34,7 +34,7 @@
     void onConfigurationRecords(const std::vector<KeyedRecord> &records);
     void onAllServers(const std::vector<KeyedRecord> &records);
     void onServerRecords(const std::vector<KeyedRecord> &records, LogOffset from, LogOffset to);
-    std::vector<Endpoint> storeReadTargets();
+    std::vector<Endpoint> fleetTargets();
     void announceUnchanged(LogOffset from, LogOffset to);
     void announceChanges(const std::vector<KeyedRecord> &changes, LogOffset from, LogOffset to);
     std::optional<ServerEntry> decodeServer(const KeyedRecord &record);
--- a/src/direct/RouterNodePeers.cpp
+++ b/src/direct/RouterNodePeers.cpp
@@ -110,7 +110,7 @@
     const TimePoint now = clock.now();
     datagramSocket->sendToAll(isStarting ? peers.knownPeers() : peers.activePeers(now),
                               presence(false));
-    sendKnownTraits(storeReadTargets());
+    sendKnownTraits(fleetTargets());
 }
 
 RouterPresence RouterNode::Impl::presence(bool isReply) const
@@ -213,8 +213,9 @@
     relayTimer.startOnce(std::max(relayReportDelay, relayReportDelayPerPeer * peerCount));
 }
 
-/// Routers to which this router passes on what it has read from the store.
-std::vector<Endpoint> RouterNode::Impl::storeReadTargets()
+/// Routers to which this router tells what concerns the whole fleet: those of its data centre, and
+/// one of each other, which passes it on.
+std::vector<Endpoint> RouterNode::Impl::fleetTargets()
 {
     const TimePoint now = clock.now();
     std::vector<Endpoint> targets = peers.activePeers(now);
@@ -227,7 +228,7 @@
 /// the store.
 void RouterNode::Impl::announceUnchanged(LogOffset from, LogOffset to)
 {
-    datagramSocket->sendToAll(storeReadTargets(), ServersUnchanged{from, to, listAgeMs()});
+    datagramSocket->sendToAll(fleetTargets(), ServersUnchanged{from, to, listAgeMs()});
 }
 
 /// Passes on the changes in this range of records, in as many datagrams as they need. A router that
@@ -238,7 +239,7 @@
     // An empty range follows a full read, whose records other routers may not have.
     if (from == to)
         return;
-    const std::vector<Endpoint> targets = storeReadTargets();
+    const std::vector<Endpoint> targets = fleetTargets();
     // Before the last part, a receiver does not know all changes from before the read.
     ServersChanged part{from, to, unknownAgeMs, {}};
     std::size_t partBytes = 0;
--- a/src/direct/RouterNodeTraits.cpp
+++ b/src/direct/RouterNodeTraits.cpp
@@ -62,7 +62,7 @@
 
 void RouterNode::Impl::sendTraitReport()
 {
-    const std::vector<Endpoint> targets = storeReadTargets();
+    const std::vector<Endpoint> targets = fleetTargets();
     while (!unreportedCrashes.empty() || !unreportedClears.empty()) {
         CrashTraitReport report;
         for (const TraitCrash &crash : takeFirst(unreportedCrashes, crashesPerReport))
