Log how a server's answer ended

Change: HttpClient hands the head to its user as HttpHead, with the framing of the body, whether the blank line arrived and whether the connection was used before. DirectRouter keeps them with the number of events as AnswerEvidence; answer-ended logs it for answers that are broken, unframed or without an id, send-failed, not-executed and garbled-answer have its fields, and lovagecourse_answers_ended_total counts answers by framing. No decision changes.

--- a/src/agent/OrderSender.cpp
+++ b/src/agent/OrderSender.cpp
@@ -99,7 +99,7 @@
     request.totalTimeout = orderTimeout;
     auto status = std::make_shared<int>(0);
     HttpClient::Handlers handlers;
-    handlers.onHead = [status](int received, const HeaderList &) { *status = received; };
+    handlers.onHead = [status](const HttpHead &head) { *status = head.status; };
     handlers.onDone = [this, order, status](const std::optional<HttpFailure> &failure) {
         sending_ = false;
         const bool accepted = !failure && *status < 300;
--- a/src/backend/BackendRequest.cpp
+++ b/src/backend/BackendRequest.cpp
@@ -13,9 +13,9 @@
     , credit_(credit)
 {
     HttpClient::Handlers transferHandlers;
-    transferHandlers.onHead = [this](int status, const HeaderList &headers) {
-        isEventStream_ = findHeader(headers, "content-type").starts_with("text/event-stream");
-        handlers_.onHead(status, headers);
+    transferHandlers.onHead = [this](const HttpHead &head) {
+        isEventStream_ = findHeader(head.headers, "content-type").starts_with("text/event-stream");
+        handlers_.onHead(head.status, head.headers);
     };
     transferHandlers.onData = [this](std::string_view bytes) { onData(bytes); };
     transferHandlers.onDone = [this](const std::optional<HttpFailure> &failure) {
--- a/src/direct/DirectExchange.h
+++ b/src/direct/DirectExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backend/EventStreamSplitter.h"
+#include "direct/AnswerEvidence.h"
 #include "direct/ClientRequest.h"
 #include "direct/DirectConfiguration.h"
 #include "direct/ServerPool.h"
@@ -39,7 +40,7 @@
     bool isInvalid = false;
     /// Received bytes after the last end of an event.
     std::size_t bytesSinceEvent = 0;
-    bool isEventStream = false;
+    AnswerEvidence evidence;
     /// Last bytes of an event stream, by which its end is checked.
     std::string lastBytes;
     EventStreamSplitter splitter;
--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -270,9 +270,7 @@
     const CallerId caller = exchange.caller;
     HttpClient::Handlers handlers;
     handlers.onConnected = [this, caller] { return onConnected(caller); };
-    handlers.onHead = [this, caller](int status, const HeaderList &headers) {
-        onHead(caller, status, headers);
-    };
+    handlers.onHead = [this, caller](const HttpHead &head) { onHead(caller, head); };
     handlers.onData = [this, caller](std::string_view bytes) { onData(caller, bytes); };
     handlers.onDone = [this, caller](const std::optional<HttpFailure> &failure) {
         onDone(caller, failure);
--- a/src/direct/DirectRouterAnswers.cpp
+++ b/src/direct/DirectRouterAnswers.cpp
@@ -62,22 +62,27 @@
     return true;
 }
 
-void DirectRouter::Impl::onHead(CallerId caller, int status, const HeaderList &headers)
+void DirectRouter::Impl::onHead(CallerId caller, const HttpHead &head)
 {
     DirectExchange *exchange = find(caller);
     if (!exchange || !exchange->attempt)
         return;
     DirectAttempt &attempt = *exchange->attempt;
+    const int status = head.status;
     attempt.hasHead = true;
     attempt.status = status;
-    attempt.answer = context.codec.decodeAnswer(status, headers);
+    attempt.answer = context.codec.decodeAnswer(status, head.headers);
     const ServerAnswer &answer = attempt.answer;
     const bool hasWrongId =
             !answer.attemptId.empty() && answer.attemptId != exchange->client.attemptId;
     const bool isUnsigned = status < firstErrorStatus && !answer.isSigned;
     attempt.isInvalid = hasWrongId || isUnsigned;
-    attempt.isEventStream = findHeader(headers, "content-type").starts_with("text/event-stream")
-                            && status < firstErrorStatus;
+    attempt.evidence.framing = head.framing;
+    attempt.evidence.isConnectionReused = head.isConnectionReused;
+    attempt.evidence.isHeadWhole = head.isWhole;
+    attempt.evidence.isEventStream =
+            findHeader(head.headers, "content-type").starts_with("text/event-stream")
+            && status < firstErrorStatus;
     const auto loopDelay = attempt.loopDelayAtSend + context.loop.delay();
     context.pool.onFirstByte(attempt.placement.server, attempt.number, now(),
                              loopDelay < maxSampleLoopDelay);
@@ -89,7 +94,7 @@
         return onServerAnswers(attempt);
     logWarning(LogPart::Routing, "event=garbled-answer request=", exchange->client.attemptId,
                " server=", attempt.placement.server, " status=", status,
-               " answer_id=", answer.attemptId, " signed=", answer.isSigned);
+               " answer_id=", answer.attemptId, " signed=", answer.isSigned, attempt.evidence);
     rejectAnswer(*exchange, "garbled-answer");
 }
 
@@ -133,24 +138,26 @@
     attempt.bytesSinceEvent = eventEnd == std::string_view::npos
                                       ? attempt.bytesSinceEvent + bytes.size()
                                       : bytes.size() - eventEnd;
-    const std::size_t limit = attempt.isEventStream ? maxEventBytes : maxAnswerBodyBytes;
-    const std::size_t size =
-            attempt.isEventStream ? attempt.bytesSinceEvent : attempt.body.size() + bytes.size();
+    const std::size_t limit = attempt.evidence.isEventStream ? maxEventBytes : maxAnswerBodyBytes;
+    const std::size_t size = attempt.evidence.isEventStream ? attempt.bytesSinceEvent
+                                                            : attempt.body.size() + bytes.size();
     if (size > limit) {
         logWarning(LogPart::Routing,
                    "event=answer-without-end request=", exchange->client.attemptId,
-                   " server=", attempt.placement.server, " stream=", attempt.isEventStream,
+                   " server=", attempt.placement.server, " stream=", attempt.evidence.isEventStream,
                    " bytes=", size);
         return rejectAnswer(*exchange, "answer-without-end");
     }
-    if (!attempt.isEventStream) {
+    if (!attempt.evidence.isEventStream) {
         attempt.body.append(bytes);
         return;
     }
     keepLastBytes(attempt.lastBytes, bytes);
+    attempt.evidence.isInsideEvent = endsInsideEvent(attempt.lastBytes);
+    const CompleteEvents events = attempt.splitter.append(bytes);
+    attempt.evidence.eventCount += events.count;
     if (exchange->route->kind == RequestKind::ResumableStream) {
         // Forwards only complete events, so that another server can resume the stream after them.
-        const CompleteEvents events = attempt.splitter.append(bytes);
         if (events.count == 0)
             return;
         const std::string last = context.codec.lastEventId(events.bytes);
@@ -189,7 +196,7 @@
     if (failure) {
         logInfo(LogPart::Backend, "event=send-failed request=", exchange->client.attemptId,
                 " server=", server, " curl=", failure->curlCode, " sent=", failure->maybeSent,
-                " head=", attempt.hasHead, " body=", attempt.hasBodyBytes);
+                " head=", attempt.hasHead, " body=", attempt.hasBodyBytes, attempt.evidence);
         if (!attempt.hasHead)
             context.pool.onUnreachable(server, now());
         context.pool.onOutcome(server, true);
@@ -203,7 +210,14 @@
         return onAnswerRejected(*exchange, "garbled-answer");
     if (attempt.answer.notExecuted)
         return onNotExecuted(*exchange);
-    const bool isBroken = attempt.isEventStream && endsInsideEvent(attempt.lastBytes);
+    const bool isBroken = attempt.evidence.isEventStream && attempt.evidence.isInsideEvent;
+    if (isBroken || attempt.evidence.framing == BodyFraming::ConnectionEnd
+        || attempt.answer.attemptId.empty())
+        logInfo(LogPart::Backend, "event=answer-ended request=", exchange->client.attemptId,
+                " server=", server, " status=", attempt.status,
+                " has_id=", !attempt.answer.attemptId.empty(), attempt.evidence,
+                " broken=", isBroken);
+    context.metrics.count("lovagecourse_answers_ended_total", toString(attempt.evidence.framing));
     context.pool.onOutcome(server, isBroken || attempt.status >= firstServerErrorStatus);
     if (isBroken)
         return onAttemptFailed(*exchange, "ended-inside-event");
@@ -245,7 +259,8 @@
 {
     const DirectAttempt &attempt = *exchange.attempt;
     logInfo(LogPart::Routing, "event=not-executed request=", exchange.client.attemptId,
-            " server=", attempt.placement.server, " status=", attempt.status);
+            " server=", attempt.placement.server, " status=", attempt.status,
+            " has_id=", !attempt.answer.attemptId.empty(), attempt.evidence);
     context.pool.onUnreachable(attempt.placement.server, now());
     endAttempt(exchange);
     if (tryTakeRetry(exchange))
@@ -272,7 +287,7 @@
 {
     DirectAttempt &attempt = *exchange.attempt;
     if (exchange.isStreaming) {
-        if (!attempt.isEventStream)
+        if (!attempt.evidence.isEventStream)
             return onAttemptFailed(exchange, "resume-failed");
         gateway->endStream(exchange.caller);
         return finish(exchange, "answered", attempt.status, "stream");
--- a/src/direct/DirectRouterImpl.h
+++ b/src/direct/DirectRouterImpl.h
@@ -42,7 +42,7 @@
     bool tryTakeRetry(DirectExchange &exchange);
 
     bool onConnected(CallerId caller);
-    void onHead(CallerId caller, int status, const HeaderList &headers);
+    void onHead(CallerId caller, const HttpHead &head);
     void onData(CallerId caller, std::string_view bytes);
     void onDone(CallerId caller, const std::optional<HttpFailure> &failure);
     void onBrokenBeforeAnswer(const DirectExchange &exchange);
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -50,8 +50,11 @@
     /// libcurl's own timeout would fail a transfer before its received bytes are read.
     std::unique_ptr<Timer> timeout;
     HttpClient::Handlers handlers;
+    std::string method;
     HeaderList headers;
     std::size_t headBytes = 0;
+    /// The blank line after the headers has arrived.
+    bool headIsWhole = false;
     bool headDelivered = false;
     bool paused = false;
     bool cancelled = false;
@@ -63,15 +66,35 @@
     }
 };
 
+BodyFraming bodyFraming(const std::string &method, int status, const HeaderList &headers)
+{
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+    if (method == "HEAD" || status == noContent || status == notModified)
+        return BodyFraming::Length;
+    if (toLower(findHeader(headers, "transfer-encoding")).ends_with("chunked"))
+        return BodyFraming::Chunked;
+    return findHeader(headers, "content-length").empty() ? BodyFraming::ConnectionEnd
+                                                         : BodyFraming::Length;
+}
+
 void deliverHead(Transfer &transfer)
 {
     if (transfer.headDelivered || transfer.cancelled)
         return;
     transfer.headDelivered = true;
     long status = 0;
+    long newConnections = 0;
     curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(transfer.easy, CURLINFO_NUM_CONNECTS, &newConnections);
+    HttpHead head;
+    head.status = static_cast<int>(status);
+    head.headers = transfer.headers;
+    head.framing = bodyFraming(transfer.method, head.status, head.headers);
+    head.isWhole = transfer.headIsWhole;
+    head.isConnectionReused = newConnections == 0;
     if (transfer.handlers.onHead)
-        transfer.handlers.onHead(static_cast<int>(status), transfer.headers);
+        transfer.handlers.onHead(head);
 }
 
 std::size_t onHeaderLine(char *data, std::size_t size, std::size_t count, void *user)
@@ -82,8 +105,11 @@
     transfer.headBytes += line.size();
     if (transfer.headBytes > maxHeadBytes)
         return 0;
+    if (transfer.headIsWhole && !line.starts_with("HTTP/"))
+        return size * count; // a trailer after the body
     if (line.starts_with("HTTP/"))
         transfer.headers.clear();
+    transfer.headIsWhole = line == "\r\n" || line == "\n";
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos)
         transfer.headers.emplace_back(toLower(trim(line.substr(0, colon))),
@@ -287,6 +313,7 @@
     auto transfer = std::make_unique<Transfer>();
     transfer->id = HttpTransferId(++impl_->lastId);
     transfer->easy = curl_easy_init();
+    transfer->method = request.method;
     transfer->body = std::move(request.body);
     transfer->handlers = std::move(handlers);
     for (const auto &[name, value] : request.headers)
@@ -384,6 +411,19 @@
     curl_easy_pause(found->second->easy, CURLPAUSE_CONT);
 }
 
+std::string_view toString(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunked:
+        return "chunked";
+    case BodyFraming::ConnectionEnd:
+        return "connection-end";
+    }
+    return {};
+}
+
 std::string_view findHeader(const HeaderList &headers, std::string_view name)
 {
     for (const auto &[headerName, value] : headers) {
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -52,6 +52,30 @@
     bool maybeSent = true;
 };
 
+/// How the end of an answer's body is marked.
+enum class BodyFraming : std::uint8_t {
+    /// By its length; also answers that have no body.
+    Length,
+    Chunked,
+    /// By the end of the connection, which looks the same when the server stops halfway.
+    ConnectionEnd
+};
+
+std::string_view toString(BodyFraming framing);
+
+/// Status line and headers of an answer.
+struct HttpHead
+{
+    int status = 0;
+    /// Names in lower case.
+    HeaderList headers;
+    BodyFraming framing = BodyFraming::Length;
+    /// The blank line after the headers has arrived.
+    bool isWhole = false;
+    /// An earlier transfer has used the connection.
+    bool isConnectionReused = false;
+};
+
 /// Identifies a running transfer.
 using HttpTransferId = StrongId<struct HttpTransferTag, std::uint64_t>;
 
@@ -65,8 +89,8 @@
         /// Called when the connection is ready, before any byte of the request is sent. If it
         /// returns false, nothing is sent and the transfer fails.
         std::function<bool()> onConnected;
-        /// Called before any data; header names are in lower case.
-        std::function<void(int status, const HeaderList &headers)> onHead;
+        /// Called before any data.
+        std::function<void(const HttpHead &head)> onHead;
         std::function<void(std::string_view bytes)> onData;
         /// Called with no failure if the complete answer arrived.
         std::function<void(const std::optional<HttpFailure> &failure)> onDone;
--- a/src/platform/LogClient.cpp
+++ b/src/platform/LogClient.cpp
@@ -59,7 +59,7 @@
 {
     auto pending = std::make_shared<PendingAnswer>();
     HttpClient::Handlers handlers;
-    handlers.onHead = [pending](int status, const HeaderList &) { pending->status = status; };
+    handlers.onHead = [pending](const HttpHead &head) { pending->status = head.status; };
     handlers.onData = [pending](std::string_view bytes) {
         pending->isTooLong =
                 pending->isTooLong || pending->body.size() + bytes.size() > maxAnswerBytes;
