--- a/tests/http/HttpClientTest.cpp
+++ b/tests/http/HttpClientTest.cpp
@@ -64,3 +64,33 @@
     CHECK(failure->maybeSent);
     CHECK(std::chrono::steady_clock::now() - start >= timeout);
 }
+
+// Guards against a head that is cut off and counts as a whole answer without a body.
+TEST_CASE_METHOD(HttpClientFixture, "http client, head without its blank line, fails")
+{
+    const std::string bytes =
+            GENERATE("HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX-A: b\r\n",
+                     "HTTP/1.1 200 OK\r\nX-A: b\r\nX-B", "HTTP/1.1 100 Continue\r\n\r\n",
+                     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK");
+    CAPTURE(bytes);
+    ScriptedServer server(loop, [bytes](auto &connection, const std::string &) {
+        connection.send(bytes);
+        connection.close();
+    });
+    call(server);
+    REQUIRE(isDone);
+    REQUIRE(failure);
+    CHECK(failure->maybeSent);
+}
+
+// Guards against trailers after the last chunk that make a whole answer look like a cut-off one.
+TEST_CASE_METHOD(HttpClientFixture, "http client, chunks with trailers, succeeds")
+{
+    ScriptedServer server(loop, [](auto &connection, const std::string &) {
+        connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+                        "X-After: 1\r\n\r\n");
+    });
+    call(server);
+    REQUIRE(isDone);
+    CHECK_FALSE(failure);
+}
