Fail a transfer whose answer ends inside its head

What callers saw: a 200 with an empty body, framed as whole, when a server stopped in the middle of its answer's head and closed; a 503 cut there was passed on as "not run" although the request may have run. Cause: libcurl 7.88 ends such a transfer with success unless the lines that came announce a length. Class: the end of input taken for the end of a message. Change: HttpClient fails a transfer without the blank line after the final answer's headers, as possibly sent. It serves routers, agents and both store clients, so the same holds for all of them.

--- a/src/direct/AnswerEvidence.cpp
+++ b/src/direct/AnswerEvidence.cpp
@@ -5,8 +5,7 @@
 std::ostream &operator<<(std::ostream &line, const AnswerEvidence &evidence)
 {
     return line << " framing=" << toString(evidence.framing)
-                << " reused=" << evidence.isConnectionReused
-                << " whole_head=" << evidence.isHeadWhole << " stream=" << evidence.isEventStream
+                << " reused=" << evidence.isConnectionReused << " stream=" << evidence.isEventStream
                 << " events=" << evidence.eventCount << " inside_event=" << evidence.isInsideEvent;
 }
 
--- a/src/direct/AnswerEvidence.h
+++ b/src/direct/AnswerEvidence.h
@@ -12,8 +12,6 @@
 {
     BodyFraming framing = BodyFraming::Length;
     bool isConnectionReused = false;
-    /// The blank line after the headers has arrived.
-    bool isHeadWhole = false;
     bool isEventStream = false;
     /// Whole events of a stream.
     std::uint64_t eventCount = 0;
--- a/src/direct/DirectRouterAnswers.cpp
+++ b/src/direct/DirectRouterAnswers.cpp
@@ -79,7 +79,6 @@
     attempt.isInvalid = hasWrongId || isUnsigned;
     attempt.evidence.framing = head.framing;
     attempt.evidence.isConnectionReused = head.isConnectionReused;
-    attempt.evidence.isHeadWhole = head.isWhole;
     attempt.evidence.isEventStream =
             findHeader(head.headers, "content-type").starts_with("text/event-stream")
             && status < firstErrorStatus;
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -53,7 +53,7 @@
     std::string method;
     HeaderList headers;
     std::size_t headBytes = 0;
-    /// The blank line after the headers has arrived.
+    /// The blank line after the headers of the final answer has arrived.
     bool headIsWhole = false;
     bool headDelivered = false;
     bool paused = false;
@@ -91,7 +91,6 @@
     head.status = static_cast<int>(status);
     head.headers = transfer.headers;
     head.framing = bodyFraming(transfer.method, head.status, head.headers);
-    head.isWhole = transfer.headIsWhole;
     head.isConnectionReused = newConnections == 0;
     if (transfer.handlers.onHead)
         transfer.handlers.onHead(head);
@@ -268,6 +267,9 @@
     const std::unique_ptr<Transfer> owned = std::move(found->second);
     transfers.erase(found);
     std::optional<HttpFailure> failure;
+    // libcurl takes a connection that ends inside the head for the end of an answer without a body.
+    if (code == CURLE_OK && !owned->headIsWhole)
+        code = CURLE_WEIRD_SERVER_REPLY;
     if (code == CURLE_OK) {
         deliverHead(*owned);
     } else {
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -70,8 +70,6 @@
     /// Names in lower case.
     HeaderList headers;
     BodyFraming framing = BodyFraming::Length;
-    /// The blank line after the headers has arrived.
-    bool isWhole = false;
     /// An earlier transfer has used the connection.
     bool isConnectionReused = false;
 };
--- a/tests/http/HttpClientTest.cpp
+++ b/tests/http/HttpClientTest.cpp
@@ -71,7 +71,8 @@
     const std::string bytes =
             GENERATE("HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX-A: b\r\n",
                      "HTTP/1.1 200 OK\r\nX-A: b\r\nX-B", "HTTP/1.1 100 Continue\r\n\r\n",
-                     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK");
+                     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK",
+                     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\n");
     CAPTURE(bytes);
     ScriptedServer server(loop, [bytes](auto &connection, const std::string &) {
         connection.send(bytes);
