Don't take the end of a crashed server's connection for the end of its answer

Cause: an answer without length or chunks ends with its connection. The kernel of a crashed server ends it in the same orderly way, and the router then sent the last chunk, or a length, of its own. Only a stream that ended inside an event was told apart; one that ended between two events, before the first, or a plain body, was not. Class: absence of an error taken for proof of completeness. Change: judgeAnswer (direct/AnswerEvidence) separates whole, unproven and broken. After an unproven end the router opens a connection to the server, without a request; a crashed server accepts none, and the answer then counts as broken: retried, resumed or aborted by the existing rules. The caller's answer keeps its chunks: passing the missing framing on was weighed (docs/platform.md) and dropped, because every stream would then look whole when a router's process is killed. Price: one connection for each unframed success, and its end a round trip later.

--- a/src/direct/AnswerEvidence.h
+++ b/src/direct/AnswerEvidence.h
@@ -19,6 +19,18 @@
     bool isInsideEvent = false;
 };
 
+enum class AnswerVerdict : std::uint8_t {
+    Whole,
+    /// Only the end of the connection says that the answer is whole; a crash looks the same.
+    Unproven,
+    Broken
+};
+
+std::string_view toString(AnswerVerdict verdict);
+
+/// Judges a success whose connection ended without an error.
+AnswerVerdict judgeAnswer(const AnswerEvidence &evidence);
+
 /// Writes the fields of a log line.
 std::ostream &operator<<(std::ostream &line, const AnswerEvidence &evidence);
 
--- a/src/direct/DirectExchange.h
+++ b/src/direct/DirectExchange.h
@@ -41,6 +41,8 @@
     /// Received bytes after the last end of an event.
     std::size_t bytesSinceEvent = 0;
     AnswerEvidence evidence;
+    /// End of the answer's connection, while the server is checked.
+    TimePoint endedAt;
     /// Last bytes of an event stream, by which its end is checked.
     std::string lastBytes;
     EventStreamSplitter splitter;
--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -16,8 +16,6 @@
 
 // Lets an answer that the server sends at the deadline arrive before the router sends a timeout.
 constexpr milliseconds deadlineSlack{100};
-// A host in the same region accepts within milliseconds; this covers one retransmission.
-constexpr milliseconds connectTimeout{300};
 // Longer than TCP needs to recover from packet loss, shorter than callers wait.
 constexpr milliseconds tcpUserTimeout{2500};
 // Backend servers close idle connections after a few seconds; a connection must not be reused near
--- a/src/direct/DirectRouterAnswers.cpp
+++ b/src/direct/DirectRouterAnswers.cpp
@@ -20,7 +20,6 @@
 constexpr std::size_t maxEventBytes = 1U << 20;
 // Length of the longest end of an event.
 constexpr std::size_t maxEventEndBytes = 4;
-constexpr int firstServerErrorStatus = 500;
 
 /// Keeps the last bytes of a stream.
 void keepLastBytes(std::string &last, std::string_view bytes)
@@ -209,18 +208,7 @@
         return onAnswerRejected(*exchange, "garbled-answer");
     if (attempt.answer.notExecuted)
         return onNotExecuted(*exchange);
-    const bool isBroken = attempt.evidence.isEventStream && attempt.evidence.isInsideEvent;
-    if (isBroken || attempt.evidence.framing == BodyFraming::ConnectionEnd
-        || attempt.answer.attemptId.empty())
-        logInfo(LogPart::Backend, "event=answer-ended request=", exchange->client.attemptId,
-                " server=", server, " status=", attempt.status,
-                " has_id=", !attempt.answer.attemptId.empty(), attempt.evidence,
-                " broken=", isBroken);
-    context.metrics.count("lovagecourse_answers_ended_total", toString(attempt.evidence.framing));
-    context.pool.onOutcome(server, isBroken || attempt.status >= firstServerErrorStatus);
-    if (isBroken)
-        return onAttemptFailed(*exchange, "ended-inside-event");
-    onAnswerComplete(*exchange);
+    onAnswerEnded(*exchange);
 }
 
 void DirectRouter::Impl::endAttempt(DirectExchange &exchange)
--- a/src/direct/DirectRouterImpl.h
+++ b/src/direct/DirectRouterImpl.h
@@ -10,15 +10,19 @@
 namespace lovagecourse {
 
 constexpr int firstErrorStatus = 400;
+constexpr int firstServerErrorStatus = 500;
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
 constexpr int statusGatewayTimeout = 504;
+// A host in the same region accepts within milliseconds; this covers one retransmission.
+constexpr milliseconds connectTimeout{300};
 // Retry-After when no wait can be predicted; servers register again within one or two seconds.
 constexpr milliseconds defaultRetryAfter{300};
 
 /// Implementation of DirectRouter. DirectRouter.cpp accepts requests and sends them to servers,
-/// DirectRouterAnswers.cpp handles answers, failures and timeouts, DirectRouterTraits.cpp finds and
-/// rejects requests that crash servers.
+/// DirectRouterAnswers.cpp handles answers, failures and timeouts, DirectRouterEnds.cpp decides
+/// whether an answer is whole, DirectRouterTraits.cpp finds and rejects requests that crash
+/// servers.
 struct DirectRouter::Impl
 {
     explicit Impl(DirectContext routerContext)
@@ -45,6 +49,9 @@
     void onHead(CallerId caller, const HttpHead &head);
     void onData(CallerId caller, std::string_view bytes);
     void onDone(CallerId caller, const std::optional<HttpFailure> &failure);
+    void onAnswerEnded(DirectExchange &exchange);
+    void checkServer(DirectExchange &exchange);
+    void onServerChecked(CallerId caller, bool acceptsConnections);
     void onBrokenBeforeAnswer(const DirectExchange &exchange);
     void onServerAnswers(const DirectAttempt &attempt);
     void onAnswerBegun(const DirectExchange &exchange);
