Take an event stream for one in every spelling of its type

What callers saw: a part of an event as a whole answer with a length, when a server spelled the type of its stream in another way, or sent none, and broke off without framing; all events came at the end. Class: a decision on an optional detail of the peer's format. Change: isEventStream in http compares the media type without case and parameters, for routers, entries and agents; an answer without a type on a route of streams is a stream. Evidence: "broken answer, stream of another spelling ends inside an event, is not complete" failed before and passes now.

--- a/src/agent/RequestRuns.cpp
+++ b/src/agent/RequestRuns.cpp
@@ -129,7 +129,7 @@
 
 void AgentNode::Impl::onHead(RequestRun &run, int status, const HeaderList &headers)
 {
-    run.isEventStream = findHeader(headers, "content-type").starts_with("text/event-stream");
+    run.isEventStream = isEventStream(headers);
     if (run.claim) {
         run.answer.status = static_cast<std::uint16_t>(status);
         run.answer.headers = headers;
--- a/src/backend/BackendRequest.cpp
+++ b/src/backend/BackendRequest.cpp
@@ -14,7 +14,7 @@
 {
     HttpClient::Handlers transferHandlers;
     transferHandlers.onHead = [this](const HttpHead &head) {
-        isEventStream_ = findHeader(head.headers, "content-type").starts_with("text/event-stream");
+        isEventStream_ = isEventStream(head.headers);
         handlers_.onHead(head.status, head.headers);
     };
     transferHandlers.onData = [this](std::string_view bytes) { onData(bytes); };
--- a/src/direct/DirectConfiguration.cpp
+++ b/src/direct/DirectConfiguration.cpp
@@ -4,6 +4,11 @@
 
 namespace lovagecourse {
 
+bool isStreamKind(RequestKind kind)
+{
+    return kind == RequestKind::Stream || kind == RequestKind::ResumableStream;
+}
+
 const Route *selectRoute(const DirectConfiguration &configuration, std::string_view host,
                          std::string_view path)
 {
--- a/src/direct/DirectConfiguration.h
+++ b/src/direct/DirectConfiguration.h
@@ -25,6 +25,9 @@
     ResumableStream
 };
 
+/// Returns whether the answer is an event stream.
+bool isStreamKind(RequestKind kind);
+
 /// Service that gets a weighted part of a route's requests.
 struct ServiceShare
 {
--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -46,11 +46,6 @@
     return host.substr(0, std::min(host.find(':'), host.size()));
 }
 
-bool isStreamKind(RequestKind kind)
-{
-    return kind == RequestKind::Stream || kind == RequestKind::ResumableStream;
-}
-
 bool isRetryable(RequestKind kind)
 {
     return kind == RequestKind::Safe || kind == RequestKind::ResumableStream;
--- a/src/direct/DirectRouterAnswers.cpp
+++ b/src/direct/DirectRouterAnswers.cpp
@@ -78,9 +78,10 @@
     attempt.isInvalid = hasWrongId || isUnsigned;
     attempt.evidence.framing = head.framing;
     attempt.evidence.isConnectionReused = head.isConnectionReused;
-    attempt.evidence.isEventStream =
-            findHeader(head.headers, "content-type").starts_with("text/event-stream")
-            && status < firstErrorStatus;
+    attempt.evidence.isEventStream = status < firstErrorStatus
+                                     && (isEventStream(head.headers)
+                                         || (isStreamKind(exchange->route->kind)
+                                             && findHeader(head.headers, "content-type").empty()));
     const auto loopDelay = attempt.loopDelayAtSend + context.loop.delay();
     context.pool.onFirstByte(attempt.placement.server, attempt.number, now(),
                              loopDelay < maxSampleLoopDelay);
--- a/src/entry/RouterAnswers.cpp
+++ b/src/entry/RouterAnswers.cpp
@@ -87,19 +87,18 @@
 void RequestRouter::Impl::forwardData(PendingRequest &request, const RequestAttempt &attempt,
                                       const AnswerData &data)
 {
-    const bool isEventStream =
-            findHeader(attempt.headers, "content-type").starts_with("text/event-stream");
+    const bool isStream = isEventStream(attempt.headers);
     // An answer of another type, such as an error page after a resume, does not continue the
     // stream.
-    const bool isOtherType = request.streamBegun && isEventStream != request.isEventStream;
-    request.isEventStream = isEventStream;
-    const bool isGap = isEventStream && data.firstEvent != request.deliveredEvents;
+    const bool isOtherType = request.streamBegun && isStream != request.isEventStream;
+    request.isEventStream = isStream;
+    const bool isGap = isStream && data.firstEvent != request.deliveredEvents;
     if (isOtherType || isGap) {
         daemon.metrics().count("lovagecourse_answer_gaps_total");
         return refuse(request, Refusal{RefusalReason::AnswerBroken, Ran::Unknown});
     }
     request.deliveredEvents += data.eventCount;
-    request.doneDelivered = isEventStream && data.bytes.ends_with(doneEvent);
+    request.doneDelivered = isStream && data.bytes.ends_with(doneEvent);
     const bool mayBuffer = !request.isEventStream
                            && request.bufferedBody.size() + data.bytes.size() <= maxBufferedBytes;
     if (mayBuffer && !request.streamBegun) {
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -435,4 +435,10 @@
     return {};
 }
 
+bool isEventStream(const HeaderList &headers)
+{
+    const std::string type = toLower(findHeader(headers, "content-type"));
+    return trim(std::string_view(type).substr(0, type.find(';'))) == "text/event-stream";
+}
+
 } // namespace lovagecourse
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -114,5 +114,7 @@
 
 /// Returns the value of a header by its lower-case name; empty if it is missing.
 std::string_view findHeader(const HeaderList &headers, std::string_view name);
+/// Returns whether the content type is that of an event stream, in any spelling.
+bool isEventStream(const HeaderList &headers);
 
 } // namespace lovagecourse
