Close the connection after an answer that has no id

What callers saw: "not run, try again" for a request that a server had run or was running, after a faulty server had written an earlier refusal once more on a kept connection. Cause: an answer without an attempt id was accepted as the request's own on any connection, so a copy of an earlier one without an id read as the answer to the next request, and its "not executed" was believed. Class: an answer is attributed by the connection it arrives on. Change: the HTTP client asks when a head has arrived whether its connection may be used again; the router says no for an answer that names no attempt. Its copy then finds a closed connection. Not chosen: to disbelieve refusals without an id on a reused connection, which would turn each true one into a 502. Evidence: "earlier refusal is sent again" failed before for refusals without an id and passes now; those with an id were told apart before. The handler of that test compared addresses of connections, which the allocator uses again, so it could not pass; it now sends the copy only while the connection is open.

--- a/src/direct/ClientRequest.h
+++ b/src/direct/ClientRequest.h
@@ -77,6 +77,8 @@
     /// Returns all headers of the request to the server.
     virtual HeaderList encodeRequest(const ClientRequest &client,
                                      const ServerRequest &server) const = 0;
+    /// Returns whether the answer names the attempt that it belongs to.
+    virtual bool namesAttempt(const HeaderList &headers) const = 0;
     virtual ServerAnswer decodeAnswer(int status, const HeaderList &headers) const = 0;
 };
 
--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -265,6 +265,10 @@
     const CallerId caller = exchange.caller;
     HttpClient::Handlers handlers;
     handlers.onConnected = [this, caller] { return onConnected(caller); };
+    // A copy of an answer without an id could not be told from the answer to the next request.
+    handlers.mayReuseConnection = [this](const HeaderList &headers) {
+        return context.codec.namesAttempt(headers);
+    };
     handlers.onHead = [this, caller](const HttpHead &head) { onHead(caller, head); };
     handlers.onData = [this, caller](std::string_view bytes) { onData(caller, bytes); };
     handlers.onDone = [this, caller](const std::optional<HttpFailure> &failure) {
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -109,6 +109,9 @@
     if (line.starts_with("HTTP/"))
         transfer.headers.clear();
     transfer.headIsWhole = line == "\r\n" || line == "\n";
+    const auto &mayReuse = transfer.handlers.mayReuseConnection;
+    if (transfer.headIsWhole && mayReuse && !mayReuse(transfer.headers))
+        curl_easy_setopt(transfer.easy, CURLOPT_FORBID_REUSE, 1L);
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos)
         transfer.headers.emplace_back(toLower(trim(line.substr(0, colon))),
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -87,6 +87,9 @@
         /// Called when the connection is ready, before any byte of the request is sent. If it
         /// returns false, nothing is sent and the transfer fails.
         std::function<bool()> onConnected;
+        /// Called when the head has arrived. If it returns false, the connection is closed after
+        /// the answer.
+        std::function<bool(const HeaderList &headers)> mayReuseConnection;
         /// Called before any data.
         std::function<void(const HttpHead &head)> onHead;
         std::function<void(std::string_view bytes)> onData;
--- a/tests/direct/BrokenAnswerTest.cpp
+++ b/tests/direct/BrokenAnswerTest.cpp
@@ -251,21 +251,22 @@
     const bool hasId = GENERATE(false, true);
     const std::string lead = GENERATE("refused", "answered");
     std::string refusal;
-    ScriptedServer::Connection *used = nullptr;
-    addServer([&](auto &connection, const std::string &request) {
-        if (!used && lead == "answered") {
-            used = &connection;
+    bool isLeadAnswered = lead != "answered";
+    ScriptedServer *server = nullptr;
+    server = &addServer([&](auto &connection, const std::string &request) {
+        if (!isLeadAnswered) {
+            isLeadAnswered = true;
             return connection.send(answer(request, 200, "first"));
         }
         if (refusal.empty()) {
-            used = &connection;
             refusal = hasId ? answer(request, 503, "busy", "X-Lovagecourse-Not-Executed: 1\r\n")
                             : "HTTP/1.1 503 Busy\r\nX-Lovagecourse-Not-Executed: 1\r\n"
                               "Content-Length: 4\r\n\r\nbusy";
             return connection.send(refusal);
         }
         // The request runs; on the connection of the refusal, its copy is the first to arrive.
-        connection.send(used == &connection ? refusal : answer(request, 200, "ran"));
+        const bool isKept = server->closedByPeer() == 0;
+        connection.send(isKept ? refusal : answer(request, 200, "ran"));
     });
     if (lead == "answered")
         CHECK(call("POST", "/unsafe/x", {{"x-lovagecourse-attempt-id", "id-0"}}, "b").status
