Check the agent's server when only the end of its connection ends an answer

Change: BackendRequest reports such an end as unproven; the agent's existing probe decides, and without an answer to it the request fails as after any broken connection (outcome of a key: unknown).

--- a/src/agent/AgentNodeImpl.h
+++ b/src/agent/AgentNodeImpl.h
@@ -54,6 +54,9 @@
     void onHead(RequestRun &run, int status, const HeaderList &headers);
     void onPart(RequestRun &run, AnswerPart &&part);
     void onBackendEnd(GrantId grant, BackendOutcome outcome);
+    void onComplete(RequestRun &run, std::chrono::nanoseconds elapsed);
+    void onProbedAfterUnprovenEnd(GrantId grant, bool serverAnswered,
+                                  std::chrono::nanoseconds elapsed);
     void onProbedAfterFailure(GrantId grant, bool serverAnswered);
     void recordCrash();
     void finish(GrantId grant, bool complete, const Refusal &refusal);
--- a/src/agent/RequestRun.h
+++ b/src/agent/RequestRun.h
@@ -18,7 +18,8 @@
     Claiming,
     /// The request was sent to the backend server.
     Running,
-    /// The connection to the server broke; a probe checks whether the server crashed.
+    /// The connection to the server broke, or its end is all that says that the answer is complete;
+    /// a probe checks whether the server crashed.
     Probing,
     /// No connection was made, so the server did not get the request; a probe checks the server.
     NotSent
--- a/src/agent/RequestRuns.cpp
+++ b/src/agent/RequestRuns.cpp
@@ -190,21 +190,13 @@
 void AgentNode::Impl::onBackendEnd(GrantId grant, BackendOutcome outcome)
 {
     RequestRun &run = *runs.at(grant);
-    const auto elapsed = now() - run.sentAt;
-    if (outcome == BackendOutcome::Complete) {
-        if (!run.isEventStream)
-            chargeWork(run, nonStreamingAnswerWork(run, elapsed));
-        if (!run.isEventStream && limit)
-            limit->onServiceTime(elapsed);
-        serviceTimeMs += serviceTimeWeight * (toMilliseconds(elapsed) - serviceTimeMs);
-        daemon->metrics().latency("lovagecourse_server_seconds", elapsed);
-        if (run.offer.suspect) {
-            daemon->suspects().onCompleted(run.offer.fingerprint, now());
-            links->sendToAll(CrashSuspectNotice{daemon->suspects().recent(now(), 1)});
-        }
-        if (run.claim)
-            claimLog->coordinator().recordOutcome(*run.claim, run.answer);
-        return finish(grant, true, Refusal{});
+    if (outcome == BackendOutcome::Complete)
+        return onComplete(run, now() - run.sentAt);
+    if (outcome == BackendOutcome::Unproven) {
+        run.phase = RunPhase::Probing;
+        return monitor->probe([this, grant, elapsed = now() - run.sentAt](bool answered) {
+            onProbedAfterUnprovenEnd(grant, answered, elapsed);
+        });
     }
     if (outcome == BackendOutcome::NotSent && run.claim)
         claimLog->coordinator().abandonClaim(*run.claim);
@@ -218,6 +210,39 @@
     monitor->probe([this, grant](bool answered) { onProbedAfterFailure(grant, answered); });
 }
 
+void AgentNode::Impl::onComplete(RequestRun &run, std::chrono::nanoseconds elapsed)
+{
+    if (!run.isEventStream)
+        chargeWork(run, nonStreamingAnswerWork(run, elapsed));
+    if (!run.isEventStream && limit)
+        limit->onServiceTime(elapsed);
+    serviceTimeMs += serviceTimeWeight * (toMilliseconds(elapsed) - serviceTimeMs);
+    daemon->metrics().latency("lovagecourse_server_seconds", elapsed);
+    if (run.offer.suspect) {
+        daemon->suspects().onCompleted(run.offer.fingerprint, now());
+        links->sendToAll(CrashSuspectNotice{daemon->suspects().recent(now(), 1)});
+    }
+    if (run.claim)
+        claimLog->coordinator().recordOutcome(*run.claim, run.answer);
+    finish(run.grant, true, Refusal{});
+}
+
+void AgentNode::Impl::onProbedAfterUnprovenEnd(GrantId grant, bool serverAnswered,
+                                               std::chrono::nanoseconds elapsed)
+{
+    const auto found = runs.find(grant);
+    if (found == runs.end())
+        return;
+    RequestRun &run = *found->second;
+    logInfo(LogPart::Backend, "answer ended with its connection, server ",
+            serverAnswered ? "answers" : "does not answer");
+    if (serverAnswered)
+        return onComplete(run, elapsed);
+    if (run.claim)
+        claimLog->coordinator().recordUnknownOutcome(*run.claim);
+    onProbedAfterFailure(grant, false);
+}
+
 void AgentNode::Impl::onProbedAfterFailure(GrantId grant, bool serverAnswered)
 {
     const auto found = runs.find(grant);
--- a/src/backend/BackendRequest.cpp
+++ b/src/backend/BackendRequest.cpp
@@ -15,6 +15,7 @@
     HttpClient::Handlers transferHandlers;
     transferHandlers.onHead = [this](const HttpHead &head) {
         isEventStream_ = isEventStream(head.headers);
+        endsWithConnection_ = head.framing == BodyFraming::ConnectionEnd;
         handlers_.onHead(head.status, head.headers);
     };
     transferHandlers.onData = [this](std::string_view bytes) { onData(bytes); };
@@ -70,6 +71,8 @@
         outcome = BackendOutcome::TimedOut;
     else if (failure || (isEventStream_ && !receivedDone_))
         outcome = BackendOutcome::Broken;
+    else if (endsWithConnection_ && !isEventStream_)
+        outcome = BackendOutcome::Unproven;
     // The handler may destroy this object.
     const auto onEnd = handlers_.onEnd;
     onEnd(outcome);
--- a/src/backend/BackendRequest.h
+++ b/src/backend/BackendRequest.h
@@ -24,6 +24,8 @@
 enum class BackendOutcome : std::uint8_t {
     /// The complete answer arrived.
     Complete,
+    /// Only the end of the connection says that the answer is complete; a crash looks the same.
+    Unproven,
     /// No byte of the request was sent; the server did not receive it.
     NotSent,
     /// The answer is incomplete; the server may have received the request.
@@ -67,6 +69,7 @@
     std::uint64_t nextEvent_;
     std::int64_t credit_;
     bool isEventStream_ = false;
+    bool endsWithConnection_ = false;
     bool receivedDone_ = false;
     bool ended_ = false;
 };
