Hold a removal only if the registration may have expired

What callers saw: DRAIN, requests that reached a server up to 3,064 ms after its removal was acknowledged (bound 2,000 ms), at loaded routers. Cause: one read of the store without an answer in time was taken for an outage. After any failed read the router held every removal for 2 s, also that of an entry that was removed on purpose. Class: one late answer turned into a belief about the other side. Its log: entry removed 18.437 s, store-lost 19.437, store-returned 19.801 (away 367 ms), requests sent at 21.44 s. Change: the first records after failed reads decide (direct/StoreAbsence): if they hold nearly all renewals of the unread time, the store was never away. A server that has renewed since is removed at once as well. Logs: store-absence, removal-held; a counter of held removals, a histogram of the time to a removal's effect. New setting bounds.renewal_ms. Other places that turn one failed call into a belief: ServerPool::onUnreachable (0.25 to 2 s of backoff of one server, ended by its next answer), onStalled (another server is tried, the first is only marked slow), RouterPeers (1.5 s of silence, soft state), ServerMonitor of agents (one probe within 1 s; a late agent would drop its server for 0.5 s), ConfigurationFollower (a peer whose fetch failed is not asked for 2 s).

--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -220,6 +220,7 @@
     settings.datagrams = previous.datagrams;
     startLog(settings.logLevel, LogFormat::Events, settings.name.value);
     router->setRetryLimits(retryLimits());
+    directory.setRenewalInterval(settings.renewalInterval);
     const bool pollingChanged = previous.maxConfigurationDelay != settings.maxConfigurationDelay
                                 || previous.maxLeavingDelay != settings.maxLeavingDelay;
     if (storeChanged || pollingChanged)
@@ -343,7 +344,7 @@
     const TimePoint now = clock.now();
     updateProcessLoad(now);
     updateRelay(now);
-    applyChanges(directory.expire(now));
+    applyChanges(directory.expire(!serversFollower->isFailing(), now));
     crashTraits.expire(now);
     flushLog();
     if (!terminatedAt)
--- a/src/direct/RouterNodePeers.cpp
+++ b/src/direct/RouterNodePeers.cpp
@@ -376,7 +376,7 @@
         KeyedRecord record{forwarded.key, std::nullopt, {}};
         if (!forwarded.isDeleted)
             record.value = forwarded.value;
-        applyChanges(directory.apply(ServerId(record.key), decodeServer(record), clock.now()));
+        applyServerRecord(ServerId(record.key), decodeServer(record), std::nullopt);
     }
     updateListTime();
 }
--- a/src/direct/RouterNodeSync.cpp
+++ b/src/direct/RouterNodeSync.cpp
@@ -29,7 +29,7 @@
         onConfigurationRecords(records);
     };
     forConfiguration.onEmptyRead = [](LogOffset) {};
-    forConfiguration.onStoreRecovered = [] {};
+    forConfiguration.onStoreReturned = [](std::chrono::nanoseconds) {};
     configurationFollower = std::make_unique<StoreFollower>(
             loop, clock, *store, KeyedTopic::Configuration,
             configurationPollTiming(settings.maxConfigurationDelay), std::move(forConfiguration));
@@ -39,10 +39,13 @@
         onServerRecords(records, from, to);
     };
     forServers.onEmptyRead = [this](LogOffset next) {
+        endStoreAbsence(0);
         updateListTime();
         announceUnchanged(next, next);
     };
-    forServers.onStoreRecovered = [this] { directory.onStoreRecovered(clock.now()); };
+    forServers.onStoreReturned = [this](std::chrono::nanoseconds unread) {
+        storeAbsence = StoreAbsence{unread, std::nullopt};
+    };
     serversFollower = std::make_unique<StoreFollower>(
             loop, clock, *store, KeyedTopic::Servers,
             serversPollTiming(settings.maxLeavingDelay, pollStagger()), std::move(forServers));
@@ -100,6 +103,7 @@
             entries.emplace(entry->id, std::move(*entry));
     }
     serversLoaded = true;
+    endStoreAbsence(std::nullopt);
     applyChanges(directory.applyAll(entries, clock.now()));
     updateListTime();
 }
@@ -107,13 +111,14 @@
 void RouterNode::Impl::onServerRecords(const std::vector<KeyedRecord> &records, LogOffset from,
                                        LogOffset to)
 {
+    endStoreAbsence(renewalsPerServer(records, directory.registeredCount()));
     std::vector<KeyedRecord> changes;
     for (const KeyedRecord &record : records) {
         const ServerId id(record.key);
         const auto entry = decodeServer(record);
         if (directory.isChange(id, entry))
             changes.push_back(record);
-        applyChanges(directory.apply(id, entry, clock.now()));
+        applyServerRecord(id, entry, serversFollower->writtenAfter());
     }
     updateListTime();
     if (changes.empty())
@@ -122,6 +127,31 @@
         announceChanges(changes, from, to);
 }
 
+/// Decides with the first records after the store's return whether registrations may have expired.
+void RouterNode::Impl::endStoreAbsence(std::optional<double> renewals)
+{
+    if (!storeAbsence)
+        return;
+    storeAbsence->renewalsPerServer = renewals;
+    const bool holds = directory.onStoreReturned(*storeAbsence, clock.now());
+    logInfo(LogPart::Membership, "event=store-absence unread_ms=", toMs(storeAbsence->unread),
+            " renewals_per_server=", renewals.value_or(-1),
+            " renewal_interval_ms=", settings.renewalInterval.count(), " holds_removals=", holds);
+    storeAbsence.reset();
+}
+
+void RouterNode::Impl::applyServerRecord(const ServerId &id,
+                                         const std::optional<ServerEntry> &entry,
+                                         std::optional<TimePoint> writtenAfter)
+{
+    if (!entry && directory.holdsRemoval(id, clock.now())) {
+        metrics.count("lovagecourse_removals_held_total");
+        logInfo(LogPart::Membership, "event=removal-held server=", id,
+                " reason=may-have-expired max_ms=", ServerDirectory::reregistrationGrace.count());
+    }
+    applyChanges(directory.apply(id, entry, writtenAfter, clock.now()));
+}
+
 void RouterNode::Impl::updateListTime()
 {
     if (const auto asOf = serversFollower->asOf())
@@ -130,8 +160,12 @@
 
 void RouterNode::Impl::applyChanges(const std::vector<RegistrationChange> &changes)
 {
-    for (const RegistrationChange &change : changes)
+    for (const RegistrationChange &change : changes) {
         pool.apply(change, clock.now());
+        if (!change.entry)
+            metrics.latency("lovagecourse_server_removal_seconds",
+                            clock.now() - change.writtenAfter);
+    }
     metrics.gauge("lovagecourse_servers", static_cast<double>(directory.size()));
 }
 
--- a/src/direct/ServerDirectory.cpp
+++ b/src/direct/ServerDirectory.cpp
@@ -1,23 +1,37 @@
 #include "direct/ServerDirectory.h"
 
+#include <algorithm>
+
 namespace lovagecourse {
 
-std::vector<RegistrationChange>
-ServerDirectory::apply(const ServerId &id, std::optional<ServerEntry> entry, TimePoint now)
+namespace {
+
+// A registration expires when its server has missed this many renewals.
+constexpr int missedRenewalsUntilExpiry = 3;
+
+} // namespace
+
+std::vector<RegistrationChange> ServerDirectory::apply(const ServerId &id,
+                                                       std::optional<ServerEntry> entry,
+                                                       std::optional<TimePoint> writtenAfter,
+                                                       TimePoint now)
 {
+    const auto found = entries_.find(id);
     if (entry) {
-        entries_[id] = KnownServer{*entry, false};
-        return {RegistrationChange{id, std::move(entry)}};
+        const auto lastRenewal =
+                found == entries_.end() ? std::nullopt : found->second.renewedAfter;
+        entries_[id] = KnownServer{*entry, writtenAfter ? writtenAfter : lastRenewal, std::nullopt};
+        return {RegistrationChange{id, std::move(entry), {}}};
     }
-    const auto found = entries_.find(id);
     if (found == entries_.end())
         return {};
-    if (now < graceUntil_) {
-        found->second.isMissing = true;
+    const TimePoint after = writtenAfter.value_or(now);
+    if (holdsRemoval(id, now)) {
+        found->second.missingAfter = found->second.missingAfter.value_or(after);
         return {};
     }
     entries_.erase(found);
-    return {RegistrationChange{id, std::nullopt}};
+    return {RegistrationChange{id, std::nullopt, after}};
 }
 
 bool ServerDirectory::isChange(const ServerId &id, const std::optional<ServerEntry> &entry) const
@@ -25,7 +39,7 @@
     const auto found = entries_.find(id);
     if (found == entries_.end())
         return entry.has_value();
-    return !entry || found->second.isMissing || found->second.entry != *entry;
+    return !entry || found->second.missingAfter || found->second.entry != *entry;
 }
 
 std::vector<RegistrationChange>
@@ -38,24 +52,57 @@
             missing.push_back(id);
     }
     for (const ServerId &id : missing) {
-        for (RegistrationChange &change : apply(id, std::nullopt, now))
+        for (RegistrationChange &change : apply(id, std::nullopt, std::nullopt, now))
             changes.push_back(std::move(change));
     }
     for (const auto &[id, entry] : entries) {
-        for (RegistrationChange &change : apply(id, entry, now))
+        for (RegistrationChange &change : apply(id, entry, std::nullopt, now))
             changes.push_back(std::move(change));
     }
     return changes;
 }
 
-std::vector<RegistrationChange> ServerDirectory::expire(TimePoint now)
+bool ServerDirectory::onStoreReturned(const StoreAbsence &absence, TimePoint now)
+{
+    // Registrations that came back during this absence have not been read, so a grace period from
+    // before it goes on for what was left of it.
+    const TimePoint begin = now - absence.unread;
+    if (graceUntil_ > begin)
+        graceUntil_ += absence.unread;
+    if (mayHaveExpired(absence, renewalInterval_))
+        graceUntil_ = now + reregistrationGrace;
+    return now < graceUntil_;
+}
+
+bool ServerDirectory::holdsRemoval(const ServerId &id, TimePoint now) const
+{
+    const auto found = entries_.find(id);
+    return found != entries_.end() && now < graceUntil_ && !isRenewed(found->second, now);
+}
+
+std::size_t ServerDirectory::registeredCount() const
+{
+    const auto count = std::count_if(entries_.begin(), entries_.end(),
+                                     [](const auto &known) { return !known.second.missingAfter; });
+    return static_cast<std::size_t>(count);
+}
+
+/// True when the last renewal is too recent for the registration to have expired since.
+bool ServerDirectory::isRenewed(const KnownServer &known, TimePoint now) const
+{
+    return known.renewedAfter
+           && now - *known.renewedAfter < missedRenewalsUntilExpiry * renewalInterval_;
+}
+
+std::vector<RegistrationChange> ServerDirectory::expire(bool isStoreAnswering, TimePoint now)
 {
     std::vector<RegistrationChange> changes;
-    if (now < graceUntil_)
+    if (!isStoreAnswering || now < graceUntil_)
         return changes;
     for (auto known = entries_.begin(); known != entries_.end();) {
-        if (known->second.isMissing) {
-            changes.push_back(RegistrationChange{known->first, std::nullopt});
+        if (known->second.missingAfter) {
+            changes.push_back(
+                    RegistrationChange{known->first, std::nullopt, *known->second.missingAfter});
             known = entries_.erase(known);
         } else {
             ++known;
--- a/src/direct/ServerDirectory.h
+++ b/src/direct/ServerDirectory.h
@@ -2,6 +2,7 @@
 
 #include "core/Clock.h"
 #include "direct/ServerEntry.h"
+#include "direct/StoreAbsence.h"
 
 #include <map>
 #include <optional>
@@ -15,40 +16,60 @@
     ServerId id;
     /// Empty when the server was removed.
     std::optional<ServerEntry> entry;
+    /// Of a removal: its record was written after this time.
+    TimePoint writtenAfter;
 };
 
 /// The registered servers. Registrations of live servers may expire during an outage of the store,
-/// so for reregistrationGrace after its recovery, missing servers are kept.
+/// so removals that may have this cause are held for reregistrationGrace after its return.
 class ServerDirectory
 {
 public:
-    /// Time after the store's recovery within which live servers register again.
+    /// Time after the store's return within which live servers register again.
     static constexpr milliseconds reregistrationGrace{2000};
 
+    /// renewalInterval: time between two renewals of a server's registration.
+    explicit ServerDirectory(milliseconds renewalInterval = milliseconds(1200))
+        : renewalInterval_(renewalInterval)
+    {}
+
+    void setRenewalInterval(milliseconds interval) { renewalInterval_ = interval; }
     /// Applies one record of the store; entry is empty when the record deletes the server or can't
-    /// be decoded.
+    /// be decoded. writtenAfter: a time before the record was written, if this router has read the
+    /// record itself.
     std::vector<RegistrationChange> apply(const ServerId &id, std::optional<ServerEntry> entry,
-                                          TimePoint now);
+                                          std::optional<TimePoint> writtenAfter, TimePoint now);
     /// True when the record would change the directory; false for a mere heartbeat.
     bool isChange(const ServerId &id, const std::optional<ServerEntry> &entry) const;
     /// Applies all records of the store; servers without a record are removed or marked missing.
     std::vector<RegistrationChange> applyAll(const std::map<ServerId, ServerEntry> &entries,
                                              TimePoint now);
-    /// Starts the grace period when the store answers again after an outage.
-    void onStoreRecovered(TimePoint now) { graceUntil_ = now + reregistrationGrace; }
-    /// Removes the servers that are still missing after the grace period.
-    std::vector<RegistrationChange> expire(TimePoint now);
+    /// Starts the grace period if registrations may have expired; call it before the records of the
+    /// first read after the absence are applied. Returns whether removals may be held from now on.
+    bool onStoreReturned(const StoreAbsence &absence, TimePoint now);
+    /// Returns whether a removal of this server would be held, because it may have expired.
+    bool holdsRemoval(const ServerId &id, TimePoint now) const;
+    /// Removes the servers that are still missing after the grace period, unless the store does not
+    /// answer, so that a registration that has come back may not have been read.
+    std::vector<RegistrationChange> expire(bool isStoreAnswering, TimePoint now);
     std::size_t size() const { return entries_.size(); }
+    /// Number of servers without those whose removal is held.
+    std::size_t registeredCount() const;
 
 private:
     struct KnownServer
     {
         ServerEntry entry;
-        /// The registration expired or was deleted during the grace period.
-        bool isMissing = false;
+        /// The last renewal that was read was written after this time.
+        std::optional<TimePoint> renewedAfter;
+        /// Set while a removal is held: its record was written after this time.
+        std::optional<TimePoint> missingAfter;
     };
 
+    bool isRenewed(const KnownServer &known, TimePoint now) const;
+
     std::map<ServerId, KnownServer> entries_;
+    milliseconds renewalInterval_;
     TimePoint graceUntil_;
 };
 
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -70,8 +70,9 @@
         logInfo(LogPart::Platform, "event=store-returned topic=", toString(topic_),
                 " away_ms=", outage.count(), " failures=", failures_);
         failures_ = 0;
-        handlers_.onStoreRecovered();
+        handlers_.onStoreReturned(readStart_ - asOf_.value_or(readStart_));
     }
+    previousAsOf_ = asOf_;
     // The pages of a full read are no snapshot: they may contain changes from after the offset at
     // which the next read begins. That read finds no change in such records, but they are changes
     // to routers that have not read them, so its range must not cover them.
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -24,8 +24,9 @@
                 onRecords;
         /// A read returned no records; next is the offset at which it began.
         std::function<void(LogOffset next)> onEmptyRead;
-        /// A read succeeded after failures; called before the handler for its records.
-        std::function<void()> onStoreRecovered;
+        /// A read succeeded after failures; called before the handler for its records. unread: from
+        /// the start of the last read before the failures to the start of this one.
+        std::function<void(std::chrono::nanoseconds unread)> onStoreReturned;
     };
 
     StoreFollower(EventLoop &loop, const Clock &clock, FleetStore &store, KeyedTopic topic,
@@ -44,6 +45,8 @@
     /// Start of the last read whose records are applied, by this follower or by the router that
     /// passed them on. Changes from before it are known. Empty before the first read.
     std::optional<TimePoint> asOf() const { return asOf_; }
+    /// In a handler for records: they were written after this time. Empty after the first read.
+    std::optional<TimePoint> writtenAfter() const { return previousAsOf_; }
     /// True while the last read failed.
     bool isFailing() const { return failures_ > 0; }
 
@@ -64,6 +67,8 @@
     bool isReading_ = false;
     TimePoint readStart_;
     std::optional<TimePoint> asOf_;
+    /// asOf_ before the last successful read.
+    std::optional<TimePoint> previousAsOf_;
     /// The last successful read was a full read.
     bool wasFullRead_ = false;
     unsigned failures_ = 0;
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -83,6 +83,7 @@
     SettingsReader bounds(root.readTable("bounds"), "bounds", file, faults);
     readMilliseconds(bounds, "configuration_ms", settings.maxConfigurationDelay);
     readMilliseconds(bounds, "leaving_ms", settings.maxLeavingDelay);
+    readMilliseconds(bounds, "renewal_ms", settings.renewalInterval);
     bounds.reportUnknownKeys();
 
     SettingsReader shutdown(root.readTable("shutdown"), "shutdown", file, faults);
--- a/src/settings/RouterSettings.h
+++ b/src/settings/RouterSettings.h
@@ -48,6 +48,8 @@
     milliseconds maxConfigurationDelay{2000};
     /// Longest time from the write of a server's leaving mark until it gets no more requests.
     milliseconds maxLeavingDelay{2000};
+    /// Time between two renewals of a server's registration.
+    milliseconds renewalInterval{1200};
     /// Time from SIGTERM until the platform kills the process.
     milliseconds shutdownLimit{8000};
     /// Time after SIGTERM in which the load balancer may still route new callers here: two failed
--- a/tests/direct/ServerDirectoryTest.cpp
+++ b/tests/direct/ServerDirectoryTest.cpp
@@ -20,11 +20,16 @@
     }
     std::vector<RegistrationChange> add(const std::string &id)
     {
-        return directory.apply(ServerId(id), entry(id), now);
+        return directory.apply(ServerId(id), entry(id), std::nullopt, now);
     }
     std::vector<RegistrationChange> remove(const std::string &id)
     {
-        return directory.apply(ServerId(id), std::nullopt, now);
+        return directory.apply(ServerId(id), std::nullopt, std::nullopt, now);
+    }
+    /// The store returns after an outage in which no server could renew its registration.
+    void endOutage(milliseconds outage = milliseconds(6000))
+    {
+        directory.onStoreReturned(StoreAbsence{outage, 0}, now);
     }
 };
 
@@ -47,14 +52,14 @@
 {
     add("a");
     add("b");
-    directory.onStoreRecovered(now);
+    endOutage();
     CHECK(remove("a").empty());
     CHECK(remove("b").empty());
     now += milliseconds(1500);
     CHECK(add("a").size() == 1);
-    CHECK(directory.expire(now).empty());
+    CHECK(directory.expire(true, now).empty());
     now += milliseconds(600);
-    const auto removed = directory.expire(now);
+    const auto removed = directory.expire(true, now);
     REQUIRE(removed.size() == 1);
     CHECK(removed[0].id == ServerId("b"));
     CHECK(directory.size() == 1);
@@ -83,7 +88,65 @@
     ServerEntry leaving = entry("a");
     leaving.isDraining = true;
     CHECK(directory.isChange(ServerId("a"), leaving));
-    directory.onStoreRecovered(now);
+    endOutage();
     remove("a");
     CHECK(directory.isChange(ServerId("a"), entry("a")));
 }
+
+// Guards against a removal that is held back because one read of the store got no answer in time.
+TEST_CASE_METHOD(ServerDirectoryFixture, "server directory, one late read, removal takes effect")
+{
+    add("a");
+    directory.onStoreReturned(StoreAbsence{milliseconds(1400), 1.2}, now);
+    CHECK(remove("a").size() == 1);
+}
+
+// Guards against a removal that is held back because this router alone could not reach the store.
+TEST_CASE_METHOD(ServerDirectoryFixture,
+                 "server directory, servers renewed in the absence, removal takes effect")
+{
+    add("a");
+    directory.onStoreReturned(StoreAbsence{seconds(6), 4.9}, now);
+    CHECK(remove("a").size() == 1);
+}
+
+// Guards against a removal that is held back although its server has renewed since the return.
+TEST_CASE_METHOD(ServerDirectoryFixture,
+                 "server directory, server renewed after the return, removal takes effect")
+{
+    add("a");
+    add("b");
+    endOutage();
+    directory.apply(ServerId("a"), entry("a"), now - milliseconds(800), now);
+    directory.apply(ServerId("b"), entry("b"), now - milliseconds(6000), now);
+    now += milliseconds(900);
+    CHECK(remove("a").size() == 1);
+    CHECK(remove("b").empty());
+}
+
+// Guards against the loss of live servers when it is not known whether they could renew.
+TEST_CASE_METHOD(ServerDirectoryFixture, "server directory, records unknown, may register again")
+{
+    add("a");
+    directory.onStoreReturned(StoreAbsence{seconds(6), std::nullopt}, now);
+    CHECK(remove("a").empty());
+    CHECK(directory.holdsRemoval(ServerId("a"), now));
+    now += milliseconds(2100);
+    CHECK(directory.expire(true, now).size() == 1);
+}
+
+// Guards against the loss of a live server whose new registration could not be read in time.
+TEST_CASE_METHOD(ServerDirectoryFixture,
+                 "server directory, store lost again in the grace period, may register again")
+{
+    add("a");
+    endOutage();
+    CHECK(remove("a").empty());
+    now += milliseconds(1500);
+    CHECK(directory.expire(false, now + milliseconds(1000)).empty());
+    now += milliseconds(1500);
+    directory.onStoreReturned(StoreAbsence{milliseconds(1500), 1.2}, now);
+    CHECK(directory.expire(true, now).empty());
+    now += milliseconds(600);
+    CHECK(directory.expire(true, now).size() == 1);
+}
--- a/tests/direct/StoreFollowerTest.cpp
+++ b/tests/direct/StoreFollowerTest.cpp
@@ -133,7 +133,7 @@
         handlers.onFullRead = [](const auto &) {};
         handlers.onRecords = [](const auto &, LogOffset, LogOffset) {};
         handlers.onEmptyRead = [](LogOffset) {};
-        handlers.onStoreRecovered = [] {};
+        handlers.onStoreReturned = [](auto) {};
         return handlers;
     }
 
@@ -149,7 +149,7 @@
         StoreFollower::Handlers handlers = ignoringHandlers();
         handlers.onFullRead = [this](const auto &) { ++fullReads; };
         handlers.onRecords = [this](const auto &, LogOffset, LogOffset) { ++recordReads; };
-        handlers.onStoreRecovered = [this] { ++recoveries; };
+        handlers.onStoreReturned = [this](auto) { ++recoveries; };
         StoreFollower follower(loop, clock, store, KeyedTopic::Servers, everyMillisecond,
                                std::move(handlers));
         follower.start();
@@ -219,7 +219,7 @@
 {
     store.results = {batch(7, 1), StoreFault::NoAnswer, batch(9, 1)};
     StoreFollower::Handlers handlers = ignoringHandlers();
-    handlers.onStoreRecovered = [this] { ++recoveries; };
+    handlers.onStoreReturned = [this](auto) { ++recoveries; };
     StoreFollower follower(loop, clock, store, KeyedTopic::Servers, everyMillisecond,
                            std::move(handlers));
     follower.start();
--- a/tests/settings/RouterSettingsTest.cpp
+++ b/tests/settings/RouterSettingsTest.cpp
@@ -29,6 +29,7 @@
 [bounds]
 configuration_ms = 2000
 leaving_ms = 3000
+renewal_ms = 900
 
 [shutdown]
 limit_s = 7.5
@@ -59,6 +60,7 @@
     CHECK(settings.retrySlack == 58);
     CHECK(settings.maxMemoryMb == 260);
     CHECK(settings.maxLeavingDelay == seconds(3));
+    CHECK(settings.renewalInterval == milliseconds(900));
     CHECK(settings.shutdownLimit == milliseconds(7500));
     CHECK(settings.maxSockets == 4100);
 }
