Use the configured renewal interval from the start

Cause: the router set the interval of ServerDirectory only when its settings were reloaded, so a process that was never told to reload judged an absence of the store by the default of 1.2 s (the interval of all deployments so far). Found when the next setting was added beside it.

--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -183,6 +183,7 @@
 {
     logInfo(LogPart::App, "event=started data_centre=", settings.dataCentre,
             " callers=", toString(settings.callers), " platform=", settings.platformUrl);
+    directory.setRenewalInterval(settings.renewalInterval);
     restartFollowers();
     registerSelf();
     readRouterRecords();
