Keep to what servers say in their answers: leaving, and a pause

Neither header was read, so a router without the store sent on to a server that left, and a full server got further requests. Change: platform/ decodes both into ServerAnswer (table and tests of odd values). placing/ServerWords decides from the registration and the words of a server's run whether it gets a request; ServerPool asks it when it chooses and when the connection is ready. Words outlive re-reads, lapses, reloads and the store's loss and end with the run; a pause ends by its time, with two requests at a time until one is answered. If all servers pause, callers are rejected at once with a spread Retry-After from the earliest end. Log lines, counters, a histogram, the setting bounds.max_pause_ms.

--- a/src/direct/ClientRequest.h
+++ b/src/direct/ClientRequest.h
@@ -63,6 +63,10 @@
     /// The server's signature is present; it is not verified.
     bool isSigned = false;
     std::optional<ReportedLoad> load;
+    /// The server states that it leaves.
+    bool isLeaving = false;
+    /// Of status 503: the server wants no request from this router for so long.
+    std::optional<milliseconds> pause;
     /// Headers that are forwarded to the caller unchanged.
     HeaderList forwarded;
 };
--- a/src/direct/DirectExchange.h
+++ b/src/direct/DirectExchange.h
@@ -23,6 +23,8 @@
 struct DirectAttempt
 {
     Placement placement;
+    /// Run of the server at the send.
+    ServerRunHash serverRun = 0;
     SendNumber number = 0;
     HttpTransferId transfer;
     TimePoint sentAt;
--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -33,6 +33,10 @@
 // router.
 constexpr milliseconds unavailableRetryAfter{50};
 
+// Time over which callers return after a pause of all servers.
+constexpr milliseconds minRetrySpread{200};
+constexpr milliseconds maxRetrySpread{2000};
+
 // Sent with a rejection by status 503: the caller retries on a new connection, and the old one
 // would only use memory.
 const HeaderList::value_type closeHeader{"connection", "close"};
@@ -175,13 +179,23 @@
     if (!placement) {
         if (exchange.mayHaveRun)
             return fail(exchange, statusBadGateway, "no-server-left");
-        return refuse(exchange, "no-server", defaultRetryAfter);
+        const auto pause = context.pool.timeToPauseEnd(exchange.service, now());
+        return pause ? refuse(exchange, "servers-paused", spreadRetryAfter(*pause))
+                     : refuse(exchange, "no-server", defaultRetryAfter);
     }
     if (exchange.triedServers.empty() && !admit(exchange, *placement))
         return;
     send(exchange, std::move(*placement));
 }
 
+/// Returns when a caller may return after a pause of the servers. Spread over a time as long as the
+/// pause, within limits, so that callers do not come back together.
+milliseconds DirectRouter::Impl::spreadRetryAfter(milliseconds pause)
+{
+    const milliseconds spread = std::clamp(pause, minRetrySpread, maxRetrySpread);
+    return pause + std::chrono::duration_cast<milliseconds>(drawShare() * spread);
+}
+
 /// Returns a random number in [0, 1).
 double DirectRouter::Impl::drawShare()
 {
@@ -217,6 +231,7 @@
     auto attempt = std::make_unique<DirectAttempt>();
     attempt->placement = std::move(placement);
     attempt->sentAt = current;
+    attempt->serverRun = context.pool.runOf(attempt->placement.server);
     attempt->loopDelayAtSend = context.loop.delay();
     attempt->number = context.pool.onSent(attempt->placement, exchange.prompt, current);
     exchange.triedServers.insert(attempt->placement.server);
--- a/src/direct/DirectRouterAnswers.cpp
+++ b/src/direct/DirectRouterAnswers.cpp
@@ -30,7 +30,7 @@
         return false;
     DirectAttempt &attempt = *exchange->attempt;
     const auto sendDelay = now() - attempt.sentAt;
-    if (!context.pool.accepts(attempt.placement.server)) {
+    if (!context.pool.accepts(attempt.placement.server, now())) {
         attempt.isWithdrawn = true;
         context.metrics.count("lovagecourse_sends_withdrawn_total");
         logInfo(LogPart::Routing, "event=send-withdrawn request=", exchange->client.attemptId,
@@ -73,8 +73,18 @@
         context.pool.onLoad(attempt.placement.server, *answer.load, now());
     if (exchange->stallTimer)
         exchange->stallTimer->stop();
-    if (!attempt.isInvalid)
+    if (!attempt.isInvalid) {
+        context.pool.onWords(AnswerOrigin{attempt.placement.server, attempt.serverRun,
+                                          attempt.sentAt, exchange->client.attemptId},
+                             answer, now());
+        if (answer.isLeaving)
+            context.metrics.count("lovagecourse_leaving_answers_total");
+        if (answer.pause) {
+            context.metrics.count("lovagecourse_pauses_heard_total");
+            context.metrics.latency("lovagecourse_pause_seconds", *answer.pause);
+        }
         return onServerAnswers(attempt);
+    }
     logWarning(LogPart::Routing, "event=garbled-answer request=", exchange->client.attemptId,
                " server=", attempt.placement.server, " status=", status,
                " answer_id=", answer.attemptId, " signed=", answer.isSigned, attempt.evidence);
--- a/src/direct/DirectRouterImpl.h
+++ b/src/direct/DirectRouterImpl.h
@@ -40,6 +40,7 @@
     PlacementRequest placementRequest(const DirectExchange &exchange) const;
     bool rejectsTraits(DirectExchange &exchange);
     double drawShare();
+    milliseconds spreadRetryAfter(milliseconds pause);
     bool admit(DirectExchange &exchange, const Placement &placement);
     void send(DirectExchange &exchange, Placement placement);
     void armStallTimer(DirectExchange &exchange);
--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -184,6 +184,7 @@
     logInfo(LogPart::App, "event=started data_centre=", settings.dataCentre,
             " callers=", toString(settings.callers), " platform=", settings.platformUrl);
     directory.setRenewalInterval(settings.renewalInterval);
+    pool.setMaxPause(settings.maxPause);
     restartFollowers();
     registerSelf();
     readRouterRecords();
@@ -222,6 +223,7 @@
     startLog(settings.logLevel, LogFormat::Events, settings.name.value);
     router->setRetryLimits(retryLimits());
     directory.setRenewalInterval(settings.renewalInterval);
+    pool.setMaxPause(settings.maxPause);
     const bool pollingChanged = previous.maxConfigurationDelay != settings.maxConfigurationDelay
                                 || previous.maxLeavingDelay != settings.maxLeavingDelay;
     if (storeChanged || pollingChanged)
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -13,6 +13,8 @@
 // Sends with less prefill time don't change other routers' choices; the next full report contains
 // them.
 constexpr double minReportedPrefillMs = 15;
+// A run whose registration has been gone for longer has ended.
+constexpr std::chrono::minutes maxDepartedAge{10};
 
 } // namespace
 
@@ -48,7 +50,8 @@
 {
     return static_cast<std::size_t>(
             std::count_if(servers_.begin(), servers_.end(), [&](const auto &server) {
-                return server.second.entry.service == service && !server.second.entry.isDraining;
+                return server.second.entry.service == service && !server.second.entry.isDraining
+                       && !server.second.words.leavingSince;
             }));
 }
 
@@ -59,10 +62,20 @@
     return XXH64(server.value.data(), server.value.size(), started);
 }
 
-bool ServerPool::accepts(const ServerId &server) const
+bool ServerPool::accepts(const ServerId &server, TimePoint now) const
 {
     const auto found = servers_.find(server);
-    return found != servers_.end() && !found->second.entry.isDraining;
+    if (found == servers_.end())
+        return false;
+    const Server &known = found->second;
+    // The request that asks is in flight itself.
+    const unsigned others = std::max(known.model.running(), 1U) - 1;
+    return withheldReason(known.entry.isDraining, known.words, others, now) == Withheld::No;
+}
+
+Withheld ServerPool::withheld(const Server &server, TimePoint now)
+{
+    return withheldReason(server.entry.isDraining, server.words, server.model.running(), now);
 }
 
 unsigned ServerPool::running(const ServerId &server) const
@@ -90,6 +103,7 @@
         if (server) {
             logInfo(LogPart::Membership, "event=server-gone server=", change.id,
                     " running=", server->model.running());
+            keepWords(change.id, *server, now);
             serversByHash_.erase(reportHash(change.id.value));
             serversByService_.clear();
             std::erase(unreportedServers_, server);
@@ -108,6 +122,8 @@
         added.entry = entry;
         added.model.setLoopDelay(toMs(loopDelay_));
         const auto position = servers_.emplace(change.id, std::move(added)).first;
+        if (const auto departed = departedWords_.extract(runOf(change.id)))
+            position->second.words = departed.mapped().words;
         serversByHash_[reportHash(change.id.value)] = &position->second;
         serversByService_.clear();
         return;
@@ -118,6 +134,8 @@
         server->cache.clear();
         server->model.onRestarted();
     }
+    if (server->entry.startedMs != entry.startedMs)
+        server->words = ServerWords();
     if (restarted || server->entry.isDraining != entry.isDraining)
         logInfo(LogPart::Membership, "event=server-changed server=", change.id,
                 " restarted=", restarted, " draining=", entry.isDraining,
@@ -155,7 +173,7 @@
     }
     for (const Server *candidateServer : known) {
         const Server &server = *candidateServer;
-        if (server.entry.isDraining || request.excluded.contains(server.entry.id))
+        if (withheld(server, now) != Withheld::No || request.excluded.contains(server.entry.id))
             continue;
         const double cachedTokens = server.holderMark == placementNumber
                                             ? server.cache.cachedTokens(request.prompt, capacity)
@@ -272,6 +290,53 @@
         known->model.onUnreachable(now);
 }
 
+void ServerPool::onWords(const AnswerOrigin &origin, const ServerAnswer &answer, TimePoint now)
+{
+    Server *server = find(origin.server);
+    if (!server || runOf(origin.server) != origin.run)
+        return;
+    ServerWords &words = server->words;
+    if (answer.isLeaving && !words.leavingSince) {
+        words.leavingSince = now;
+        logInfo(LogPart::Membership, "event=server-leaving server=", origin.server,
+                " run=", origin.run, " request=", origin.attemptId,
+                " running=", server->model.running());
+    }
+    if (answer.pause) {
+        const milliseconds pause = std::min(*answer.pause, maxPause_);
+        logInfo(LogPart::Membership, "event=server-paused server=", origin.server,
+                " run=", origin.run, " request=", origin.attemptId, " pause_ms=", pause.count(),
+                " asked_ms=", answer.pause->count(), " replaced=", words.pausedAt.has_value());
+        onPauseHeard(words, pause, now);
+    } else if (!answer.notExecuted && onAnswerHeard(words, origin.sentAt)) {
+        logInfo(LogPart::Membership, "event=server-pause-over server=", origin.server,
+                " run=", origin.run, " request=", origin.attemptId);
+    }
+}
+
+std::optional<milliseconds> ServerPool::timeToPauseEnd(const ServiceId &service,
+                                                       TimePoint now) const
+{
+    std::optional<milliseconds> first;
+    for (const Server *server : serversOf(service)) {
+        if (withheld(*server, now) != Withheld::Paused)
+            continue;
+        const auto left = std::chrono::ceil<milliseconds>(server->words.pausedUntil - now);
+        first = std::min(first.value_or(left), left);
+    }
+    return first;
+}
+
+/// Keeps what a server has said while its registration is gone, because it may come back.
+void ServerPool::keepWords(const ServerId &id, const Server &server, TimePoint now)
+{
+    std::erase_if(departedWords_, [&](const auto &entry) {
+        return now - entry.second.departedAt > maxDepartedAge;
+    });
+    if (server.words.leavingSince || server.words.pausedAt)
+        departedWords_[runOf(id)] = DepartedWords{server.words, now};
+}
+
 void ServerPool::logState(TimePoint now) const
 {
     for (const auto &[service, known] : speeds_)
--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -10,6 +10,7 @@
 #include "placing/PrefixCacheModel.h"
 #include "placing/PrefixHolders.h"
 #include "placing/ServerModel.h"
+#include "placing/ServerWords.h"
 
 #include <functional>
 #include <memory>
@@ -20,6 +21,17 @@
 
 namespace lovagecourse {
 
+/// Request that an answer belongs to.
+struct AnswerOrigin
+{
+    ServerId server;
+    /// Run of the server that the request was sent to; what an earlier run said does not concern
+    /// the present one.
+    ServerRunHash run = 0;
+    TimePoint sentAt;
+    std::string_view attemptId;
+};
+
 /// Properties of a request by which a server is chosen.
 struct PlacementRequest
 {
@@ -95,13 +107,20 @@
     void onEnded(const ServerId &server, SendNumber number);
     void onOutcome(const ServerId &server, bool failed);
     void onUnreachable(const ServerId &server, TimePoint now);
+    /// Takes what an answer says about further requests to its server.
+    void onWords(const AnswerOrigin &origin, const ServerAnswer &answer, TimePoint now);
+    /// Longest pause that is taken from an answer.
+    void setMaxPause(milliseconds pause) { maxPause_ = pause; }
+    /// Time until the first server of the service takes requests after a pause; empty if none is in
+    /// a pause.
+    std::optional<milliseconds> timeToPauseEnd(const ServiceId &service, TimePoint now) const;
     /// Logs one line per service with the learned speed and one per server with slowness and load.
     void logState(TimePoint now) const;
     std::size_t count(const ServiceId &service) const;
     /// Identifies the server's present run among those of all servers.
     ServerRunHash runOf(const ServerId &server) const;
-    /// True when the server is registered and is not leaving.
-    bool accepts(const ServerId &server) const;
+    /// True when the server is registered, is not leaving and has not asked for a pause.
+    bool accepts(const ServerId &server, TimePoint now) const;
     /// Requests of this router in flight at the server; 0 for an unknown server.
     unsigned running(const ServerId &server) const;
 
@@ -109,6 +128,7 @@
     struct Server
     {
         ServerEntry entry;
+        ServerWords words;
         ServerModel model;
         PrefixCacheModel cache;
         /// Load that the other routers report.
@@ -132,6 +152,14 @@
         bool hasUnrelayedLoad = false;
     };
 
+    struct DepartedWords
+    {
+        ServerWords words;
+        TimePoint departedAt;
+    };
+
+    static Withheld withheld(const Server &server, TimePoint now);
+    void keepWords(const ServerId &id, const Server &server, TimePoint now);
     Server *find(const ServerId &id);
     const std::vector<const Server *> &serversOf(const ServiceId &service) const;
     Server *findByHash(std::uint32_t hash);
@@ -166,6 +194,9 @@
     std::vector<Server *> unrelayedServers_;
     std::chrono::nanoseconds loopDelay_{0};
     std::optional<TimePoint> listTime_;
+    /// What runs of servers have said whose registration is gone and may come back.
+    std::unordered_map<ServerRunHash, DepartedWords> departedWords_;
+    milliseconds maxPause_{30000};
 };
 
 /// Returns the hash that identifies a server or an account in reports between routers.
--- /dev/null
+++ b/src/placing/ServerWords.cpp
@@ -0,0 +1,41 @@
+#include "placing/ServerWords.h"
+
+#include <array>
+
+namespace lovagecourse {
+
+std::string_view toString(Withheld reason)
+{
+    constexpr std::array<std::string_view, 5> names{"no", "draining", "leaving", "paused",
+                                                    "probing"};
+    return names[static_cast<std::size_t>(reason)];
+}
+
+Withheld withheldReason(bool isDraining, const ServerWords &words, unsigned running, TimePoint now)
+{
+    if (isDraining)
+        return Withheld::Draining;
+    if (words.leavingSince)
+        return Withheld::Leaving;
+    if (!words.pausedAt)
+        return Withheld::No;
+    if (now < words.pausedUntil)
+        return Withheld::Paused;
+    return running < maxProbesAfterPause ? Withheld::No : Withheld::Probing;
+}
+
+void onPauseHeard(ServerWords &words, milliseconds pause, TimePoint now)
+{
+    words.pausedAt = now;
+    words.pausedUntil = now + pause;
+}
+
+bool onAnswerHeard(ServerWords &words, TimePoint sentAt)
+{
+    if (!words.pausedAt || sentAt < words.pausedUntil)
+        return false;
+    words.pausedAt.reset();
+    return true;
+}
+
+} // namespace lovagecourse
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -84,6 +84,7 @@
     readMilliseconds(bounds, "configuration_ms", settings.maxConfigurationDelay);
     readMilliseconds(bounds, "leaving_ms", settings.maxLeavingDelay);
     readMilliseconds(bounds, "renewal_ms", settings.renewalInterval);
+    readMilliseconds(bounds, "max_pause_ms", settings.maxPause);
     bounds.reportUnknownKeys();
 
     SettingsReader shutdown(root.readTable("shutdown"), "shutdown", file, faults);
--- a/src/settings/RouterSettings.h
+++ b/src/settings/RouterSettings.h
@@ -50,6 +50,8 @@
     milliseconds maxLeavingDelay{2000};
     /// Time between two renewals of a server's registration.
     milliseconds renewalInterval{1200};
+    /// Longest pause that a server's answer can ask for.
+    milliseconds maxPause{60000};
     /// Time from SIGTERM until the platform kills the process.
     milliseconds shutdownLimit{8000};
     /// Time after SIGTERM in which the load balancer may still route new callers here: two failed
--- a/tests/platform/HeaderCodecTest.cpp
+++ b/tests/platform/HeaderCodecTest.cpp
@@ -74,3 +74,38 @@
     CHECK(codec.decodeAnswer(503, {{"x-lovagecourse-not-executed", "1"}}).notExecuted);
     CHECK_FALSE(codec.decodeAnswer(503, {}).notExecuted);
 }
+
+// Guards against a server's leaving or pause that is not understood, and against a value that is
+// understood as something else.
+TEST_CASE_METHOD(HeaderCodecFixture, "header codec, server leaves, is detected by the value 1 only")
+{
+    CHECK(codec.decodeAnswer(200, {{"server-leaving", "1"}}).isLeaving);
+    CHECK(codec.decodeAnswer(503, {{"server-leaving", "0"}, {"server-leaving", "1"}}).isLeaving);
+    for (const char *value : {"", "0", "true", "11", "1,1"})
+        CHECK_FALSE(codec.decodeAnswer(200, {{"server-leaving", value}}).isLeaving);
+    CHECK_FALSE(codec.decodeAnswer(200, {}).isLeaving);
+}
+
+TEST_CASE_METHOD(HeaderCodecFixture, "header codec, retry-after, is a pause with 503 only")
+{
+    const auto pause = [&](const std::string &value) {
+        return codec.decodeAnswer(503, {{"retry-after", value}}).pause;
+    };
+    CHECK(pause("2") == milliseconds(2000));
+    CHECK(pause("0") == milliseconds(0));
+    CHECK(pause("0.25") == milliseconds(250));
+    CHECK(pause("99999999999999999999") == milliseconds(1000000000000));
+    CHECK(pause(std::string(400, '9')) == milliseconds(1000000000000));
+    for (const char *value : {"", "-1", "-0.5", "soon", "2 s", "1e3", "inf", "nan", "2,3",
+                              "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+        CAPTURE(value);
+        CHECK_FALSE(pause(value));
+    }
+    CHECK(codec.decodeAnswer(503,
+                             {{"retry-after", "1"}, {"retry-after", "3"}, {"retry-after", "x"}})
+                  .pause
+          == milliseconds(3000));
+    CHECK_FALSE(codec.decodeAnswer(200, {{"retry-after", "2"}}).pause);
+    CHECK_FALSE(codec.decodeAnswer(429, {{"retry-after", "2"}}).pause);
+    CHECK_FALSE(codec.decodeAnswer(503, {}).pause);
+}
--- a/tests/settings/RouterSettingsTest.cpp
+++ b/tests/settings/RouterSettingsTest.cpp
@@ -30,6 +30,7 @@
 configuration_ms = 2000
 leaving_ms = 3000
 renewal_ms = 900
+max_pause_ms = 20000
 
 [shutdown]
 limit_s = 7.5
@@ -61,6 +62,7 @@
     CHECK(settings.maxMemoryMb == 260);
     CHECK(settings.maxLeavingDelay == seconds(3));
     CHECK(settings.renewalInterval == milliseconds(900));
+    CHECK(settings.maxPause == seconds(20));
     CHECK(settings.shutdownLimit == milliseconds(7500));
     CHECK(settings.maxSockets == 4100);
 }
