Judge an absence of the store by whether it answered anyone

A renewal that changes nothing is no record of the log, so missing renewals prove nothing; the removal was held as before. Change: StoreContact keeps when the store has answered: this router's reads of both topics, and the reads of other routers, which they announce with their age. If the longest silence is under 1.5 renewal intervals, no registration can have expired for lack of the store, and removals take effect at once. The count of renewals is gone. What was learned before the last read is forgotten with each read.

--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -39,7 +39,7 @@
     void announceChanges(const std::vector<KeyedRecord> &changes, LogOffset from, LogOffset to);
     std::optional<ServerEntry> decodeServer(const KeyedRecord &record);
     void applyChanges(const std::vector<RegistrationChange> &changes);
-    void endStoreAbsence(std::optional<double> renewals);
+    void onServersReadAgain(std::chrono::nanoseconds unread);
     void applyServerRecord(const ServerId &id, const std::optional<ServerEntry> &entry,
                            std::optional<TimePoint> writtenAfter);
     void updateListTime();
@@ -108,8 +108,7 @@
     std::unique_ptr<FleetStore> store;
     std::shared_ptr<const DirectConfiguration> configuration;
     ServerDirectory directory;
-    /// The store has returned, and the records of the first read have not been applied yet.
-    std::optional<StoreAbsence> storeAbsence;
+    StoreContact storeContact;
     /// All server records were read at least once.
     bool serversLoaded = false;
     ServerPool pool;
--- a/src/direct/RouterNodePeers.cpp
+++ b/src/direct/RouterNodePeers.cpp
@@ -354,8 +354,9 @@
     metrics.count("lovagecourse_store_reads_saved_total");
     const TimePoint asOf = timeOf(unchanged.ageMs);
     unchanged.ageMs = ageMs(asOf);
-    serversFollower->skipUnchanged(unchanged.from, unchanged.to, asOf);
-    updateListTime();
+    storeContact.onAnswer(asOf);
+    if (serversFollower->skipUnchanged(unchanged.from, unchanged.to, asOf))
+        updateListTime();
     if (peers.isInOtherDataCentre(sender))
         datagramSocket->sendToAll(peers.activePeers(clock.now()), unchanged);
 }
@@ -366,6 +367,7 @@
     changed.ageMs = ageMs(asOf);
     if (peers.isInOtherDataCentre(sender))
         datagramSocket->sendToAll(peers.activePeers(clock.now()), changed);
+    storeContact.onAnswer(asOf);
     if (!serversFollower->takeOver(changed.from, changed.to, asOf))
         return;
     metrics.count("lovagecourse_store_reads_saved_total");
--- a/src/direct/RouterNodeSync.cpp
+++ b/src/direct/RouterNodeSync.cpp
@@ -29,6 +29,7 @@
         onConfigurationRecords(records);
     };
     forConfiguration.onEmptyRead = [](LogOffset) {};
+    forConfiguration.onAnswer = [this] { storeContact.onAnswer(clock.now()); };
     forConfiguration.onStoreReturned = [](std::chrono::nanoseconds) {};
     configurationFollower = std::make_unique<StoreFollower>(
             loop, clock, *store, KeyedTopic::Configuration,
@@ -39,12 +40,12 @@
         onServerRecords(records, from, to);
     };
     forServers.onEmptyRead = [this](LogOffset next) {
-        endStoreAbsence(0);
         updateListTime();
         announceUnchanged(next, next);
     };
+    forServers.onAnswer = [this] { storeContact.onAnswer(clock.now()); };
     forServers.onStoreReturned = [this](std::chrono::nanoseconds unread) {
-        storeAbsence = StoreAbsence{unread, std::nullopt};
+        onServersReadAgain(unread);
     };
     serversFollower = std::make_unique<StoreFollower>(
             loop, clock, *store, KeyedTopic::Servers,
@@ -103,7 +104,6 @@
             entries.emplace(entry->id, std::move(*entry));
     }
     serversLoaded = true;
-    endStoreAbsence(std::nullopt);
     applyChanges(directory.applyAll(entries, clock.now()));
     updateListTime();
 }
@@ -111,7 +111,6 @@
 void RouterNode::Impl::onServerRecords(const std::vector<KeyedRecord> &records, LogOffset from,
                                        LogOffset to)
 {
-    endStoreAbsence(renewalsPerServer(records, directory.registeredCount()));
     std::vector<KeyedRecord> changes;
     for (const KeyedRecord &record : records) {
         const ServerId id(record.key);
@@ -127,17 +126,14 @@
         announceChanges(changes, from, to);
 }
 
-/// Decides with the first records after the store's return whether registrations may have expired.
-void RouterNode::Impl::endStoreAbsence(std::optional<double> renewals)
+/// Decides after failed reads whether registrations may have expired for lack of the store.
+void RouterNode::Impl::onServersReadAgain(std::chrono::nanoseconds unread)
 {
-    if (!storeAbsence)
-        return;
-    storeAbsence->renewalsPerServer = renewals;
-    const bool holds = directory.onStoreReturned(*storeAbsence, clock.now());
-    logInfo(LogPart::Membership, "event=store-absence unread_ms=", toMs(storeAbsence->unread),
-            " renewals_per_server=", renewals.value_or(-1),
+    const auto silence = storeContact.takeLongestSilence();
+    const bool holds = directory.onStoreReturned(unread, silence, clock.now());
+    logInfo(LogPart::Membership, "event=store-absence unread_ms=", toMs(unread),
+            " silence_ms=", toMs(silence),
             " renewal_interval_ms=", settings.renewalInterval.count(), " holds_removals=", holds);
-    storeAbsence.reset();
 }
 
 void RouterNode::Impl::applyServerRecord(const ServerId &id,
@@ -154,6 +150,8 @@
 
 void RouterNode::Impl::updateListTime()
 {
+    // What was learned of the store before this read concerns this read only.
+    storeContact.takeLongestSilence();
     if (const auto asOf = serversFollower->asOf())
         pool.setListTime(*asOf);
 }
--- a/src/direct/ServerDirectory.cpp
+++ b/src/direct/ServerDirectory.cpp
@@ -1,7 +1,5 @@
 #include "direct/ServerDirectory.h"
 
-#include <algorithm>
-
 namespace lovagecourse {
 
 namespace {
@@ -62,14 +60,14 @@
     return changes;
 }
 
-bool ServerDirectory::onStoreReturned(const StoreAbsence &absence, TimePoint now)
+bool ServerDirectory::onStoreReturned(std::chrono::nanoseconds unread,
+                                      std::chrono::nanoseconds silence, TimePoint now)
 {
-    // Registrations that came back during this absence have not been read, so a grace period from
-    // before it goes on for what was left of it.
-    const TimePoint begin = now - absence.unread;
-    if (graceUntil_ > begin)
-        graceUntil_ += absence.unread;
-    if (mayHaveExpired(absence, renewalInterval_))
+    // Registrations that came back meanwhile have not been read, so a grace period from before goes
+    // on for what was left of it.
+    if (graceUntil_ > now - unread)
+        graceUntil_ += unread;
+    if (mayHaveExpired(silence, renewalInterval_))
         graceUntil_ = now + reregistrationGrace;
     return now < graceUntil_;
 }
@@ -80,13 +78,6 @@
     return found != entries_.end() && now < graceUntil_ && !isRenewed(found->second, now);
 }
 
-std::size_t ServerDirectory::registeredCount() const
-{
-    const auto count = std::count_if(entries_.begin(), entries_.end(),
-                                     [](const auto &known) { return !known.second.missingAfter; });
-    return static_cast<std::size_t>(count);
-}
-
 /// True when the last renewal is too recent for the registration to have expired since.
 bool ServerDirectory::isRenewed(const KnownServer &known, TimePoint now) const
 {
--- a/src/direct/ServerDirectory.h
+++ b/src/direct/ServerDirectory.h
@@ -2,7 +2,7 @@
 
 #include "core/Clock.h"
 #include "direct/ServerEntry.h"
-#include "direct/StoreAbsence.h"
+#include "direct/StoreContact.h"
 
 #include <map>
 #include <optional>
@@ -44,17 +44,18 @@
     /// Applies all records of the store; servers without a record are removed or marked missing.
     std::vector<RegistrationChange> applyAll(const std::map<ServerId, ServerEntry> &entries,
                                              TimePoint now);
-    /// Starts the grace period if registrations may have expired; call it before the records of the
-    /// first read after the absence are applied. Returns whether removals may be held from now on.
-    bool onStoreReturned(const StoreAbsence &absence, TimePoint now);
+    /// Call it before the records of the first read after failed ones are applied. unread: time
+    /// since the last read; silence: longest part of it in which the store has answered nobody.
+    /// Starts the grace period if registrations may have expired. Returns whether removals may be
+    /// held from now on.
+    bool onStoreReturned(std::chrono::nanoseconds unread, std::chrono::nanoseconds silence,
+                         TimePoint now);
     /// Returns whether a removal of this server would be held, because it may have expired.
     bool holdsRemoval(const ServerId &id, TimePoint now) const;
     /// Removes the servers that are still missing after the grace period, unless the store does not
     /// answer, so that a registration that has come back may not have been read.
     std::vector<RegistrationChange> expire(bool isStoreAnswering, TimePoint now);
     std::size_t size() const { return entries_.size(); }
-    /// Number of servers without those whose removal is held.
-    std::size_t registeredCount() const;
 
 private:
     struct KnownServer
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -64,6 +64,7 @@
     isReading_ = false;
     if (const auto *fault = std::get_if<StoreFault>(&result))
         return onFault(*fault);
+    handlers_.onAnswer();
     const auto &batch = std::get<KeyedBatch>(result);
     if (failures_ > 0) {
         const auto outage = std::chrono::duration_cast<milliseconds>(clock_.now() - failingSince_);
@@ -87,11 +88,12 @@
         handlers_.onRecords(batch.records, from, batch.next);
 }
 
-void StoreFollower::skipUnchanged(LogOffset from, LogOffset to, TimePoint asOf)
+bool StoreFollower::skipUnchanged(LogOffset from, LogOffset to, TimePoint asOf)
 {
     if (!canSkip() || *next_ < from || to < *next_)
-        return;
+        return false;
     setCurrent(to, asOf);
+    return true;
 }
 
 bool StoreFollower::takeOver(LogOffset from, LogOffset to, TimePoint asOf)
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -24,6 +24,8 @@
                 onRecords;
         /// A read returned no records; next is the offset at which it began.
         std::function<void(LogOffset next)> onEmptyRead;
+        /// The store has answered a read; called before the handlers below and above.
+        std::function<void()> onAnswer = [] {};
         /// A read succeeded after failures; called before the handler for its records. unread: from
         /// the start of the last read before the failures to the start of this one.
         std::function<void(std::chrono::nanoseconds unread)> onStoreReturned;
@@ -34,9 +36,9 @@
 
     void start();
     /// Another router has read this range of records and found no change in it. Skips the range and
-    /// postpones the next read, if this follower has read all records before it. asOf: start of the
-    /// other router's read.
-    void skipUnchanged(LogOffset from, LogOffset to, TimePoint asOf);
+    /// postpones the next read, if this follower has read all records before it; returns whether it
+    /// has. asOf: start of the other router's read.
+    bool skipUnchanged(LogOffset from, LogOffset to, TimePoint asOf);
     /// Another router has read this range of records and passes on those that are changes. Returns
     /// true if this follower continues after the range, so that the caller must apply them. Unlike
     /// a range without changes, it must begin where this follower is: an older change must not
