Don't complete an entry's stream with an answer that has no data

Cause: the entry looked at the type of a second answer when its data came; an answer without data has none, and its complete end ended the stream. Streams of this path end with their last event, which had not come. Change: a stream that has begun and has not had its last event is aborted at the end of such an answer. The stand-in engine can refuse to resume.

--- a/src/entry/RouterAnswers.cpp
+++ b/src/entry/RouterAnswers.cpp
@@ -131,6 +131,11 @@
                       [&](const RequestAttempt &item) { return item.id() == attempt.id(); });
         return onAttemptFailed(*request, server, end.refusal);
     }
+    // An answer without data, such as an error after a resume, does not complete a stream.
+    if (request->streamBegun && request->isEventStream && !request->doneDelivered) {
+        daemon.metrics().count("lovagecourse_answer_gaps_total");
+        return refuse(*request, Refusal{RefusalReason::AnswerBroken, Ran::Unknown});
+    }
     if (!request->winner)
         onFirstByte(*request, attempt);
     complete(*request, attempt, end.cost);
--- a/standins/Engine.cpp
+++ b/standins/Engine.cpp
@@ -15,6 +15,9 @@
 constexpr std::uint64_t defaultTokens = 32;
 // A prompt that contains this text crashes the engine.
 constexpr std::string_view crashText = "crash-the-server";
+// A stream with a prompt that contains this text can't be resumed: the answer is an error without a
+// body.
+constexpr std::string_view failResumeText = "fail-to-resume";
 
 std::string contentOf(const json &message)
 {
@@ -122,6 +125,10 @@
     std::from_chars(resume.data(), resume.data() + resume.size(), sequence->nextToken);
     const std::string id = exchange->header("X-Request-Id");
     ++requests_[id.empty() ? sequence->prompt : id];
+    if (sequence->nextToken > 0 && sequence->prompt.find(failResumeText) != std::string::npos) {
+        exchange->respond(500, "");
+        return;
+    }
     const Sequence *raw = sequence.get();
     exchange->onClosed([this, raw] { cancel(raw); });
     waiting_.push_back(std::move(sequence));
--- a/tests/integration/WholeAnswerTest.cpp
+++ b/tests/integration/WholeAnswerTest.cpp
@@ -268,6 +268,18 @@
     CHECK(classifyOutcome(stream->outcome(), "long", 400, true) == AnswerClass::Complete);
 }
 
+// Guards against a stream that ends as complete because the server that should resume it answers
+// with an error.
+TEST_CASE_METHOD(ResumeFixture, "long stream, the resume is an error, fails at the caller")
+{
+    const std::string prompt = "fail-to-resume";
+    const auto stream = startStream(prompt, 400);
+    REQUIRE(waitUntil(seconds(10), [&] { return stream->received() > 5000; }));
+    REQUIRE(fleet.control(engineOf(prompt, 2), {{"crash", true}}));
+    CHECK(classifyOutcome(stream->outcome(), prompt, 400, true) == AnswerClass::Failed);
+    CHECK(stream->outcome().status == 200);
+}
+
 // Guards against a truncated stream that looks complete to its caller.
 TEST_CASE_METHOD(LastServerFixture, "long stream, no server is left, fails at the caller")
 {
