Keep a connection after an interim answer

Cause: the head of an interim answer (100) names no attempt, and the client asked about it as about the final one, so the connection was closed after the answer: a new connection for each request to such a server. Change: only a final head is asked about. Evidence: "interim answer has no id, connection is used again" fails without the change and passes with it.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -96,6 +96,16 @@
         transfer.handlers.onHead(head);
 }
 
+void decideReuse(const Transfer &transfer)
+{
+    constexpr long firstFinalStatus = 200;
+    const auto &mayReuse = transfer.handlers.mayReuseConnection;
+    long status = 0;
+    curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+    if (status >= firstFinalStatus && mayReuse && !mayReuse(transfer.headers))
+        curl_easy_setopt(transfer.easy, CURLOPT_FORBID_REUSE, 1L);
+}
+
 std::size_t onHeaderLine(char *data, std::size_t size, std::size_t count, void *user)
 {
     auto &transfer = *static_cast<Transfer *>(user);
@@ -104,14 +114,14 @@
     transfer.headBytes += line.size();
     if (transfer.headBytes > maxHeadBytes)
         return 0;
-    if (transfer.headIsWhole && !line.starts_with("HTTP/"))
-        return size * count; // a trailer after the body
+    const bool isTrailer = transfer.headIsWhole && !line.starts_with("HTTP/");
+    if (isTrailer)
+        return size * count;
     if (line.starts_with("HTTP/"))
         transfer.headers.clear();
     transfer.headIsWhole = line == "\r\n" || line == "\n";
-    const auto &mayReuse = transfer.handlers.mayReuseConnection;
-    if (transfer.headIsWhole && mayReuse && !mayReuse(transfer.headers))
-        curl_easy_setopt(transfer.easy, CURLOPT_FORBID_REUSE, 1L);
+    if (transfer.headIsWhole)
+        decideReuse(transfer);
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos)
         transfer.headers.emplace_back(toLower(trim(line.substr(0, colon))),
--- a/tests/direct/BrokenAnswerTest.cpp
+++ b/tests/direct/BrokenAnswerTest.cpp
@@ -277,3 +277,16 @@
             call("POST", "/unsafe/x", {{"x-lovagecourse-attempt-id", "id-2"}}, "b");
     CHECK((got.status == 200 || got.status == 502));
 }
+
+// Guards against a new connection for each request to a server that sends interim answers.
+TEST_CASE_METHOD(BrokenAnswerFixture,
+                 "broken answer, interim answer has no id, connection is used again")
+{
+    const ScriptedServer &server = addServer([](auto &connection, const std::string &request) {
+        connection.send("HTTP/1.1 100 Continue\r\n\r\n" + answer(request, 200, "whole"));
+    });
+    CHECK(call("POST", "/unsafe/x", {}, "b").body == "whole");
+    CHECK(call("POST", "/unsafe/x", {}, "b").body == "whole");
+    runFor(milliseconds(50));
+    CHECK(server.closedByPeer() == 0);
+}
