Take over changes of servers while an own read is silent

Cause (from the code, not traced in logs): a router with a read in progress, or after a failed one, ignored the changes that other routers had read and passed on, and learned them when its own read or the retry was answered. Class: one late answer holds back what others have told. Change: takeOver() accepts the next range at any time; the read in progress and the retry keep their time, and their answer is applied from the first record that is still unknown. Evidence: "own read is silent or failed, takes over changes of other routers" fails without the change (the first takeOver returns false); an answer that brings older records back, one that ends before, and a failure are its sections.

--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace lovagecourse {
 
@@ -52,6 +53,7 @@
             onResult(result, isFullRead);
     };
     const milliseconds answerTimeout = timing_.answerTimeout * (failures_ > 0 ? 2 : 1);
+    readFrom_ = next_.value_or(LogOffset(0));
     if (isFullRead)
         store_.readNewest(topic_, answerTimeout, onDone);
     else
@@ -74,18 +76,26 @@
         handlers_.onStoreReturned(readStart_ - asOf_.value_or(readStart_));
     }
     previousAsOf_ = asOf_;
+    if (isFullRead) {
+        wasFullRead_ = true;
+        setCurrent(batch.next, readStart_);
+        return handlers_.onFullRead(batch.records);
+    }
     // The pages of a full read are no snapshot: they may contain changes from after the offset at
     // which the next read begins. That read finds no change in such records, but they are changes
     // to routers that have not read them, so its range must not cover them.
-    const LogOffset from = wasFullRead_ ? batch.next : next_.value_or(batch.next);
-    wasFullRead_ = isFullRead;
-    setCurrent(batch.next, readStart_);
-    if (isFullRead)
-        handlers_.onFullRead(batch.records);
-    else if (batch.records.empty())
-        handlers_.onEmptyRead(batch.next);
+    const bool followsFullRead = std::exchange(wasFullRead_, false);
+    const LogOffset from = *next_;
+    const LogOffset to = std::max(batch.next, from);
+    setCurrent(to, readStart_);
+    // Records that were taken over during this read must not be applied after newer ones.
+    std::vector<KeyedRecord> records = batch.records;
+    if (from != readFrom_)
+        std::erase_if(records, [&](const KeyedRecord &record) { return record.offset < from; });
+    if (records.empty())
+        handlers_.onEmptyRead(to);
     else
-        handlers_.onRecords(batch.records, from, batch.next);
+        handlers_.onRecords(records, followsFullRead ? to : from, to);
 }
 
 bool StoreFollower::skipUnchanged(LogOffset from, LogOffset to, TimePoint asOf)
@@ -98,24 +108,27 @@
 
 bool StoreFollower::takeOver(LogOffset from, LogOffset to, TimePoint asOf)
 {
-    if (!canSkip() || *next_ != from || to <= from)
+    if (!next_ || *next_ != from || to <= from)
         return false;
     setCurrent(to, asOf);
     return true;
 }
 
 /// Sets how far the records are known. The next read is timed from the start of the read that
-/// returned them, because changes from after it may be missing.
+/// returned them, because changes from after it may be missing. A read in progress, and a retry
+/// after a failure, keep their time: only a read by this follower detects that the store has
+/// recovered.
 void StoreFollower::setCurrent(LogOffset next, TimePoint asOf)
 {
     next_ = next;
     asOf_ = std::max(asOf_.value_or(asOf), asOf);
+    if (isReading_ || failures_ > 0)
+        return;
     const auto age = clock_.now() - *asOf_;
     timer_.startOnce(std::max<std::chrono::nanoseconds>(timing_.interval - age, milliseconds(0)));
 }
 
-/// A read in progress returns the same records. After a failure, only a read by this follower
-/// detects that the store has recovered.
+/// A read in progress covers the range.
 bool StoreFollower::canSkip() const
 {
     return next_ && !isReading_ && failures_ == 0;
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -42,7 +42,7 @@
     /// Another router has read this range of records and passes on those that are changes. Returns
     /// true if this follower continues after the range, so that the caller must apply them. Unlike
     /// a range without changes, it must begin where this follower is: an older change must not
-    /// follow a newer one.
+    /// follow a newer one. Also while a read of this follower is in progress or has failed.
     bool takeOver(LogOffset from, LogOffset to, TimePoint asOf);
     /// Start of the last read whose records are applied, by this follower or by the router that
     /// passed them on. Changes from before it are known. Empty before the first read.
@@ -69,6 +69,8 @@
     bool isReading_ = false;
     TimePoint readStart_;
     std::optional<TimePoint> asOf_;
+    /// Offset at which the last read has begun.
+    LogOffset readFrom_;
     /// asOf_ before the last successful read.
     std::optional<TimePoint> previousAsOf_;
     /// The last successful read was a full read.
--- a/tests/direct/StoreFollowerTest.cpp
+++ b/tests/direct/StoreFollowerTest.cpp
@@ -117,6 +117,25 @@
     std::unique_ptr<Timer> timer_;
 };
 
+/// Store that answers the full read at once and other reads when the test says so.
+class HeldStore final : public ReadOnlyStore
+{
+public:
+    void readNewest(KeyedTopic, milliseconds,
+                    std::function<void(const KeyedResult &)> onDone) override
+    {
+        onDone(KeyedBatch{{}, LogOffset(7)});
+    }
+    void readFrom(KeyedTopic, LogOffset from, milliseconds, milliseconds,
+                  std::function<void(const KeyedResult &)> onDone) override
+    {
+        offsets.push_back(from.value);
+        pending = std::move(onDone);
+    }
+    std::vector<std::uint64_t> offsets;
+    std::function<void(const KeyedResult &)> pending;
+};
+
 struct StoreFollowerFixture
 {
     EventLoop loop;
@@ -312,3 +331,53 @@
     REQUIRE(delayingStore.starts.size() == 2);
     CHECK(delayingStore.starts[1] - delayingStore.starts[0] < milliseconds(280));
 }
+
+// Guards against a change that a router learns late although another router has told it, because
+// its own read gets no answer, and against an older change that its answer brings back.
+TEST_CASE_METHOD(
+        StoreFollowerFixture,
+        "store follower, own read is silent or failed, takes over changes of other routers")
+{
+    HeldStore heldStore;
+    std::vector<std::uint64_t> applied;
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> ranges;
+    StoreFollower::Handlers handlers = ignoringHandlers();
+    handlers.onRecords = [&](const auto &records, LogOffset from, LogOffset to) {
+        for (const KeyedRecord &record : records)
+            applied.push_back(record.offset.value);
+        ranges.emplace_back(from.value, to.value);
+    };
+    StoreFollower follower(loop, clock, heldStore, KeyedTopic::Servers, everyMillisecond,
+                           std::move(handlers));
+    follower.start();
+    runFor(milliseconds(10));
+    REQUIRE(heldStore.offsets == std::vector<std::uint64_t>{7});
+    heldStore.pending(KeyedBatch{{}, LogOffset(7)});
+    runFor(milliseconds(10));
+    REQUIRE(heldStore.offsets.size() == 2);
+    const TimePoint told = clock.now();
+    CHECK(follower.takeOver(LogOffset(7), LogOffset(9), told));
+    CHECK(follower.asOf() == told);
+    SECTION("the answer comes late")
+    {
+        heldStore.pending(
+                KeyedBatch{{KeyedRecord{"a", "1", LogOffset(7)}, KeyedRecord{"a", {}, LogOffset(8)},
+                            KeyedRecord{"b", "1", LogOffset(9)}},
+                           LogOffset(10)});
+        CHECK(applied == std::vector<std::uint64_t>{9});
+        CHECK(ranges == std::vector<std::pair<std::uint64_t, std::uint64_t>>{{9, 10}});
+    }
+    SECTION("the answer ends before")
+    {
+        heldStore.pending(KeyedBatch{{KeyedRecord{"a", "1", LogOffset(7)}}, LogOffset(8)});
+        CHECK(applied.empty());
+    }
+    SECTION("the read fails")
+    {
+        heldStore.pending(StoreFault::NoAnswer);
+        CHECK(follower.takeOver(LogOffset(9), LogOffset(10), clock.now()));
+    }
+    runFor(milliseconds(150));
+    REQUIRE(heldStore.offsets.size() == 3);
+    CHECK(heldStore.offsets.back() >= 9);
+}
