--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -196,7 +196,7 @@
     std::optional<TimePoint> listTime_;
     /// What runs of servers have said whose registration is gone and may come back.
     std::unordered_map<ServerRunHash, DepartedWords> departedWords_;
-    milliseconds maxPause_{30000};
+    milliseconds maxPause_{60000};
 };
 
 /// Returns the hash that identifies a server or an account in reports between routers.
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -73,7 +73,9 @@
         logInfo(LogPart::Platform, "event=store-returned topic=", toString(topic_),
                 " away_ms=", outage.count(), " failures=", failures_);
         failures_ = 0;
-        handlers_.onStoreReturned(readStart_ - asOf_.value_or(readStart_));
+        // Records that were taken over may be newer than the start of this read.
+        const auto unread = readStart_ - asOf_.value_or(readStart_);
+        handlers_.onStoreReturned(std::max<std::chrono::nanoseconds>(unread, milliseconds(0)));
     }
     previousAsOf_ = asOf_;
     if (isFullRead) {
--- a/tests/direct/StoreFollowerTest.cpp
+++ b/tests/direct/StoreFollowerTest.cpp
@@ -347,6 +347,8 @@
             applied.push_back(record.offset.value);
         ranges.emplace_back(from.value, to.value);
     };
+    std::optional<std::chrono::nanoseconds> unread;
+    handlers.onStoreReturned = [&](std::chrono::nanoseconds time) { unread = time; };
     StoreFollower follower(loop, clock, heldStore, KeyedTopic::Servers, everyMillisecond,
                            std::move(handlers));
     follower.start();
@@ -376,6 +378,12 @@
     {
         heldStore.pending(StoreFault::NoAnswer);
         CHECK(follower.takeOver(LogOffset(9), LogOffset(10), clock.now()));
+        runFor(milliseconds(150));
+        REQUIRE(heldStore.offsets.size() == 3);
+        CHECK(follower.takeOver(LogOffset(10), LogOffset(11), clock.now()));
+        heldStore.pending(KeyedBatch{{}, LogOffset(11)});
+        CHECK(unread == std::chrono::nanoseconds(0));
+        return;
     }
     runFor(milliseconds(150));
     REQUIRE(heldStore.offsets.size() == 3);
