--- a/tests/direct/StoreContactTest.cpp
+++ b/tests/direct/StoreContactTest.cpp
@@ -120,7 +120,7 @@
         if (server.isRemoved || now_ < server.nextRenewal)
             return;
         if (!isUp) {
-            server.nextRenewal = now_ + pick(100, 600);
+            server.nextRenewal = now_ + pick(200, 1200);
             return;
         }
         if (server.isListed && removals_ < serverCount / 2 && chance(0.02)) {
