Share the wait for a chosen server in tests, and drop an unused function

Found while reading the whole change: two tests had the same loop that runs until a server is chosen and not yet sent to; it is waitUntilChosen() of the fixture now, with all assertions as before. toString(Withheld) was written and never called.

--- a/src/placing/ServerWords.cpp
+++ b/src/placing/ServerWords.cpp
@@ -1,16 +1,7 @@
 #include "placing/ServerWords.h"
 
-#include <array>
-
 namespace lovagecourse {
 
-std::string_view toString(Withheld reason)
-{
-    constexpr std::array<std::string_view, 5> names{"no", "draining", "leaving", "paused",
-                                                    "probing"};
-    return names[static_cast<std::size_t>(reason)];
-}
-
 Withheld withheldReason(bool isDraining, const ServerWords &words, unsigned running, TimePoint now)
 {
     if (isDraining)
--- a/src/placing/ServerWords.h
+++ b/src/placing/ServerWords.h
@@ -2,9 +2,8 @@
 
 #include "core/Clock.h"
 
+#include <cstdint>
 #include <optional>
-#include <string>
-#include <string_view>
 
 namespace lovagecourse {
 
@@ -21,8 +20,6 @@
     Probing
 };
 
-std::string_view toString(Withheld reason);
-
 /// What one run of a server has said in its answers.
 struct ServerWords
 {
--- a/tests/direct/DirectRouterFixture.h
+++ b/tests/direct/DirectRouterFixture.h
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -192,6 +193,23 @@
         return *result;
     }
 
+    /// Runs the loop until a server is chosen for a request, before the request is sent. Returns
+    /// the server's index.
+    std::size_t waitUntilChosen()
+    {
+        const TimePoint limit = clock.now() + seconds(2);
+        std::optional<std::size_t> chosen;
+        while (!chosen && clock.now() < limit) {
+            ev_run(loop.handle(), EVRUN_ONCE);
+            for (std::size_t i = 0; i < entries.size(); ++i) {
+                if (pool.running(entries[i].id) > 0)
+                    chosen = i;
+            }
+        }
+        REQUIRE(chosen);
+        return *chosen;
+    }
+
     HttpTransferId lastTransfer;
 };
 
--- a/tests/direct/DirectRouterTest.cpp
+++ b/tests/direct/DirectRouterTest.cpp
@@ -2,8 +2,6 @@
 
 #include "direct/DirectRouterFixture.h"
 
-#include <optional>
-
 using namespace lovagecourse;
 using test::CallerAnswer;
 using test::DirectRouterFixture;
@@ -148,23 +146,15 @@
     addServer(handler);
     const auto got = start("POST", "/unsafe/x", {}, "b");
     const TimePoint limit = clock.now() + seconds(2);
-    std::optional<std::size_t> chosen;
-    while (!chosen && clock.now() < limit) {
-        ev_run(loop.handle(), EVRUN_ONCE);
-        for (std::size_t i = 0; i < entries.size(); ++i) {
-            if (pool.running(entries[i].id) > 0)
-                chosen = i;
-        }
-    }
-    REQUIRE(chosen);
-    REQUIRE(servers[*chosen]->requests().empty());
-    entries[*chosen].isDraining = true;
-    pool.apply(RegistrationChange{entries[*chosen].id, entries[*chosen]}, clock.now());
+    const std::size_t chosen = waitUntilChosen();
+    REQUIRE(servers[chosen]->requests().empty());
+    entries[chosen].isDraining = true;
+    pool.apply(RegistrationChange{entries[chosen].id, entries[chosen]}, clock.now());
     while (!got->isDone && clock.now() < limit)
         runFor(milliseconds(10));
-    CHECK(servers[*chosen]->requests().empty());
+    CHECK(servers[chosen]->requests().empty());
     CHECK(got->status == 200);
-    CHECK(got->body == entries[1 - *chosen].id.value);
+    CHECK(got->body == entries[1 - chosen].id.value);
 }
 
 // Guards against forwarding the answer of another request or an answer without the server's
--- a/tests/direct/WithheldServerTest.cpp
+++ b/tests/direct/WithheldServerTest.cpp
@@ -99,19 +99,11 @@
     addAnsweringServer();
     const auto got = start("POST", "/unsafe/x", {}, "b");
     const TimePoint limit = clock.now() + seconds(2);
-    std::optional<std::size_t> chosen;
-    while (!chosen && clock.now() < limit) {
-        ev_run(loop.handle(), EVRUN_ONCE);
-        for (std::size_t i = 0; i < entries.size(); ++i) {
-            if (pool.running(entries[i].id) > 0)
-                chosen = i;
-        }
-    }
-    REQUIRE(chosen);
-    hear(*chosen, true);
+    const std::size_t chosen = waitUntilChosen();
+    hear(chosen, true);
     while (!got->isDone && clock.now() < limit)
         runFor(milliseconds(10));
-    CHECK(servers[*chosen]->requests().empty());
+    CHECK(servers[chosen]->requests().empty());
     CHECK(got->status == 200);
 }
 
