--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -151,8 +151,14 @@
                    " fault=", toString(fault));
     }
     ++failures_;
-    timer_.startOnce(
-            std::min(timing_.maxRetryDelay, timing_.firstRetryDelay * static_cast<int>(failures_)));
+    const milliseconds delay =
+            std::min(timing_.maxRetryDelay, timing_.firstRetryDelay * static_cast<int>(failures_));
+    logInfo(LogPart::Platform, "event=store-read-failed topic=", toString(topic_),
+            " fault=", toString(fault), " failures=", failures_,
+            " took_ms=", toMs(clock_.now() - readStart_),
+            " known_ms_ago=", asOf_ ? toMs(clock_.now() - *asOf_) : -1,
+            " retry_ms=", delay.count());
+    timer_.startOnce(delay);
 }
 
 } // namespace lovagecourse
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -78,20 +78,25 @@
                                                          : BodyFraming::Length;
 }
 
+bool isReused(CURL *easy)
+{
+    long newConnections = 0;
+    curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &newConnections);
+    return newConnections == 0;
+}
+
 void deliverHead(Transfer &transfer)
 {
     if (transfer.headDelivered || transfer.cancelled)
         return;
     transfer.headDelivered = true;
     long status = 0;
-    long newConnections = 0;
     curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
-    curl_easy_getinfo(transfer.easy, CURLINFO_NUM_CONNECTS, &newConnections);
     HttpHead head;
     head.status = static_cast<int>(status);
     head.headers = transfer.headers;
     head.framing = bodyFraming(transfer.method, head.status, head.headers);
-    head.isConnectionReused = newConnections == 0;
+    head.isConnectionReused = isReused(transfer.easy);
     if (transfer.handlers.onHead)
         transfer.handlers.onHead(head);
 }
@@ -290,7 +295,9 @@
         long requestBytes = 0;
         curl_easy_getinfo(owned->easy, CURLINFO_SIZE_UPLOAD_T, &sentBytes);
         curl_easy_getinfo(owned->easy, CURLINFO_REQUEST_SIZE, &requestBytes);
-        failure = HttpFailure{static_cast<int>(code), sentBytes > 0 || requestBytes > 0};
+        const bool maybeSent = sentBytes > 0 || requestBytes > 0;
+        failure =
+                HttpFailure{static_cast<int>(code), maybeSent, maybeSent && isReused(owned->easy)};
     }
     curl_multi_remove_handle(multi, owned->easy);
     if (!owned->cancelled && owned->handlers.onDone)
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -50,6 +50,8 @@
     /// False only if no byte of the request was sent, usually because no connection was
     /// established.
     bool maybeSent = true;
+    /// An earlier transfer has used the connection.
+    bool isConnectionReused = false;
 };
 
 /// How the end of an answer's body is marked.
