--- a/tests/direct/StoreFollowerTest.cpp
+++ b/tests/direct/StoreFollowerTest.cpp
@@ -136,6 +136,39 @@
     std::function<void(const KeyedResult &)> pending;
 };
 
+/// Store that is silent after the full read, and answers calls that begin after its return.
+class SilentUntilStore final : public ReadOnlyStore
+{
+public:
+    explicit SilentUntilStore(EventLoop &loop)
+        : loop_(loop)
+    {}
+
+    void readNewest(KeyedTopic, milliseconds,
+                    std::function<void(const KeyedResult &)> onDone) override
+    {
+        onDone(KeyedBatch{{}, LogOffset(7)});
+    }
+    void readFrom(KeyedTopic, LogOffset, milliseconds, milliseconds timeout,
+                  std::function<void(const KeyedResult &)> onDone) override
+    {
+        ++reads;
+        if (isBack) {
+            onDone(KeyedBatch{{KeyedRecord{"k", "v", {}}}, LogOffset(8)});
+            return;
+        }
+        timeout_ = std::make_unique<Timer>(loop_, [onDone] { onDone(StoreFault::NoAnswer); });
+        timeout_->startOnce(timeout);
+    }
+
+    int reads = 0;
+    bool isBack = false;
+
+private:
+    EventLoop &loop_;
+    std::unique_ptr<Timer> timeout_;
+};
+
 struct StoreFollowerFixture
 {
     EventLoop loop;
@@ -389,3 +422,34 @@
     REQUIRE(heldStore.offsets.size() == 3);
     CHECK(heldStore.offsets.back() >= 9);
 }
+
+// Guards against a change that is in force late because a read from before the store's return goes
+// on after it.
+TEST_CASE_METHOD(StoreFollowerFixture,
+                 "store follower, store returns during a read, reads a change within its bound")
+{
+    constexpr milliseconds maxDelay{400};
+    const PollTiming timing =
+            GENERATE_COPY(configurationPollTiming(maxDelay), serversPollTiming(maxDelay, 1));
+    // The read that begins just before the return.
+    const int lastSilentRead = GENERATE(1, 2, 5);
+    SilentUntilStore silentStore(loop);
+    std::optional<TimePoint> applied;
+    StoreFollower::Handlers handlers = ignoringHandlers();
+    handlers.onRecords = [&](const auto &, LogOffset, LogOffset) {
+        applied = clock.now();
+        loop.stop();
+    };
+    StoreFollower follower(loop, clock, silentStore, KeyedTopic::Servers, timing,
+                           std::move(handlers));
+    follower.start();
+    const TimePoint limit = clock.now() + seconds(10);
+    while (silentStore.reads < lastSilentRead && clock.now() < limit)
+        ev_run(loop.handle(), EVRUN_ONCE);
+    REQUIRE(silentStore.reads == lastSilentRead);
+    const TimePoint returned = clock.now();
+    silentStore.isBack = true;
+    runFor(4 * maxDelay);
+    REQUIRE(applied);
+    CHECK(*applied - returned < maxDelay);
+}
--- a/tests/http/HttpClientTest.cpp
+++ b/tests/http/HttpClientTest.cpp
@@ -4,7 +4,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <memory>
+#include <set>
 #include <thread>
+#include <vector>
 
 using namespace lovagecourse;
 using test::ScriptedServer;
@@ -95,3 +98,42 @@
     REQUIRE(isDone);
     CHECK_FALSE(failure);
 }
+
+// Guards against a pool of connections that have gone silent together and fail one call after the
+// other.
+TEST_CASE_METHOD(HttpClientFixture,
+                 "http client, idle connections gone silent, fails one call and uses new ones")
+{
+    std::set<const ScriptedServer::Connection *> known;
+    std::set<const ScriptedServer::Connection *> silent;
+    ScriptedServer server(loop, [&](auto &connection, const std::string &) {
+        known.insert(&connection);
+        if (!silent.contains(&connection))
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+    constexpr int pooled = 4;
+    int answered = 0;
+    for (int i = 0; i < pooled; ++i) {
+        HttpRequest request;
+        request.url = "http://" + toString(server.address()) + "/";
+        HttpClient::Handlers handlers;
+        handlers.onDone = [&](const std::optional<HttpFailure> &result) {
+            answered += result ? 0 : 1;
+            if (answered == pooled)
+                loop.stop();
+        };
+        client.start(std::move(request), std::move(handlers));
+    }
+    loop.run();
+    REQUIRE(known.size() == pooled);
+    silent = known;
+    call(server);
+    REQUIRE(failure);
+    CHECK(failure->isConnectionReused);
+    for (int i = 0; i < pooled; ++i) {
+        isDone = false;
+        call(server);
+        REQUIRE(isDone);
+        CHECK_FALSE(failure);
+    }
+}
