--- a/tests/direct/DirectRouterTest.cpp
+++ b/tests/direct/DirectRouterTest.cpp
@@ -402,6 +402,41 @@
     CHECK(crashTraits.rejectedCount(clock.now()) == 1);
 }
 
+// Guards against one request that comes again and again and crashes one server after the other, and
+// against the rejection of sound requests of the same caller and path.
+TEST_CASE_METHOD(DirectRouterFixture,
+                 "direct router, one request without a prompt crashes servers, only it is rejected")
+{
+    const std::string target = GENERATE("/unsafe/order?item=7", "/safe/status?item=7");
+    for (int i = 0; i < 12; ++i) {
+        addServer([&](auto &connection, const std::string &request) {
+            if (request.find("item=7") != std::string::npos && request.ends_with("crash"))
+                connection.reset();
+            else
+                connection.send(answer(request, 200, "ok"));
+        });
+    }
+    const auto sends = [this] {
+        std::size_t count = 0;
+        for (const auto &server : servers)
+            count += server->requests().size();
+        return count;
+    };
+    for (int i = 0; i < 6; ++i) {
+        call("POST", target, {{"x-lovagecourse-attempt-id", "id-" + std::to_string(i)}}, "crash");
+        CHECK(call("POST", target, {}, "sound").status == 200);
+        CHECK(call("POST", "/safe/other", {}, "crash").status == 200);
+    }
+    const std::size_t before = sends();
+    const CallerAnswer got = call("POST", target, {}, "crash");
+    CHECK(got.status == 503);
+    CHECK(std::stod(std::string(findHeader(got.headers, "retry-after"))) > 60);
+    CHECK(sends() == before);
+    // Two attempts of each repeatable request until three servers are known to have crashed.
+    CHECK(before - 12 <= 4);
+    CHECK(call("POST", target, {}, "sound").status == 200);
+}
+
 // Guards against a stream without length or chunks that breaks off inside an event and reaches the
 // caller as complete.
 TEST_CASE_METHOD(DirectRouterFixture,
