Reject a whole request that crashes each server that runs it

Cause: only parts of prompts were traits, so a request without a prompt was never suspected. Suspects are bounded, since each broken request is one now.

--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -145,6 +145,9 @@
     const std::string &model = exchange.client.model;
     exchange.prompt = makePrefixes(XXH64(model.data(), model.size(), 0), exchange.client.prompt);
     exchange.traits = sharedPartHashes(exchange.client.prompt);
+    exchange.traits.push_back(wholeRequestTrait(exchange.account.value, exchange.request.method,
+                                                exchange.request.path + exchange.request.query,
+                                                exchange.request.body));
     exchange.costTokens =
             exchange.client.promptTokens + outputTokenCost * exchange.client.maxOutputTokens;
     milliseconds limit = exchange.route->timeout;
--- a/src/placing/CrashTraits.cpp
+++ b/src/placing/CrashTraits.cpp
@@ -1,5 +1,7 @@
 #include "placing/CrashTraits.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <array>
 
@@ -15,6 +17,10 @@
 // More than what is needed for a rejection; the latest are kept.
 constexpr std::size_t maxCrashesPerTrait = 8;
 constexpr std::chrono::minutes suspectLifetime{10};
+// Bounds the memory, because each request that breaks is a trait of its own.
+constexpr std::size_t maxSuspects = 4000;
+// When there are that many, those that have not crashed a further server for this time are dropped.
+constexpr seconds staleSuspectAge{30};
 // A report of a crash may arrive after the answer that clears its trait.
 constexpr seconds clearedLifetime{30};
 // An answer from later may come from the next run of a server that keeps its id.
@@ -33,6 +39,28 @@
     return names[static_cast<std::size_t>(decision)];
 }
 
+TraitHash wholeRequestTrait(std::string_view account, std::string_view method,
+                            std::string_view target, std::string_view body)
+{
+    TraitHash hash = 0;
+    // The length keeps the fields apart.
+    for (const std::string_view field : {account, method, target, body})
+        hash = XXH64(field.data(), field.size(), hash + field.size());
+    return hash;
+}
+
+/// Returns whether a further trait can be suspected.
+bool CrashTraits::makeRoom(TimePoint now)
+{
+    if (suspects_.size() < maxSuspects)
+        return true;
+    std::erase_if(suspects_, [&](const auto &suspect) {
+        return suspect.second.crashes.size() < serversToReject
+               && now - suspect.second.lastCrash >= staleSuspectAge;
+    });
+    return suspects_.size() < maxSuspects;
+}
+
 bool CrashTraits::onCrash(const TraitCrash &crash, TimePoint now)
 {
     if (now - crash.brokenAt >= suspectLifetime)
@@ -43,12 +71,16 @@
     const auto alive = alive_.find(crash.serverRun);
     if (alive != alive_.end() && crash.brokenAt < alive->second)
         return false;
+    if (!suspects_.contains(crash.trait) && !makeRoom(now))
+        return false;
     Suspect &suspect = suspects_[crash.trait];
     const bool isNew =
             suspect.crashes.emplace(crash.serverRun, Seen{crash.sentAt, crash.brokenAt}).second;
     if (!isNew)
         return false;
     suspect.lastCrash = std::max(suspect.lastCrash, crash.brokenAt);
+    TimePoint &lastBroken = lastBroken_[crash.serverRun];
+    lastBroken = std::max(lastBroken, crash.brokenAt);
     if (suspect.crashes.size() > maxCrashesPerTrait) {
         const auto oldest =
                 std::min_element(suspect.crashes.begin(), suspect.crashes.end(),
@@ -79,6 +111,9 @@
 
 void CrashTraits::onAlive(ServerRunHash serverRun, TimePoint sentAt, TimePoint now)
 {
+    const auto lastBroken = lastBroken_.find(serverRun);
+    if (lastBroken == lastBroken_.end() || now - lastBroken->second >= maxAliveDelay)
+        return;
     for (auto suspect = suspects_.begin(); suspect != suspects_.end();) {
         auto &crashes = suspect->second.crashes;
         const auto crash = crashes.find(serverRun);
@@ -213,6 +248,8 @@
     });
     std::erase_if(cleared_,
                   [&](const auto &cleared) { return now - cleared.second >= clearedLifetime; });
+    std::erase_if(lastBroken_,
+                  [&](const auto &broken) { return now - broken.second >= maxAliveDelay; });
     std::erase_if(alive_, [&](const auto &alive) { return now - alive.second >= clearedLifetime; });
 }
 
--- a/src/placing/CrashTraits.h
+++ b/src/placing/CrashTraits.h
@@ -11,11 +11,16 @@
 
 namespace lovagecourse {
 
-/// Hash of something that requests may have in common, such as one part of their prompts.
+/// Hash of something that requests may have in common: one part of their prompts, or the whole
+/// request when it comes again.
 using TraitHash = std::uint64_t;
 /// Identifies one run of a server, from its start to its end.
 using ServerRunHash = std::uint64_t;
 
+/// Trait of a request as a whole, for the same one that comes again under another id.
+TraitHash wholeRequestTrait(std::string_view account, std::string_view method,
+                            std::string_view target, std::string_view body);
+
 /// A server broke the connection of a request with the trait before the answer began.
 struct TraitCrash
 {
@@ -88,12 +93,15 @@
     bool isExplained(const Suspect &suspect, const std::vector<TraitHash> &traits,
                      TimePoint now) const;
     const Suspect *rejectedSuspect(TraitHash trait, TimePoint now) const;
+    bool makeRoom(TimePoint now);
 
     std::unordered_map<TraitHash, Suspect> suspects_;
     /// Latest answers of traits that were suspected; crashes from before are ignored.
     std::unordered_map<TraitHash, TimePoint> cleared_;
     /// When the latest request was sent that a server answered, for servers with dropped crashes.
     std::unordered_map<ServerRunHash, TimePoint> alive_;
+    /// When servers last broke off a request with a suspected trait.
+    std::unordered_map<ServerRunHash, TimePoint> lastBroken_;
 };
 
 } // namespace lovagecourse
--- a/tests/placing/CrashTraitsTest.cpp
+++ b/tests/placing/CrashTraitsTest.cpp
@@ -186,3 +186,34 @@
     traits.onAlive(3, TimePoint(), now);
     CHECK(isRejected(7));
 }
+
+// Guards against memory and time that grow with each request that breaks.
+TEST_CASE_METHOD(CrashTraitsFixture, "crash traits, many requests break once, stay bounded")
+{
+    crash(7, 1);
+    crash(7, 2);
+    crash(7, 3);
+    constexpr TraitHash requests = 20000;
+    for (TraitHash request = 100; request < 100 + requests; ++request) {
+        now += milliseconds(10);
+        traits.onCrash(TraitCrash{request, request, now - milliseconds(5), now}, now);
+    }
+    CHECK(traits.crashes(now, requests).size() <= 4003);
+    CHECK(isRejected(7));
+    // The latest ones are known.
+    crash(99 + requests, 2);
+    crash(99 + requests, 3);
+    CHECK(isRejected(99 + requests));
+}
+
+// Guards against two requests that count as the same one.
+TEST_CASE("crash traits, whole requests, differ in every field")
+{
+    const TraitHash trait = wholeRequestTrait("a", "POST", "/x/1", "body");
+    CHECK(trait == wholeRequestTrait("a", "POST", "/x/1", "body"));
+    CHECK(trait != wholeRequestTrait("b", "POST", "/x/1", "body"));
+    CHECK(trait != wholeRequestTrait("a", "GET", "/x/1", "body"));
+    CHECK(trait != wholeRequestTrait("a", "POST", "/x/2", "body"));
+    CHECK(trait != wholeRequestTrait("a", "POST", "/x/1", "bodies"));
+    CHECK(trait != wholeRequestTrait("a", "POST", "/x/1b", "ody"));
+}
