Don't hold a read of the store open after a failed one

Cause: a read after a failed one was a long poll again, with a doubled timeout: 2.1 s, and 0.4 s to the next, of 2 s allowed. When it began just before the store's return, nothing was read for all of that time. Fix: a retry asks for what there is and waits 1.2 s at most, so that a retry without an answer and the delay after it leave a fifth of the bound.

--- a/src/direct/PollTiming.cpp
+++ b/src/direct/PollTiming.cpp
@@ -6,7 +6,7 @@
 
 // Parts of the longest delay of a change. Together with an interval or a long poll, one read
 // without an answer and its retry leave the rest for a late event loop, the answer to the retry and
-// the send of a request.
+// the send of a request. So do a retry without an answer, twice as long, and the delay after it.
 constexpr double longPollShare = 0.45;
 constexpr double intervalShare = 0.35;
 // The router that reads first announces its result to the others, and they postpone their own
--- a/src/direct/PollTiming.h
+++ b/src/direct/PollTiming.h
@@ -9,7 +9,8 @@
 {
     /// Time from the start of a read to the start of the next.
     milliseconds interval{0};
-    /// Time for which the store may hold a read until a record arrives; 0 for no long poll.
+    /// Time for which the store may hold a read until a record arrives; 0 for no long poll. A read
+    /// after a failed one is not held.
     milliseconds longPollWait{0};
     /// Time from a failed read to the next one; grows with each further failure up to
     /// maxRetryDelay.
@@ -21,7 +22,8 @@
 };
 
 /// Timing for the configuration: a long poll, which returns changes at once. A change is read
-/// within maxDelay of its write, also when one read gets no answer.
+/// within maxDelay of its write, also when one read gets no answer, and within maxDelay of the
+/// return of a store that was silent.
 PollTiming configurationPollTiming(milliseconds maxDelay);
 /// Timing for the registrations of servers: reads at an interval, because the heartbeats of all
 /// servers would end a long poll many times a second. A change is read within maxDelay of its
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -52,13 +52,15 @@
         if (!alive.expired())
             onResult(result, isFullRead);
     };
-    const milliseconds answerTimeout = timing_.answerTimeout * (failures_ > 0 ? 2 : 1);
+    const bool isRetry = failures_ > 0;
+    const milliseconds answerTimeout = timing_.answerTimeout * (isRetry ? 2 : 1);
+    // A retry that began while the store was silent must not outlast its return for long.
+    const milliseconds wait = isRetry ? milliseconds(0) : timing_.longPollWait;
     readFrom_ = next_.value_or(LogOffset(0));
     if (isFullRead)
         store_.readNewest(topic_, answerTimeout, onDone);
     else
-        store_.readFrom(topic_, *next_, timing_.longPollWait, timing_.longPollWait + answerTimeout,
-                        onDone);
+        store_.readFrom(topic_, *next_, wait, wait + answerTimeout, onDone);
 }
 
 void StoreFollower::onResult(const KeyedResult &result, bool isFullRead)
