Read the configuration at once when another router has read more

Cause: each router knew only its own connection. The others had read the change and did not tell. Fix: the first router that has read configuration records names their end to the others (ConfigurationRead, one datagram, spread over 0.1 s, so that few routers send it; forwarded between data centres). A router that is still behind 0.1 s later gives up its read in progress and reads on a new connection, once for each announced end. Not chosen: passing the configuration itself on, which does not fit a datagram; repeating the announcement every second, which costs 50 datagrams a second in a data centre of 50 routers, for two failures at once.

--- a/src/direct/FleetStore.h
+++ b/src/direct/FleetStore.h
@@ -50,6 +50,17 @@
 
 std::string_view toString(StoreFault fault);
 
+/// How a read is made.
+struct ReadOptions
+{
+    /// Time for which the store holds the call while there are no records (long poll).
+    milliseconds wait{0};
+    /// Time after which the call has failed; includes the wait.
+    milliseconds timeout{0};
+    /// Uses none of the kept connections, which may have gone silent.
+    bool freshConnection = false;
+};
+
 using KeyedResult = std::variant<KeyedBatch, StoreFault>;
 /// Empty when the write succeeded.
 using WriteResult = std::optional<StoreFault>;
@@ -63,9 +74,8 @@
     /// Reads the newest record of every key.
     virtual void readNewest(KeyedTopic topic, milliseconds timeout,
                             std::function<void(const KeyedResult &)> onDone) = 0;
-    /// Reads the records from an offset on. When there are none yet, the store holds the call for
-    /// up to the wait time (long poll).
-    virtual void readFrom(KeyedTopic topic, LogOffset from, milliseconds wait, milliseconds timeout,
+    /// Reads the records from an offset on.
+    virtual void readFrom(KeyedTopic topic, LogOffset from, const ReadOptions &options,
                           std::function<void(const KeyedResult &)> onDone) = 0;
     /// Writes this router's own record.
     virtual void writeDaemon(const std::string &key, const std::string &value, milliseconds timeout,
--- a/src/direct/PollTiming.cpp
+++ b/src/direct/PollTiming.cpp
@@ -15,6 +15,9 @@
 constexpr double answerTimeoutShare = 0.3;
 constexpr double firstRetryShare = 0.05;
 constexpr double maxRetryShare = 0.2;
+// Long enough for the store's answer to all routers, which are told of a change at about the same
+// time, to arrive and be handled.
+constexpr double catchUpShare = 0.05;
 
 milliseconds part(milliseconds whole, double share)
 {
@@ -27,6 +30,7 @@
     timing.answerTimeout = part(maxDelay, answerTimeoutShare);
     timing.firstRetryDelay = part(maxDelay, firstRetryShare);
     timing.maxRetryDelay = part(maxDelay, maxRetryShare);
+    timing.catchUpDelay = part(maxDelay, catchUpShare);
     return timing;
 }
 
--- a/src/direct/PollTiming.h
+++ b/src/direct/PollTiming.h
@@ -19,6 +19,8 @@
     /// Time after which a read without an answer has failed, besides longPollWait. Doubled after a
     /// failure, in case that the store is slow.
     milliseconds answerTimeout{800};
+    /// Time from another router's news of records that this one has not read to a read of its own.
+    milliseconds catchUpDelay{100};
 };
 
 /// Timing for the configuration: a long poll, which returns changes at once. A change is read
--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -91,6 +91,7 @@
     , pool(settings.dataCentre)
     , peers(settings.name, settings.dataCentre, settings.processorPermille)
     , router(std::make_unique<DirectRouter>(routerContext()))
+    , configurationAnnouncement(loop, [this] { announceConfiguration(); })
     , intake(settings.processorPermille / permille)
     , tickTimer(loop, [this] { onTick(); })
     , fullReportTimer(loop, [this] { sendFullReport(); })
--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -34,6 +34,8 @@
     void onConfigurationRecords(const std::vector<KeyedRecord> &records);
     void onAllServers(const std::vector<KeyedRecord> &records);
     void onServerRecords(const std::vector<KeyedRecord> &records, LogOffset from, LogOffset to);
+    void onConfigurationRead();
+    void announceConfiguration();
     std::vector<Endpoint> fleetTargets();
     void announceUnchanged(LogOffset from, LogOffset to);
     void announceChanges(const std::vector<KeyedRecord> &changes, LogOffset from, LogOffset to);
@@ -71,6 +73,7 @@
     void onMessage(const DaemonId &sender, ServersUnchanged &&unchanged);
     void onMessage(const DaemonId &sender, ServersChanged &&changed);
     void onMessage(const DaemonId &sender, CrashTraitReport &&report);
+    void onMessage(const DaemonId &sender, ConfigurationRead &&read);
     void onTraitCrash(const TraitCrash &crash);
     void onTraitCleared(TraitHash trait);
     void scheduleTraitReport();
@@ -123,6 +126,9 @@
     unsigned presenceCount = 0;
     std::unique_ptr<DirectRouter> router;
     std::unique_ptr<StoreFollower> configurationFollower;
+    /// Up to where some router has announced that it has read the configuration.
+    LogOffset announcedConfiguration;
+    Timer configurationAnnouncement;
     std::unique_ptr<StoreFollower> serversFollower;
     std::unique_ptr<DatagramSocket> datagramSocket;
     std::unique_ptr<HttpGateway> gateway;
--- a/src/direct/RouterNodePeers.cpp
+++ b/src/direct/RouterNodePeers.cpp
@@ -383,6 +383,14 @@
     updateListTime();
 }
 
+void RouterNode::Impl::onMessage(const DaemonId &sender, ConfigurationRead &&read)
+{
+    announcedConfiguration = std::max(announcedConfiguration, read.next);
+    configurationFollower->onReadElsewhere(read.next);
+    if (peers.isInOtherDataCentre(sender))
+        datagramSocket->sendToAll(peers.activePeers(clock.now()), read);
+}
+
 void RouterNode::Impl::onRequest(CallerRequest &&request)
 {
     ++receivedRequests;
--- a/src/direct/RouterNodeSync.cpp
+++ b/src/direct/RouterNodeSync.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// Time over which routers spread their announcements of a configuration; the first one makes the
+// others needless.
+constexpr milliseconds announcementSpread{100};
 // Added to the idle timeout, so that a caller that keeps to it never sends on a connection that is
 // being closed.
 constexpr seconds idleTimeoutSlack{1};
@@ -23,10 +26,15 @@
 void RouterNode::Impl::restartFollowers()
 {
     store = platform.openStore(storeHttp, settings.platformUrl);
+    announcedConfiguration = LogOffset(0);
     StoreFollower::Handlers forConfiguration;
-    forConfiguration.onFullRead = [this](const auto &records) { onConfigurationRecords(records); };
+    forConfiguration.onFullRead = [this](const auto &records) {
+        onConfigurationRecords(records);
+        onConfigurationRead();
+    };
     forConfiguration.onRecords = [this](const auto &records, LogOffset, LogOffset) {
         onConfigurationRecords(records);
+        onConfigurationRead();
     };
     forConfiguration.onEmptyRead = [](LogOffset) {};
     forConfiguration.onAnswer = [this] { storeContact.onAnswer(clock.now()); };
@@ -54,6 +62,25 @@
     serversFollower->start();
 }
 
+/// Tells the other routers what this one has read, unless one of them has done so meanwhile.
+/// Without it, a router whose connection to the store has gone silent learns of a change late.
+void RouterNode::Impl::onConfigurationRead()
+{
+    const auto spread =
+            std::chrono::duration_cast<milliseconds>(announcementSpread * pollStagger());
+    if (!configurationAnnouncement.isActive())
+        configurationAnnouncement.startOnce(spread);
+}
+
+void RouterNode::Impl::announceConfiguration()
+{
+    const LogOffset next = configurationFollower->next().value_or(LogOffset(0));
+    if (next <= announcedConfiguration)
+        return;
+    announcedConfiguration = next;
+    datagramSocket->sendToAll(fleetTargets(), ConfigurationRead{next});
+}
+
 void RouterNode::Impl::onConfigurationRecords(const std::vector<KeyedRecord> &records)
 {
     for (const KeyedRecord &record : records) {
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -35,6 +35,8 @@
     , handlers_(std::move(handlers))
     , timer_(
               loop, [this] { read(); }, EventPriority::High)
+    , catchUpTimer_(
+              loop, [this] { catchUp(); }, EventPriority::High)
 {}
 
 void StoreFollower::start()
@@ -42,25 +44,46 @@
     read();
 }
 
-void StoreFollower::read()
+void StoreFollower::onReadElsewhere(LogOffset next)
+{
+    readElsewhere_ = std::max(readElsewhere_, next);
+    const bool isBehind = next_ && *next_ < next && caughtUp_ < next;
+    if (isBehind && !catchUpTimer_.isActive())
+        catchUpTimer_.startOnce(timing_.catchUpDelay);
+}
+
+void StoreFollower::catchUp()
+{
+    if (!next_ || *next_ >= readElsewhere_)
+        return;
+    logInfo(LogPart::Platform, "event=store-read-behind topic=", toString(topic_),
+            " next=", next_->value, " read_elsewhere=", readElsewhere_.value,
+            " reading_ms=", isReading_ ? toMs(clock_.now() - readStart_) : -1,
+            " failures=", failures_);
+    caughtUp_ = readElsewhere_;
+    timer_.stop();
+    read(true);
+}
+
+void StoreFollower::read(bool isCatchUp)
 {
     const bool isFullRead = !next_.has_value();
     isReading_ = true;
     readStart_ = clock_.now();
-    const auto onDone = [this, isFullRead,
+    const auto onDone = [this, isFullRead, number = ++readNumber_,
                          alive = std::weak_ptr<bool>(alive_)](const KeyedResult &result) {
-        if (!alive.expired())
+        if (!alive.expired() && number == readNumber_)
             onResult(result, isFullRead);
     };
     const bool isRetry = failures_ > 0;
     const milliseconds answerTimeout = timing_.answerTimeout * (isRetry ? 2 : 1);
     // A retry that began while the store was silent must not outlast its return for long.
-    const milliseconds wait = isRetry ? milliseconds(0) : timing_.longPollWait;
+    const milliseconds wait = isRetry || isCatchUp ? milliseconds(0) : timing_.longPollWait;
     readFrom_ = next_.value_or(LogOffset(0));
     if (isFullRead)
         store_.readNewest(topic_, answerTimeout, onDone);
     else
-        store_.readFrom(topic_, *next_, wait, wait + answerTimeout, onDone);
+        store_.readFrom(topic_, *next_, ReadOptions{wait, wait + answerTimeout, isCatchUp}, onDone);
 }
 
 void StoreFollower::onResult(const KeyedResult &result, bool isFullRead)
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -44,16 +44,23 @@
     /// a range without changes, it must begin where this follower is: an older change must not
     /// follow a newer one. Also while a read of this follower is in progress or has failed.
     bool takeOver(LogOffset from, LogOffset to, TimePoint asOf);
+    /// Another router has read all records before this offset. If this follower does not get them
+    /// within the catch-up delay, it gives up the read in progress, whose connection may be silent,
+    /// and reads on a new connection.
+    void onReadElsewhere(LogOffset next);
     /// Start of the last read whose records are applied, by this follower or by the router that
     /// passed them on. Changes from before it are known. Empty before the first read.
     std::optional<TimePoint> asOf() const { return asOf_; }
+    /// Offset after the last record that is applied. Empty before the first read.
+    std::optional<LogOffset> next() const { return next_; }
     /// In a handler for records: they were written after this time. Empty after the first read.
     std::optional<TimePoint> writtenAfter() const { return previousAsOf_; }
     /// True while the last read failed.
     bool isFailing() const { return failures_ > 0; }
 
 private:
-    void read();
+    void read(bool isCatchUp = false);
+    void catchUp();
     void onResult(const KeyedResult &result, bool isFullRead);
     void onFault(StoreFault fault);
     bool canSkip() const;
@@ -67,6 +74,13 @@
     Timer timer_;
     std::optional<LogOffset> next_;
     bool isReading_ = false;
+    /// Counts reads; only the result of the last one is used.
+    std::uint64_t readNumber_ = 0;
+    Timer catchUpTimer_;
+    /// Other routers have read all records before it.
+    LogOffset readElsewhere_;
+    /// The last catch-up has looked for records before it.
+    LogOffset caughtUp_;
     TimePoint readStart_;
     std::optional<TimePoint> asOf_;
     /// Offset at which the last read has begun.
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -664,6 +664,21 @@
     }
 };
 
+/// Datagram, router to router: the sender has read the configuration's records up to an offset of
+/// the store. A router that has not may have a connection to the store that has gone silent, and
+/// reads again.
+struct ConfigurationRead
+{
+    /// Offset after the last record.
+    LogOffset next;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(next);
+    }
+};
+
 /// Any message between daemons. The index identifies the type in the protocol, so new types must be
 /// appended.
 using Message =
@@ -672,6 +687,6 @@
                      CrashSuspectNotice, ConfigurationStateRequest, ConfigurationStateReply, Gossip,
                      ServiceReport, FairTotals, LeaveNotice, RouterReport, RouterAccountReport,
                      ServersUnchanged, RouterPresence, DataCentreReport, DataCentreAccountReport,
-                     ServersChanged, CrashTraitReport>;
+                     ServersChanged, CrashTraitReport, ConfigurationRead>;
 
 } // namespace lovagecourse
--- a/tests/direct/StoreFollowerTest.cpp
+++ b/tests/direct/StoreFollowerTest.cpp
@@ -30,7 +30,7 @@
         calls.emplace_back("all");
         answer(onDone);
     }
-    void readFrom(KeyedTopic, LogOffset from, milliseconds, milliseconds,
+    void readFrom(KeyedTopic, LogOffset from, const ReadOptions &,
                   std::function<void(const KeyedResult &)> onDone) override
     {
         calls.push_back("from " + std::to_string(from.value));
@@ -64,7 +64,7 @@
     {
         onDone(KeyedBatch{{}, LogOffset(7)});
     }
-    void readFrom(KeyedTopic, LogOffset, milliseconds, milliseconds timeout,
+    void readFrom(KeyedTopic, LogOffset, const ReadOptions &options,
                   std::function<void(const KeyedResult &)> onDone) override
     {
         if (std::exchange(wasSilent_, true)) {
@@ -72,7 +72,7 @@
             return;
         }
         timeout_ = std::make_unique<Timer>(loop_, [onDone] { onDone(StoreFault::NoAnswer); });
-        timeout_->startOnce(timeout);
+        timeout_->startOnce(options.timeout);
     }
 
 private:
@@ -96,7 +96,7 @@
     {
         answer(onDone);
     }
-    void readFrom(KeyedTopic, LogOffset, milliseconds, milliseconds,
+    void readFrom(KeyedTopic, LogOffset, const ReadOptions &,
                   std::function<void(const KeyedResult &)> onDone) override
     {
         answer(onDone);
@@ -126,13 +126,15 @@
     {
         onDone(KeyedBatch{{}, LogOffset(7)});
     }
-    void readFrom(KeyedTopic, LogOffset from, milliseconds, milliseconds,
+    void readFrom(KeyedTopic, LogOffset from, const ReadOptions &options,
                   std::function<void(const KeyedResult &)> onDone) override
     {
         offsets.push_back(from.value);
+        isFresh = options.freshConnection;
         pending = std::move(onDone);
     }
     std::vector<std::uint64_t> offsets;
+    bool isFresh = false;
     std::function<void(const KeyedResult &)> pending;
 };
 
@@ -149,7 +151,7 @@
     {
         onDone(KeyedBatch{{}, LogOffset(7)});
     }
-    void readFrom(KeyedTopic, LogOffset, milliseconds, milliseconds timeout,
+    void readFrom(KeyedTopic, LogOffset, const ReadOptions &options,
                   std::function<void(const KeyedResult &)> onDone) override
     {
         ++reads;
@@ -158,7 +160,7 @@
             return;
         }
         timeout_ = std::make_unique<Timer>(loop_, [onDone] { onDone(StoreFault::NoAnswer); });
-        timeout_->startOnce(timeout);
+        timeout_->startOnce(options.timeout);
     }
 
     int reads = 0;
@@ -453,3 +455,72 @@
     REQUIRE(applied);
     CHECK(*applied - returned < maxDelay);
 }
+
+// Guards against a change that is in force late at a router whose connection to the store is silent
+// although the other routers have read it.
+TEST_CASE_METHOD(StoreFollowerFixture,
+                 "store follower, other router has read more, reads at once on a new connection")
+{
+    HeldStore heldStore;
+    std::vector<std::uint64_t> applied;
+    StoreFollower::Handlers handlers = ignoringHandlers();
+    handlers.onRecords = [&](const auto &records, LogOffset, LogOffset) {
+        for (const KeyedRecord &record : records)
+            applied.push_back(record.offset.value);
+    };
+    constexpr PollTiming timing{.longPollWait = seconds(5), .catchUpDelay = milliseconds(30)};
+    StoreFollower follower(loop, clock, heldStore, KeyedTopic::Configuration, timing,
+                           std::move(handlers));
+    follower.onReadElsewhere(LogOffset(9));
+    follower.start();
+    runFor(milliseconds(60));
+    REQUIRE(heldStore.offsets == std::vector<std::uint64_t>{7});
+    const auto silent = std::exchange(heldStore.pending, nullptr);
+    const KeyedBatch answer{
+            {KeyedRecord{"a", "1", LogOffset(7)}, KeyedRecord{"a", "2", LogOffset(8)}},
+            LogOffset(9)};
+    SECTION("nothing new, the read goes on")
+    {
+        follower.onReadElsewhere(LogOffset(7));
+        runFor(milliseconds(60));
+        CHECK(heldStore.offsets.size() == 1);
+    }
+    SECTION("the own answer comes meanwhile, no further read")
+    {
+        follower.onReadElsewhere(LogOffset(9));
+        silent(answer);
+        CHECK(applied == std::vector<std::uint64_t>{7, 8});
+        runFor(milliseconds(60));
+        CHECK(heldStore.offsets == std::vector<std::uint64_t>{7, 9});
+        CHECK_FALSE(heldStore.isFresh);
+    }
+    SECTION("the own answer does not come, reads again, ignores a late answer")
+    {
+        follower.onReadElsewhere(LogOffset(9));
+        follower.onReadElsewhere(LogOffset(8));
+        runFor(milliseconds(60));
+        REQUIRE(heldStore.offsets == std::vector<std::uint64_t>{7, 7});
+        CHECK(heldStore.isFresh);
+        const auto second = std::exchange(heldStore.pending, nullptr);
+        second(answer);
+        CHECK(applied == std::vector<std::uint64_t>{7, 8});
+        silent(answer);
+        silent(StoreFault::NoAnswer);
+        CHECK(applied.size() == 2);
+        CHECK_FALSE(follower.isFailing());
+        runFor(milliseconds(60));
+        CHECK(heldStore.offsets == std::vector<std::uint64_t>{7, 7, 9});
+    }
+    SECTION("another router names records that don't exist, one further read")
+    {
+        follower.onReadElsewhere(LogOffset(99));
+        runFor(milliseconds(60));
+        REQUIRE(heldStore.offsets.size() == 2);
+        std::exchange(heldStore.pending, nullptr)(answer);
+        for (int i = 0; i < 5; ++i) {
+            follower.onReadElsewhere(LogOffset(99));
+            runFor(milliseconds(40));
+        }
+        CHECK(heldStore.offsets == std::vector<std::uint64_t>{7, 7, 9});
+    }
+}
