--- a/tests/direct/WithheldServerTest.cpp
+++ b/tests/direct/WithheldServerTest.cpp
@@ -207,3 +207,24 @@
         unlist(0);
     }
 }
+
+// Guards against a server that gets more requests than it says it takes.
+TEST_CASE_METHOD(WithheldServerFixture,
+                 "withheld server, answer names a limit, gets no more than that")
+{
+    constexpr double perSecond = 10;
+    const ScriptedServer &limited =
+            addAnsweringServer(200, "X-Lovagecourse-Server-Stamp: st\r\nServer-Limit: 10.0\r\n");
+    const ScriptedServer &other = addAnsweringServer();
+    callTimes(20);
+    REQUIRE_FALSE(limited.requests().empty());
+    const std::size_t before = limited.requests().size();
+    const TimePoint start = clock.now();
+    while (clock.now() - start < milliseconds(1000))
+        call("POST", "/unsafe/x", {}, "b");
+    const double allowed = 1.5 * perSecond * toMs(clock.now() - start) / 1000 + 5;
+    CHECK(static_cast<double>(limited.requests().size() - before) <= allowed);
+    // The limit is used, and the rest goes elsewhere.
+    CHECK(limited.requests().size() - before >= 5);
+    CHECK(other.requests().size() > limited.requests().size());
+}
