Keep to the limits that servers name, over all routers together

Cause: the header was not read; a server in need is even predicted to be fast, because it has few requests. Fix: platform/ decodes Server-Limit; what a server named belongs to its run, beside its leaving and its pause (ServerWords). RequestLimit is a token bucket for this router's part, LimitParts divides a limit: by data centre, and within one by the requests that routers tell each other they receive; without reports evenly, and as one of a hundred until the other routers are known. Routers tell each other limits, also that one has ended. A limit holds for 4 s after the server names a higher one or none: the servers count over such a time, and a window may begin before the end. When all servers are at their limits, callers are rejected at once. Ruled out: a limit that each router keeps for itself (n times as much); a message for each request.

--- a/src/direct/ClientRequest.h
+++ b/src/direct/ClientRequest.h
@@ -67,6 +67,10 @@
     bool isLeaving = false;
     /// Of status 503: the server wants no request from this router for so long.
     std::optional<milliseconds> pause;
+    /// Requests a second that the server takes from all routers together.
+    std::optional<double> limitPerSecond;
+    /// The server names a limit; true without limitPerSecond if it can't be read.
+    bool namesLimit = false;
     /// Headers that are forwarded to the caller unchanged.
     HeaderList forwarded;
 };
--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -100,6 +100,7 @@
         return;
     exchanges.emplace(exchange.caller, std::move(owned));
     budget(exchange.service).onRequest(exchange.arrived);
+    context.pool.limitParts().onRequest(reportHash(exchange.service.value), exchange.arrived);
     if (isStreamKind(exchange.route->kind))
         context.shares.onRequested(exchange.accountHash, exchange.costTokens, exchange.arrived);
     const CallerId caller = exchange.caller;
@@ -182,17 +183,21 @@
     if (!placement) {
         if (exchange.mayHaveRun)
             return fail(exchange, statusBadGateway, "no-server-left");
-        const auto pause = context.pool.timeToPauseEnd(exchange.service, now());
-        return pause ? refuse(exchange, "servers-paused", spreadRetryAfter(*pause))
-                     : refuse(exchange, "no-server", defaultRetryAfter);
+        const auto withheld = context.pool.withheldFor(exchange.service, now());
+        if (!withheld)
+            return refuse(exchange, "no-server", defaultRetryAfter);
+        return refuse(exchange,
+                      withheld->reason == Withheld::Limited ? "servers-limited" : "servers-paused",
+                      spreadRetryAfter(withheld->wait));
     }
     if (exchange.triedServers.empty() && !admit(exchange, *placement))
         return;
     send(exchange, std::move(*placement));
 }
 
-/// Returns when a caller may return after a pause of the servers. Spread over a time as long as the
-/// pause, within limits, so that callers do not come back together.
+/// Returns when a caller may return after a pause of the servers, or when a limit leaves room.
+/// Spread over a time as long as the pause, within limits, so that callers do not come back
+/// together.
 milliseconds DirectRouter::Impl::spreadRetryAfter(milliseconds pause)
 {
     const milliseconds spread = std::clamp(pause, minRetrySpread, maxRetrySpread);
--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -189,11 +189,13 @@
     restartFollowers();
     registerSelf();
     readRouterRecords();
-    lastTick = clock.now();
+    startedAt = clock.now();
+    lastTick = startedAt;
     tickTimer.startRepeating(tickInterval);
     fullReportTimer.startOnce(fullReportInterval);
     stateLogTimer.startRepeating(stateLogInterval);
     settingsTimer.startRepeating(settingsInterval);
+    pool.updateLimitParts(limitCounts(), startedAt);
 }
 
 /// Applies the settings that can change while the process runs. Called on SIGHUP and at an
@@ -350,6 +352,9 @@
     updateRelay(now);
     applyChanges(directory.expire(!serversFollower->isFailing(), now));
     crashTraits.expire(now);
+    pool.updateLimitParts(limitCounts(), now);
+    if (pool.takeLimitsChanged())
+        sendLimits(fleetTargets());
     flushLog();
     if (!terminatedAt)
         return;
--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -17,7 +17,8 @@
 
 /// Implementation of RouterNode. RouterNode.cpp contains sockets, settings and lifecycle,
 /// RouterNodeSync.cpp what is read from the store, RouterNodePeers.cpp the exchange of state with
-/// the other routers, RouterNodeTraits.cpp of it what concerns requests that crash servers.
+/// the other routers, RouterNodeTraits.cpp of it what concerns requests that crash servers,
+/// RouterNodeLimits.cpp what concerns limits of servers.
 struct RouterNode::Impl
 {
     Impl(EventLoop &eventLoop, const Clock &nodeClock, RouterSettings nodeSettings,
@@ -74,6 +75,9 @@
     void onMessage(const DaemonId &sender, ServersChanged &&changed);
     void onMessage(const DaemonId &sender, CrashTraitReport &&report);
     void onMessage(const DaemonId &sender, ConfigurationRead &&read);
+    void onMessage(const DaemonId &sender, RouterLimitReport &&report);
+    RouterCounts limitCounts() const;
+    void sendLimits(const std::vector<Endpoint> &targets);
     void onTraitCrash(const TraitCrash &crash);
     void onTraitCleared(TraitHash trait);
     void scheduleTraitReport();
@@ -124,6 +128,8 @@
     /// This router relays the load of its data centre to the others.
     bool isRelaying = false;
     unsigned presenceCount = 0;
+    /// The other routers' records in the store were read.
+    bool areRoutersKnown = false;
     std::unique_ptr<DirectRouter> router;
     std::unique_ptr<StoreFollower> configurationFollower;
     /// Up to where some router has announced that it has read the configuration.
@@ -136,6 +142,7 @@
     std::unique_ptr<HttpGateway> adminGateway;
     /// When SIGTERM or SIGINT arrived.
     std::optional<TimePoint> terminatedAt;
+    TimePoint startedAt;
     TimePoint lastTick;
     /// Moving average of the event loop delay.
     double meanLoopDelayMs = 0;
--- a/src/direct/RouterNodePeers.cpp
+++ b/src/direct/RouterNodePeers.cpp
@@ -95,6 +95,7 @@
                 peers.onRegistered(DaemonId(record.key), router->datagramEndpoint,
                                    router->dataCentre);
         }
+        areRoutersKnown = true;
         // Of two routers that start together, the later one reads the record of the other.
         presenceCount = 0;
         sendPresence();
@@ -134,6 +135,7 @@
     sendReports(pool.makeReports(false, now), targets);
     datagramSocket->sendToAll(targets,
                               RouterAccountReport{reportedAccounts(shares.localTotals(now))});
+    sendLimits(targets);
 }
 
 /// Reports the sends since the last report, so that routers don't all choose the same idle server.
@@ -195,6 +197,7 @@
             [this](const std::string &peer) { return peers.isMember(DaemonId(peer)); }, now);
     datagramSocket->sendToAll(
             targets, DataCentreAccountReport{settings.dataCentre, reportedAccounts(totals), false});
+    sendLimits(targets);
 }
 
 void RouterNode::Impl::sendIncrementalRelayReport()
@@ -292,10 +295,12 @@
     }
     // Before its peer entry is removed, a leaving router counts as a member for the last time.
     const bool isMember = peers.isMember(sender);
-    if (report.isLeaving)
+    if (report.isLeaving) {
         peers.onLeaving(sender);
-    else
+        pool.limitParts().onRouterLeft(sender.value);
+    } else {
         peers.onReportReceived(sender, report.datagramEndpoint, now);
+    }
     pool.applyReport(sender, report, isMember, now);
 }
 
--- a/src/direct/RouterPeers.h
+++ b/src/direct/RouterPeers.h
@@ -57,6 +57,8 @@
     bool isInOtherDataCentre(const DaemonId &router) const;
     /// Returns the number of live routers of the fleet, including this one.
     std::size_t liveCount(TimePoint now) const;
+    /// Returns the number of routers that were heard or are registered, including this one.
+    std::size_t knownCount() const { return peers_.size() + 1; }
     /// Returns the number of live routers of this data centre, including this one.
     std::size_t memberCount(TimePoint now) const;
 
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -70,7 +70,9 @@
     const Server &known = found->second;
     // The request that asks is in flight itself.
     const unsigned others = std::max(known.model.running(), 1U) - 1;
-    return withheldReason(known.entry.isDraining, known.words, others, now) == Withheld::No;
+    const Withheld reason = withheldReason(known.entry.isDraining, known.words, others, now);
+    // The request that asks has taken its part of the limit already.
+    return reason == Withheld::No || reason == Withheld::Limited;
 }
 
 Withheld ServerPool::withheld(const Server &server, TimePoint now)
@@ -241,6 +243,7 @@
         markUnreported(*server);
         markUnrelayed(*server);
     }
+    takeRoom(server->words.limit, now);
     server->sentTokens += static_cast<std::uint32_t>(placement.uncachedTokens);
     return server->model.onSent(speed(server->entry.service), work, server->peerLoads.sum(now),
                                 server->entry.slots, now);
@@ -302,6 +305,7 @@
                 " run=", origin.run, " request=", origin.attemptId,
                 " running=", server->model.running());
     }
+    onLimitHeard(*server, answer, origin, now);
     if (answer.pause) {
         const milliseconds pause = std::min(*answer.pause, maxPause_);
         logInfo(LogPart::Membership, "event=server-paused server=", origin.server,
@@ -314,15 +318,87 @@
     }
 }
 
-std::optional<milliseconds> ServerPool::timeToPauseEnd(const ServiceId &service,
+double ServerPool::limitPart(const Server &server, TimePoint now) const
+{
+    return limitParts_.part(reportHash(server.entry.service.value), routerCounts_, now);
+}
+
+void ServerPool::onLimitHeard(Server &server, const ServerAnswer &answer,
+                              const AnswerOrigin &origin, TimePoint now)
+{
+    RequestLimit &limit = server.words.limit;
+    const auto before = limit.named;
+    bool isChanged = false;
+    if (answer.limitPerSecond)
+        isChanged = onLimitNamed(limit, *answer.limitPerSecond, limitPart(server, now), now, now);
+    else if (!answer.namesLimit)
+        isChanged = onLimitAbsent(limit, origin.sentAt, now);
+    if (!isChanged)
+        return;
+    haveLimitsChanged_ = true;
+    logInfo(LogPart::Membership, "event=server-limit server=", origin.server, " run=", origin.run,
+            " request=", origin.attemptId, " per_second=", limit.named.value_or(-1),
+            " in_force=", limit.perSecond.value_or(-1), " before=", before.value_or(-1),
+            " own_per_second=", limit.ownPerSecond, " routers=", routerCounts_.fleet);
+}
+
+void ServerPool::onLimitReported(const HeardLimit &heard, TimePoint now)
+{
+    Server *server = findByHash(heard.server);
+    if (!server || runOf(server->entry.id) != heard.run)
+        return;
+    RequestLimit &limit = server->words.limit;
+    const auto before = limit.named;
+    const bool isChanged = heard.perSecond
+                                   ? onLimitNamed(limit, *heard.perSecond, limitPart(*server, now),
+                                                  heard.heardAt, now)
+                                   : onLimitAbsent(limit, heard.heardAt, heard.heardAt);
+    if (!isChanged)
+        return;
+    logInfo(LogPart::Membership, "event=server-limit server=", server->entry.id, " run=", heard.run,
+            " per_second=", limit.named.value_or(-1), " in_force=", limit.perSecond.value_or(-1),
+            " before=", before.value_or(-1), " own_per_second=", limit.ownPerSecond,
+            " routers=", routerCounts_.fleet, " heard_ms_ago=", toMs(now - heard.heardAt));
+}
+
+void ServerPool::updateLimitParts(const RouterCounts &counts, TimePoint now)
+{
+    routerCounts_ = counts;
+    for (auto &[id, server] : servers_) {
+        if (server.words.limit.perSecond)
+            updateLimit(server.words.limit, limitPart(server, now), now);
+    }
+}
+
+std::vector<HeardLimit> ServerPool::heardLimits(TimePoint now) const
+{
+    // Others that still know the limit are told for so long that it has ended.
+    constexpr seconds endedLimitAge{5};
+    std::vector<HeardLimit> heard;
+    for (const auto &[id, server] : servers_) {
+        const RequestLimit &limit = server.words.limit;
+        const bool hasEnded =
+                !limit.named && limit.heardAt != TimePoint() && now - limit.heardAt < endedLimitAge;
+        if (limit.named || hasEnded)
+            heard.push_back(
+                    HeardLimit{runOf(id), reportHash(id.value), limit.named, limit.heardAt});
+    }
+    return heard;
+}
+
+std::optional<ServersWithheld> ServerPool::withheldFor(const ServiceId &service,
                                                        TimePoint now) const
 {
-    std::optional<milliseconds> first;
+    std::optional<ServersWithheld> first;
     for (const Server *server : serversOf(service)) {
-        if (withheld(*server, now) != Withheld::Paused)
+        const Withheld reason = withheld(*server, now);
+        if (reason != Withheld::Paused && reason != Withheld::Limited)
             continue;
-        const auto left = std::chrono::ceil<milliseconds>(server->words.pausedUntil - now);
-        first = std::min(first.value_or(left), left);
+        const auto left = reason == Withheld::Paused ? server->words.pausedUntil - now
+                                                     : timeToRoom(server->words.limit, now);
+        const auto wait = std::chrono::ceil<milliseconds>(left);
+        if (!first || wait < first->wait)
+            first = ServersWithheld{reason, wait};
     }
     return first;
 }
@@ -333,7 +409,7 @@
     std::erase_if(departedWords_, [&](const auto &entry) {
         return now - entry.second.departedAt > maxDepartedAge;
     });
-    if (server.words.leavingSince || server.words.pausedAt)
+    if (server.words.leavingSince || server.words.pausedAt || server.words.limit.perSecond)
         departedWords_[runOf(id)] = DepartedWords{server.words, now};
 }
 
--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -5,6 +5,7 @@
 #include "direct/LoadSources.h"
 #include "direct/ServerDirectory.h"
 #include "placing/CrashTraits.h"
+#include "placing/LimitParts.h"
 #include "placing/PeerLoads.h"
 #include "placing/PlacementChoice.h"
 #include "placing/PrefixCacheModel.h"
@@ -17,6 +18,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace lovagecourse {
@@ -32,6 +34,24 @@
     std::string_view attemptId;
 };
 
+/// What a server said of its limit, at the router that heard it.
+struct HeardLimit
+{
+    ServerRunHash run = 0;
+    /// Hash of the server's id.
+    std::uint32_t server = 0;
+    /// Empty when the server names no limit any more.
+    std::optional<double> perSecond;
+    TimePoint heardAt;
+};
+
+/// Why no server of a service gets a request now, and for how long.
+struct ServersWithheld
+{
+    Withheld reason = Withheld::No;
+    milliseconds wait{0};
+};
+
 /// Properties of a request by which a server is chosen.
 struct PlacementRequest
 {
@@ -111,9 +131,19 @@
     void onWords(const AnswerOrigin &origin, const ServerAnswer &answer, TimePoint now);
     /// Longest pause that is taken from an answer.
     void setMaxPause(milliseconds pause) { maxPause_ = pause; }
-    /// Time until the first server of the service takes requests after a pause; empty if none is in
-    /// a pause.
-    std::optional<milliseconds> timeToPauseEnd(const ServiceId &service, TimePoint now) const;
+    /// Time until the first server of the service may get a request, after a pause or within its
+    /// limit; empty if none is in a pause or at its limit.
+    std::optional<ServersWithheld> withheldFor(const ServiceId &service, TimePoint now) const;
+    /// By which the limits of servers are divided among the routers.
+    LimitParts &limitParts() { return limitParts_; }
+    /// Updates this router's parts of all limits.
+    void updateLimitParts(const RouterCounts &counts, TimePoint now);
+    /// Another router has told what a server said.
+    void onLimitReported(const HeardLimit &heard, TimePoint now);
+    /// Limits of servers and those that have ended a short time ago.
+    std::vector<HeardLimit> heardLimits(TimePoint now) const;
+    /// True when a limit has changed since the last call.
+    bool takeLimitsChanged() { return std::exchange(haveLimitsChanged_, false); }
     /// Logs one line per service with the learned speed and one per server with slowness and load.
     void logState(TimePoint now) const;
     std::size_t count(const ServiceId &service) const;
@@ -159,6 +189,9 @@
     };
 
     static Withheld withheld(const Server &server, TimePoint now);
+    void onLimitHeard(Server &server, const ServerAnswer &answer, const AnswerOrigin &origin,
+                      TimePoint now);
+    double limitPart(const Server &server, TimePoint now) const;
     void keepWords(const ServerId &id, const Server &server, TimePoint now);
     Server *find(const ServerId &id);
     const std::vector<const Server *> &serversOf(const ServiceId &service) const;
@@ -197,6 +230,9 @@
     /// What runs of servers have said whose registration is gone and may come back.
     std::unordered_map<ServerRunHash, DepartedWords> departedWords_;
     milliseconds maxPause_{60000};
+    LimitParts limitParts_;
+    RouterCounts routerCounts_;
+    bool haveLimitsChanged_ = false;
 };
 
 /// Returns the hash that identifies a server or an account in reports between routers.
--- a/src/placing/ServerWords.cpp
+++ b/src/placing/ServerWords.cpp
@@ -8,11 +8,11 @@
         return Withheld::Draining;
     if (words.leavingSince)
         return Withheld::Leaving;
-    if (!words.pausedAt)
-        return Withheld::No;
-    if (now < words.pausedUntil)
+    if (words.pausedAt && now < words.pausedUntil)
         return Withheld::Paused;
-    return running < maxProbesAfterPause ? Withheld::No : Withheld::Probing;
+    if (words.pausedAt && running >= maxProbesAfterPause)
+        return Withheld::Probing;
+    return hasRoom(words.limit, now) ? Withheld::No : Withheld::Limited;
 }
 
 void onPauseHeard(ServerWords &words, milliseconds pause, TimePoint now)
--- a/src/placing/ServerWords.h
+++ b/src/placing/ServerWords.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Clock.h"
+#include "placing/RequestLimit.h"
 
 #include <cstdint>
 #include <optional>
@@ -17,7 +18,9 @@
     /// One of its answers said that it wants no request for a time.
     Paused,
     /// Its pause is over, but no answer has shown yet that it takes requests again.
-    Probing
+    Probing,
+    /// This router has used its part of the requests that the server takes.
+    Limited
 };
 
 /// What one run of a server has said in its answers.
@@ -28,6 +31,7 @@
     /// When it last asked for a pause, and the pause's end.
     std::optional<TimePoint> pausedAt;
     TimePoint pausedUntil;
+    RequestLimit limit;
 };
 
 /// Requests of one router that a server gets at the same time after a pause, until it answers one.
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -679,6 +679,56 @@
     }
 };
 
+/// What a server said of its limit in one of its answers, as one router tells it to another.
+struct ServerLimitNews
+{
+    /// Hash of the server's id.
+    std::uint32_t server = 0;
+    /// Identifies the server's run.
+    std::uint64_t serverRun = 0;
+    /// Requests in 1,000 seconds that the server takes from all routers; 0 when it names no limit
+    /// any more.
+    std::uint32_t perKilosecond = 0;
+    /// Time since the answer, in milliseconds.
+    std::uint32_t ageMs = 0;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(server, serverRun, perKilosecond, ageMs);
+    }
+};
+
+/// Requests that a router receives for a service.
+struct RouterServiceDemand
+{
+    /// Hash of the service's name.
+    std::uint32_t service = 0;
+    /// Requests in 1,000 seconds.
+    std::uint32_t perKilosecond = 0;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(service, perKilosecond);
+    }
+};
+
+/// Datagram, router to router: the limits that servers name, and what the sender receives, by which
+/// the routers of a data centre divide the limits. A router of another data centre forwards it to
+/// the routers of its own, without the demands.
+struct RouterLimitReport
+{
+    std::vector<ServerLimitNews> limits;
+    std::vector<RouterServiceDemand> demands;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(limits, demands);
+    }
+};
+
 /// Any message between daemons. The index identifies the type in the protocol, so new types must be
 /// appended.
 using Message =
@@ -687,6 +737,6 @@
                      CrashSuspectNotice, ConfigurationStateRequest, ConfigurationStateReply, Gossip,
                      ServiceReport, FairTotals, LeaveNotice, RouterReport, RouterAccountReport,
                      ServersUnchanged, RouterPresence, DataCentreReport, DataCentreAccountReport,
-                     ServersChanged, CrashTraitReport, ConfigurationRead>;
+                     ServersChanged, CrashTraitReport, ConfigurationRead, RouterLimitReport>;
 
 } // namespace lovagecourse
--- a/tests/platform/HeaderCodecTest.cpp
+++ b/tests/platform/HeaderCodecTest.cpp
@@ -86,6 +86,31 @@
     CHECK_FALSE(codec.decodeAnswer(200, {}).isLeaving);
 }
 
+TEST_CASE_METHOD(HeaderCodecFixture, "header codec, server limit, is a plain number only")
+{
+    const auto limit = [&](const std::string &value) {
+        const ServerAnswer answer = codec.decodeAnswer(200, {{"server-limit", value}});
+        CHECK(answer.namesLimit);
+        return answer.limitPerSecond;
+    };
+    CHECK(limit("12") == 12.);
+    CHECK(limit("0") == 0.);
+    CHECK(limit("7.25") == 7.25);
+    CHECK(limit("1000000000") == 1e9);
+    for (const std::string &value :
+         {std::string(), std::string("-1"), std::string("-0.5"), std::string("few"),
+          std::string("2 a second"), std::string("1e3"), std::string("inf"), std::string("nan"),
+          std::string("2,3"), std::string(400, '9')}) {
+        CAPTURE(value);
+        CHECK_FALSE(limit(value));
+    }
+    CHECK(codec.decodeAnswer(503,
+                             {{"server-limit", "5"}, {"server-limit", "x"}, {"server-limit", "3"}})
+                  .limitPerSecond
+          == 3.);
+    CHECK_FALSE(codec.decodeAnswer(200, {}).namesLimit);
+}
+
 TEST_CASE_METHOD(HeaderCodecFixture, "header codec, retry-after, is a pause with 503 only")
 {
     const auto pause = [&](const std::string &value) {
