--- a/tests/platform/HeaderCodecTest.cpp
+++ b/tests/platform/HeaderCodecTest.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
+
 using namespace lovagecourse;
 
 namespace {
@@ -86,6 +88,31 @@
     CHECK_FALSE(codec.decodeAnswer(200, {}).isLeaving);
 }
 
+// Guards against numbers that are none and make every prediction that uses them one.
+TEST_CASE_METHOD(HeaderCodecFixture, "header codec, numbers beyond their range, stay usable")
+{
+    for (const std::string value : {"1,2,8,nan", "1,2,8,inf", "nan,nan,nan,nan", "inf,1,1"}) {
+        CAPTURE(value);
+        const auto load = codec.decodeAnswer(200, {{"x-lovagecourse-instance-load", value}}).load;
+        CHECK((!load || std::isfinite(load->slowness)));
+        CHECK((!load || load->slots == 8));
+    }
+    const auto huge =
+            codec.decodeAnswer(200, {{"x-lovagecourse-instance-load", "1e300,1e300,1e300,1e300"}})
+                    .load;
+    REQUIRE(huge);
+    CHECK(huge->running > 0);
+    CHECK(huge->running <= 1000000000);
+    const ClientRequest request = codec.decodeRequest(
+            {{"x-lovagecourse-deadline-ms", "1e300"}, {"x-lovagecourse-token-usage", "nan,inf"}});
+    REQUIRE(request.callerTimeout);
+    CHECK(*request.callerTimeout > seconds(60));
+    CHECK(*request.callerTimeout + std::chrono::hours(24) > *request.callerTimeout);
+    CHECK(std::isfinite(request.promptTokens));
+    CHECK(std::isfinite(request.maxOutputTokens));
+    CHECK_FALSE(codec.decodeRequest({{"x-lovagecourse-deadline-ms", "nan"}}).callerTimeout);
+}
+
 TEST_CASE_METHOD(HeaderCodecFixture, "header codec, server limit, is a plain number only")
 {
     const auto limit = [&](const std::string &value) {
