--- a/src/core/Log.cpp
+++ b/src/core/Log.cpp
@@ -12,7 +12,9 @@
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 #include <chrono>
 #include <ctime>
 #include <iostream>
@@ -69,14 +71,22 @@
                                   {"message", line}};
         return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     }
-    std::ostringstream text;
-    text << timestamp() << ' ' << levelName << ' ' << logState().daemonName << " [" << partName
-         << "] " << line;
-    return text.str();
+    std::ostringstream out;
+    out << timestamp() << ' ' << levelName << ' ' << logState().daemonName << " [" << partName
+        << "] " << line;
+    return printable(out.str());
 }
 
 } // namespace
 
+std::string printable(std::string text)
+{
+    std::replace_if(
+            text.begin(), text.end(),
+            [](unsigned char letter) { return std::iscntrl(letter) != 0; }, '?');
+    return text;
+}
+
 void startLog(LogLevel level, LogFormat format, const std::string &daemonName)
 {
     LogState &state = logState();
--- a/src/core/Log.h
+++ b/src/core/Log.h
@@ -30,6 +30,10 @@
 /// as lines with "name=value" fields, without blocking and at a bounded rate (see BoundedWriter).
 enum class LogFormat : std::uint8_t { Text, Json, Events };
 
+/// Replaces control characters, which names that other programs chose may contain, so that they
+/// can't begin a line of their own.
+std::string printable(std::string text);
+
 /// Configures the log of the process. Lines below the level are discarded.
 void startLog(LogLevel level, LogFormat format, const std::string &daemonName);
 /// Returns whether lines of this level are written.
--- a/tests/platform/ConfigurationDecoderTest.cpp
+++ b/tests/platform/ConfigurationDecoderTest.cpp
@@ -74,6 +74,43 @@
     }
 }
 
+// Guards against an odd entry that ends the process, or that is taken for a server with other
+// properties than it has.
+TEST_CASE("server entry, odd values of another writer, names no server to use")
+{
+    constexpr std::size_t depth = 250000;
+    const std::string deep = std::string(depth, '[') + std::string(depth, ']');
+    CHECK(faultOfEntry(replaced(validEntry, "\"v1\"", deep)).empty());
+    CHECK(faultOfEntry(replaced(validEntry, "128", deep)) == "slots");
+    CHECK(faultOfEntry(std::string(depth, '[')) == "document");
+    CHECK(faultOfEntry(std::string(depth, '{')) == "document");
+    for (const char *slots : {"4294967296", "4294967297", "18446744073709551616", "1e3", "1e999",
+                              "-1", "128.5", "null", "[128]", "true"}) {
+        CAPTURE(slots);
+        CHECK_FALSE(faultOfEntry(replaced(validEntry, "128", slots)).empty());
+    }
+    for (const char *address : {"10.1.2.3:0", "10.1.2.3:65536", "10.1.2.3:-1", "10.1.2.3:8080x",
+                                "10.1.2.3:", "10.1.2.300:80", "[::1]:80", "host:80", ":80"}) {
+        CAPTURE(address);
+        CHECK(faultOfEntry(replaced(validEntry, "10.1.2.3:8080", address)) == "address");
+    }
+    for (const char *born : {"1e12", "-5", "1.5", "99999999999999999999"})
+        CHECK_FALSE(faultOfEntry(replaced(validEntry, "1700000000000", born)).empty());
+    CHECK(faultOfEntry(replaced(validEntry, "z1", "z\xff")) == "document");
+    CHECK(faultOfEntry(replaced(validEntry, "z1", "z\\u0000\\n1")) == "zone");
+    CHECK(faultOfEntry(replaced(validEntry, "\"s\"", "\"s\\r\\nx\"")) == "service");
+    // The id is sent in a header.
+    for (const std::string id : {"i-1\r\nx-other: 1", "i 1", "", "i-\xff", "i\t1"}) {
+        CAPTURE(id);
+        const auto decoded = platform::decodeServerEntry(id, validEntry);
+        REQUIRE(std::holds_alternative<DecodeFault>(decoded));
+        CHECK(std::get<DecodeFault>(decoded).field == "id");
+    }
+    // The last of repeated keys counts.
+    CHECK(faultOfEntry(replaced(validEntry, "\"slots\":128", "\"slots\":\"x\",\"slots\":128"))
+                  .empty());
+}
+
 // Guards against servers that are used although their entry is draining or damaged.
 TEST_CASE("server entry, valid and damaged records, only valid ones are decoded")
 {
