Skip items of the store that can't be read, not the whole page

In the page of newest records, one item without a value, with bytes that are no base64 or with a key in another encoding made the read fail, again and again, so that a router that starts or lost its history never served.

--- a/tests/platform/KeyedRecordsTest.cpp
+++ b/tests/platform/KeyedRecordsTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace lovagecourse;
 
 namespace {
@@ -49,6 +51,52 @@
     CHECK(std::holds_alternative<StoreFault>(platform::decodeKeyedRecords(valid, LogOffset(11))));
 }
 
+// Guards against an empty record that stops all routers, which read it again and again.
+TEST_CASE("keyed records, an empty record, is skipped")
+{
+    const std::string bytes =
+            number(3, 8) + number(0, 8) + record("a", "x") + number(0, 4) + record("b", "y");
+    const auto result = platform::decodeKeyedRecords(bytes, LogOffset(0));
+    REQUIRE(std::holds_alternative<KeyedBatch>(result));
+    CHECK(std::get<KeyedBatch>(result).records.size() == 2);
+    CHECK(std::get<KeyedBatch>(result).next == LogOffset(3));
+}
+
+// Guards against one item that can't be read and hides all others, which routers need to start.
+TEST_CASE("keyed page, items that can't be read, are skipped")
+{
+    const std::string bytes =
+            R"({"end_offset":9,"has_more":true,"items":[{"key":"a","value":"b25l"},{"key":"b"},5,)"
+            R"({"key":"c","value":"%%"},{"key":7,"value":"b25l"},{"key":"d)"
+            + std::string("\xff") + R"(","value":"b25l"},{"key":"e","value":""},)"
+            + R"({"key":"f","value":["b25l"]}]})";
+    const auto page = platform::decodeKeyedPage(bytes);
+    REQUIRE(page);
+    CHECK(page->end == LogOffset(9));
+    // The next page continues after the last key, also when its item is of no use.
+    CHECK(page->after == "f");
+    std::vector<std::string> keys;
+    for (const KeyedRecord &record : page->records)
+        keys.push_back(record.key);
+    CHECK(keys.front() == "a");
+    CHECK(std::find(keys.begin(), keys.end(), "c") == keys.end());
+    CHECK(page->skipped == 5);
+}
+
+// Guards against a page that is taken for complete although it is damaged.
+TEST_CASE("keyed page, not a page, is rejected")
+{
+    for (const char *bytes : {"", "[]", "{}", R"({"items":[]})", R"({"items":{},"end_offset":1})",
+                              R"({"items":[],"end_offset":-1})", R"({"items":[],"end_offset":1)",
+                              R"({"items":[5],"end_offset":1,"has_more":true})"}) {
+        CAPTURE(bytes);
+        CHECK_FALSE(platform::decodeKeyedPage(bytes));
+    }
+    const auto last = platform::decodeKeyedPage(R"({"items":[],"end_offset":1})");
+    REQUIRE(last);
+    CHECK(last->after.empty());
+}
+
 // Guards against a record of another program that prevents all others from being read.
 TEST_CASE("keyed records, a record without a key, is skipped")
 {
