End what a planned stop can't finish with an answer, and accept nothing longer

What could happen here, by reading: new requests were accepted for 2.5 s whatever the time to the exit, so a shutdown limit of less than that, or requests that may take longer than what is left, were cut off by the exit without an answer, also those that must not be repeated. Fix: StopAcceptance decides by the kind of answer, the request's limit and the time left; acceptance ends after half of the shutdown limit at the latest; 0.15 s before the exit, requests whose answer has not begun get 502 (may have run) and streams are broken off.

--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -3,12 +3,14 @@
 #include "core/Log.h"
 #include "gateway/Problem.h"
 #include "placing/Admission.h"
+#include "placing/StopAcceptance.h"
 
 #include <xxhash.h>
 
 #include <algorithm>
 #include <random>
 #include <unordered_map>
+#include <vector>
 
 namespace lovagecourse {
 
@@ -154,6 +156,11 @@
     milliseconds limit = exchange.route->timeout;
     if (exchange.client.callerTimeout)
         limit = std::min(limit, *exchange.client.callerTimeout + deadlineSlack);
+    const bool isLeavingTooSoon =
+            exitAt
+            && !isAcceptedBeforeExit(isStreamKind(exchange.route->kind), limit, *exitAt - now());
+    if (isLeavingTooSoon)
+        return refused(statusUnavailable, RefusalReason::Draining, "leaving-too-soon");
     exchange.waitedUnread = context.loop.delay();
     exchange.deadline = exchange.arrived - exchange.waitedUnread + limit;
     return true;
@@ -414,6 +421,29 @@
     impl_->finish(*exchange, "caller-left", 0, "caller-left");
 }
 
+void DirectRouter::setExitTime(TimePoint exit)
+{
+    impl_->exitAt = exit;
+}
+
+void DirectRouter::endOpenRequests()
+{
+    std::vector<CallerId> callers;
+    for (const auto &[caller, exchange] : impl_->exchanges)
+        callers.push_back(caller);
+    for (const CallerId caller : callers) {
+        DirectExchange *exchange = impl_->find(caller);
+        if (!exchange)
+            continue;
+        exchange->mayHaveRun = exchange->mayHaveRun || exchange->attempt;
+        impl_->cancelAttempt(*exchange);
+        if (exchange->mayHaveRun)
+            impl_->fail(*exchange, statusBadGateway, "stopping");
+        else
+            impl_->refuse(*exchange, "stopping", defaultRetryAfter);
+    }
+}
+
 void DirectRouter::refuseNewRequests()
 {
     impl_->isDraining = true;
--- a/src/direct/DirectRouter.h
+++ b/src/direct/DirectRouter.h
@@ -53,6 +53,11 @@
     void onRequest(CallerRequest &&request);
     void onCallerLeft(CallerId caller);
     void onConsumed(CallerId caller, std::size_t bytes);
+    /// The process exits at this time: requests that may take longer are refused as not run.
+    void setExitTime(TimePoint exit);
+    /// Ends all open requests, because the process exits: those whose answer has not begun with an
+    /// error, streams that have begun by breaking them off.
+    void endOpenRequests();
     /// Refuses all further requests as not run, so that callers retry at another router; for use
     /// shortly before the process exits.
     void refuseNewRequests();
--- a/src/direct/DirectRouterImpl.h
+++ b/src/direct/DirectRouterImpl.h
@@ -3,6 +3,7 @@
 #include "direct/DirectExchange.h"
 #include "direct/DirectRouter.h"
 
+#include <optional>
 #include <random>
 #include <string_view>
 #include <unordered_map>
@@ -83,6 +84,8 @@
     std::unordered_map<CallerId, std::unique_ptr<DirectExchange>> exchanges;
     std::unordered_map<ServiceId, FleetRetryBudget> budgets;
     bool isDraining = false;
+    /// Set while the process shuts down.
+    std::optional<TimePoint> exitAt;
     std::mt19937_64 random;
 };
 
--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -53,6 +53,10 @@
 constexpr seconds gatewayIdleTimeout{30};
 // The process exits this long before the platform would kill it.
 constexpr milliseconds exitMargin{400};
+// Open requests are ended this long before the exit, so that their callers get the answers.
+constexpr milliseconds lastAnswersTime{150};
+// New requests are refused at the latest when this part of the time for the shutdown has passed.
+constexpr double acceptingShare = 0.5;
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
@@ -288,6 +292,7 @@
     terminatedAt = clock.now();
     logInfo(LogPart::App, "event=stopping open_requests=", router->openRequests());
     gateway->closeAfterAnswers();
+    router->setExitTime(*terminatedAt + settings.shutdownLimit - exitMargin - lastAnswersTime);
 }
 
 /// Adapts the number of connections that the gateway accepts in the next interval.
@@ -360,10 +365,16 @@
         return;
     const auto since = now - *terminatedAt;
     // A later request could not complete before the platform kills the process.
-    if (since >= settings.balancerGrace)
+    const milliseconds acceptingTime = std::min(
+            settings.balancerGrace,
+            std::chrono::duration_cast<milliseconds>(settings.shutdownLimit * acceptingShare));
+    if (since >= acceptingTime)
         router->refuseNewRequests();
-    const bool isIdle = since >= settings.balancerGrace && gateway->openRequests() == 0;
-    if (!isIdle && since < settings.shutdownLimit - exitMargin)
+    const auto exitTime = settings.shutdownLimit - exitMargin;
+    if (since >= exitTime - lastAnswersTime)
+        router->endOpenRequests();
+    const bool isIdle = since >= acceptingTime && gateway->openRequests() == 0;
+    if (!isIdle && since < exitTime)
         return;
     logInfo(LogPart::App, "event=stopped open_requests=", router->openRequests());
     loop.stop();
