Divide limits by demand among data centres as well

Callers: when one data centre gets most callers, its routers used only a part of servers' limits by their number, and the rest lay idle. Change: a relay tells the other data centres the sum of what its routers receive, in the report that carries the limits anyway; LimitParts divides in two steps by the same rule. A router of another data centre that only tells a limit tells no demand.

--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -429,6 +429,7 @@
 void DirectRouter::endOpenRequests()
 {
     std::vector<CallerId> callers;
+    callers.reserve(impl_->exchanges.size());
     for (const auto &[caller, exchange] : impl_->exchanges)
         callers.push_back(caller);
     for (const CallerId caller : callers) {
--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -78,6 +78,8 @@
     void onMessage(const DaemonId &sender, RouterLimitReport &&report);
     RouterCounts limitCounts() const;
     void sendLimits(const std::vector<Endpoint> &targets);
+    void sendLimitsAsRelay(const std::vector<Endpoint> &targets);
+    void sendLimitReports(const RouterLimitReport &demands, const std::vector<Endpoint> &targets);
     void onTraitCrash(const TraitCrash &crash);
     void onTraitCleared(TraitHash trait);
     void scheduleTraitReport();
--- a/src/direct/RouterNodeLimits.cpp
+++ b/src/direct/RouterNodeLimits.cpp
@@ -1,6 +1,7 @@
 #include "direct/RouterNodeImpl.h"
 
 #include <algorithm>
+#include <cstdint>
 
 namespace lovagecourse {
 
@@ -21,6 +22,26 @@
     return static_cast<std::uint32_t>(value);
 }
 
+std::vector<RouterServiceDemand> toMessage(const std::vector<ServiceDemand> &demands)
+{
+    std::vector<RouterServiceDemand> message;
+    for (const ServiceDemand &demand : demands) {
+        if (message.size() < demandsPerReport)
+            message.push_back(
+                    RouterServiceDemand{demand.service, toPerKilosecond(demand.perSecond)});
+    }
+    return message;
+}
+
+std::vector<ServiceDemand> fromMessage(const std::vector<RouterServiceDemand> &message)
+{
+    std::vector<ServiceDemand> demands;
+    demands.reserve(message.size());
+    for (const RouterServiceDemand &demand : message)
+        demands.push_back(ServiceDemand{demand.service, demand.perKilosecond / perKilosecond});
+    return demands;
+}
+
 } // namespace
 
 /// Routers among which limits are divided. A router that has just started has heard few of them,
@@ -40,22 +61,37 @@
 
 /// Tells the limits that servers name, and what this router receives.
 void RouterNode::Impl::sendLimits(const std::vector<Endpoint> &targets)
+{
+    RouterLimitReport report;
+    report.demands = toMessage(pool.limitParts().ownDemands(clock.now()));
+    sendLimitReports(report, targets);
+}
+
+/// Tells other data centres the limits, and what the routers of this one receive together.
+void RouterNode::Impl::sendLimitsAsRelay(const std::vector<Endpoint> &targets)
 {
     const TimePoint now = clock.now();
-    const std::vector<HeardLimit> heard = pool.heardLimits(now);
+    RouterLimitReport report;
+    report.demands = toMessage(pool.limitParts().dataCentreDemands(now));
+    report.dataCentre = settings.dataCentre;
+    report.routers =
+            static_cast<std::uint16_t>(std::min<std::size_t>(peers.memberCount(now), UINT16_MAX));
+    sendLimitReports(report, targets);
+}
+
+/// Sends all limits in as many datagrams as they need; nothing while no server names one.
+void RouterNode::Impl::sendLimitReports(const RouterLimitReport &demands,
+                                        const std::vector<Endpoint> &targets)
+{
+    const std::vector<HeardLimit> heard = pool.heardLimits(clock.now());
     for (std::size_t first = 0; first < heard.size(); first += limitsPerReport) {
-        RouterLimitReport report;
+        RouterLimitReport report = demands;
         const std::size_t end = std::min(first + limitsPerReport, heard.size());
         for (std::size_t i = first; i < end; ++i)
             report.limits.push_back(
                     ServerLimitNews{heard[i].server, heard[i].run,
                                     heard[i].perSecond ? toPerKilosecond(*heard[i].perSecond) : 0,
                                     ageMs(heard[i].heardAt)});
-        for (const ServiceDemand &demand : pool.limitParts().ownDemands(now)) {
-            if (report.demands.size() < demandsPerReport)
-                report.demands.push_back(
-                        RouterServiceDemand{demand.service, toPerKilosecond(demand.perSecond)});
-        }
         datagramSocket->sendToAll(targets, std::move(report));
     }
 }
@@ -70,17 +106,18 @@
         news.ageMs = ageMs(heard.heardAt);
         pool.onLimitReported(heard, now);
     }
-    if (peers.isInOtherDataCentre(sender)) {
-        report.demands.clear();
-        datagramSocket->sendToAll(peers.activePeers(now), report);
-        return;
-    }
-    if (report.demands.empty())
+    const std::vector<ServiceDemand> demands = fromMessage(report.demands);
+    const bool isOwnDataCentre = report.dataCentre == settings.dataCentre;
+    if (!report.dataCentre.value.empty() && !isOwnDataCentre)
+        pool.limitParts().onDataCentreReport(report.dataCentre.value, report.routers, demands, now);
+    else if (!isOwnDataCentre && !demands.empty() && !peers.isInOtherDataCentre(sender))
+        pool.limitParts().onReport(sender.value, demands, now);
+    if (!peers.isInOtherDataCentre(sender))
         return;
-    std::vector<ServiceDemand> demands;
-    for (const RouterServiceDemand &demand : report.demands)
-        demands.push_back(ServiceDemand{demand.service, demand.perKilosecond / perKilosecond});
-    pool.limitParts().onReport(sender.value, demands, now);
+    // What a single router of another data centre receives concerns only that data centre.
+    if (report.dataCentre.value.empty())
+        report.demands.clear();
+    datagramSocket->sendToAll(peers.activePeers(now), report);
 }
 
 } // namespace lovagecourse
--- a/src/direct/RouterNodePeers.cpp
+++ b/src/direct/RouterNodePeers.cpp
@@ -197,7 +197,7 @@
             [this](const std::string &peer) { return peers.isMember(DaemonId(peer)); }, now);
     datagramSocket->sendToAll(
             targets, DataCentreAccountReport{settings.dataCentre, reportedAccounts(totals), false});
-    sendLimits(targets);
+    sendLimitsAsRelay(targets);
 }
 
 void RouterNode::Impl::sendIncrementalRelayReport()
--- a/src/placing/LimitParts.cpp
+++ b/src/placing/LimitParts.cpp
@@ -35,39 +35,89 @@
 void LimitParts::onReport(const std::string &router, const std::vector<ServiceDemand> &demands,
                           TimePoint now)
 {
-    Report &report = reports_[router];
+    reports_[router] = makeReport(demands, now);
+}
+
+void LimitParts::onDataCentreReport(const std::string &dataCentre, std::size_t routers,
+                                    const std::vector<ServiceDemand> &demands, TimePoint now)
+{
+    Report &report = dataCentres_[dataCentre];
+    report = makeReport(demands, now);
+    report.routers = std::max<std::size_t>(routers, 1);
+}
+
+LimitParts::Report LimitParts::makeReport(const std::vector<ServiceDemand> &demands, TimePoint now)
+{
+    Report report;
     report.receivedAt = now;
-    report.demands.clear();
     for (const ServiceDemand &demand : demands)
         report.demands[demand.service] = demand.perSecond;
+    return report;
+}
+
+double LimitParts::ownDemand(ServiceHash service, TimePoint now) const
+{
+    const auto rate = own_.find(service);
+    return std::max(minDemand, rate == own_.end() ? 0 : valueAt(rate->second, now));
+}
+
+LimitParts::Told LimitParts::add(const std::unordered_map<std::string, Report> &reports,
+                                 ServiceHash service, TimePoint now)
+{
+    Told told;
+    for (const auto &[sender, report] : reports) {
+        if (now - report.receivedAt > reportLifetime)
+            continue;
+        const auto demand = report.demands.find(service);
+        told.perSecond += std::max(minDemand, demand == report.demands.end() ? 0 : demand->second);
+        told.routers += static_cast<double>(report.routers);
+    }
+    return told;
 }
 
 std::vector<ServiceDemand> LimitParts::ownDemands(TimePoint now) const
 {
     std::vector<ServiceDemand> demands;
+    demands.reserve(own_.size());
     for (const auto &[service, rate] : own_)
         demands.push_back(ServiceDemand{service, valueAt(rate, now)});
     return demands;
 }
 
-double LimitParts::part(ServiceHash service, const RouterCounts &counts, TimePoint now) const
+std::vector<ServiceDemand> LimitParts::dataCentreDemands(TimePoint now) const
 {
-    const auto members = static_cast<double>(std::max<std::size_t>(counts.members, 1));
-    const double fleet = std::max(static_cast<double>(counts.fleet), members);
-    const auto ownRate = own_.find(service);
-    const double own =
-            std::max(minDemand, ownRate == own_.end() ? 0 : valueAt(ownRate->second, now));
-    double told = own;
-    double toldCount = 1;
+    std::unordered_map<ServiceHash, double> sums;
+    for (const ServiceDemand &demand : ownDemands(now))
+        sums[demand.service] += demand.perSecond;
     for (const auto &[router, report] : reports_) {
-        if (now - report.receivedAt > reportLifetime || toldCount >= members)
+        if (now - report.receivedAt > reportLifetime)
             continue;
-        const auto demand = report.demands.find(service);
-        told += std::max(minDemand, demand == report.demands.end() ? 0 : demand->second);
-        ++toldCount;
+        for (const auto &[service, perSecond] : report.demands)
+            sums[service] += perSecond;
     }
-    const double byDemand = toldCount * own / told;
-    return (evenShare + (1 - evenShare) * byDemand) / fleet;
+    std::vector<ServiceDemand> demands;
+    demands.reserve(sums.size());
+    for (const auto &[service, perSecond] : sums)
+        demands.push_back(ServiceDemand{service, perSecond});
+    return demands;
+}
+
+double LimitParts::part(ServiceHash service, const RouterCounts &counts, TimePoint now) const
+{
+    const auto members = static_cast<double>(std::max<std::size_t>(counts.members, 1));
+    const double fleet = std::max(static_cast<double>(counts.fleet), members);
+    const double own = ownDemand(service, now);
+    const Told peers = add(reports_, service, now);
+    const double toldRouters = std::min(peers.routers + 1, members);
+    const double toldDemand = peers.perSecond + own;
+    const Told others = add(dataCentres_, service, now);
+    // Even parts are counted in routers: 1 is what a router gets when all get the same.
+    const double toldFleet = std::min(others.routers + members, fleet);
+    const double dataCentreByDemand =
+            toldFleet / members * toldDemand / (toldDemand + others.perSecond);
+    const double routerByDemand = toldRouters * own / toldDemand;
+    return (evenShare + (1 - evenShare) * dataCentreByDemand)
+           * (evenShare + (1 - evenShare) * routerByDemand) / fleet;
 }
 
 } // namespace lovagecourse
--- a/src/placing/LimitParts.h
+++ b/src/placing/LimitParts.h
@@ -28,12 +28,12 @@
     std::size_t fleet = 1;
 };
 
-/// Divides what servers take from all routers together among them. Each data centre gets a part by
-/// the number of its routers. Within one, routers tell each other the requests that they receive
-/// for each service; most of the part follows these, so that little of it is left unused, and the
-/// rest is divided evenly, so that a router whose callers have just come can send at once. A router
-/// that has not told is assumed to use an even part, and one that hears nobody uses no more itself:
-/// the parts of all routers together stay at the whole when reports are lost, late or cut off.
+/// Divides what servers take from all routers together among them, in two steps: among the data
+/// centres, and among the routers of this one. In each step most of it follows the requests that
+/// are received, as the others have told, so that little is left unused, and the rest is divided
+/// evenly, so that a router whose callers have just come can send at once. Who has not told is
+/// assumed to use an even part, and a router that hears nobody uses no more itself: the parts of
+/// all routers together stay near the whole when reports are lost, late or cut off.
 class LimitParts
 {
 public:
@@ -42,9 +42,14 @@
     /// Another router of this data centre has told what it receives.
     void onReport(const std::string &router, const std::vector<ServiceDemand> &demands,
                   TimePoint now);
+    /// The sum of another data centre with this number of routers has arrived.
+    void onDataCentreReport(const std::string &dataCentre, std::size_t routers,
+                            const std::vector<ServiceDemand> &demands, TimePoint now);
     void onRouterLeft(const std::string &router) { reports_.erase(router); }
     /// What this router receives, for its report.
     std::vector<ServiceDemand> ownDemands(TimePoint now) const;
+    /// What the routers of this data centre receive together, as far as they have told.
+    std::vector<ServiceDemand> dataCentreDemands(TimePoint now) const;
     /// Part of the limits of the service's servers that this router may use, from 0 to 1.
     double part(ServiceHash service, const RouterCounts &counts, TimePoint now) const;
 
@@ -60,12 +65,28 @@
     {
         std::unordered_map<ServiceHash, double> demands;
         TimePoint receivedAt;
+        /// Of a data centre.
+        std::size_t routers = 1;
+    };
+
+    /// Routers that have told what they receive for a service, and its sum.
+    struct Told
+    {
+        double routers = 0;
+        double perSecond = 0;
     };
 
     static double valueAt(const Rate &rate, TimePoint now);
+    static Report makeReport(const std::vector<ServiceDemand> &demands, TimePoint now);
+    static Told add(const std::unordered_map<std::string, Report> &reports, ServiceHash service,
+                    TimePoint now);
+    double ownDemand(ServiceHash service, TimePoint now) const;
 
     std::unordered_map<ServiceHash, Rate> own_;
+    /// By router of this data centre.
     std::unordered_map<std::string, Report> reports_;
+    /// By other data centre.
+    std::unordered_map<std::string, Report> dataCentres_;
 };
 
 } // namespace lovagecourse
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -714,18 +714,22 @@
     }
 };
 
-/// Datagram, router to router: the limits that servers name, and what the sender receives, by which
-/// the routers of a data centre divide the limits. A router of another data centre forwards it to
-/// the routers of its own, without the demands.
+/// Datagram, router to router: the limits that servers name, and the requests that are received, by
+/// which the limits are divided. Routers of one data centre tell each other what they receive; its
+/// relay tells the other data centres the sum, which a router there forwards to its own.
 struct RouterLimitReport
 {
     std::vector<ServerLimitNews> limits;
     std::vector<RouterServiceDemand> demands;
+    /// Set when the demands are the sum of a data centre.
+    DataCentreId dataCentre;
+    /// Live routers of that data centre.
+    std::uint16_t routers = 0;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(limits, demands);
+        archive(limits, demands, dataCentre, routers);
     }
 };
 
--- a/tests/placing/LimitPartsTest.cpp
+++ b/tests/placing/LimitPartsTest.cpp
@@ -89,6 +89,38 @@
     CHECK(partsTogether() < 1.5);
 }
 
+// Guards against limits that lie idle because one data centre gets most of the callers.
+TEST_CASE("limit parts, one data centre gets most callers, gets most of it")
+{
+    // Two data centres of 4 and 2 routers.
+    LimitPartsFixture large(4);
+    LimitPartsFixture small(2);
+    const auto partsTogether = [&] {
+        double sum = 0;
+        for (const LimitParts &router : large.routers)
+            sum += router.part(service, {4, 6}, large.now);
+        for (const LimitParts &router : small.routers)
+            sum += router.part(service, {2, 6}, large.now);
+        return sum;
+    };
+    small.receive(0, 90);
+    small.receive(1, 30);
+    large.receive(0, 10);
+    large.tell([](auto, auto) { return false; });
+    small.tell([](auto, auto) { return false; });
+    CHECK(partsTogether() == Approx(1).margin(0.001));
+    CHECK(small.routers[0].part(service, {2, 6}, large.now) < 0.35);
+    for (LimitParts &router : small.routers)
+        router.onDataCentreReport("large", 4, large.routers[0].dataCentreDemands(large.now),
+                                  large.now);
+    for (LimitParts &router : large.routers)
+        router.onDataCentreReport("small", 2, small.routers[0].dataCentreDemands(large.now),
+                                  large.now);
+    CHECK(partsTogether() == Approx(1).margin(0.001));
+    CHECK(small.routers[0].part(service, {2, 6}, large.now) > 0.5);
+    CHECK(large.routers[1].part(service, {4, 6}, large.now) > 0.005);
+}
+
 // Guards against parts that add up to more than servers tolerate when reports are lost or late.
 TEST_CASE("limit parts, reports lost and late, requests stay within the tolerated excess")
 {
