Tell limits in one datagram, the latest changes first

A report with all limits of a large fleet would need a datagram for each 40 limited servers, to each router of the data centre, ten times to twice a second. What changed last is enough: who misses an older limit hears it in the server's next answer.

--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -79,7 +79,7 @@
     RouterCounts limitCounts() const;
     void sendLimits(const std::vector<Endpoint> &targets);
     void sendLimitsAsRelay(const std::vector<Endpoint> &targets);
-    void sendLimitReports(const RouterLimitReport &demands, const std::vector<Endpoint> &targets);
+    void sendLimitReport(RouterLimitReport report, const std::vector<Endpoint> &targets);
     void onTraitCrash(const TraitCrash &crash);
     void onTraitCleared(TraitHash trait);
     void scheduleTraitReport();
--- a/src/direct/RouterNodeLimits.cpp
+++ b/src/direct/RouterNodeLimits.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <utility>
 
 namespace lovagecourse {
 
@@ -64,7 +65,7 @@
 {
     RouterLimitReport report;
     report.demands = toMessage(pool.limitParts().ownDemands(clock.now()));
-    sendLimitReports(report, targets);
+    sendLimitReport(std::move(report), targets);
 }
 
 /// Tells other data centres the limits, and what the routers of this one receive together.
@@ -76,24 +77,20 @@
     report.dataCentre = settings.dataCentre;
     report.routers =
             static_cast<std::uint16_t>(std::min<std::size_t>(peers.memberCount(now), UINT16_MAX));
-    sendLimitReports(report, targets);
+    sendLimitReport(std::move(report), targets);
 }
 
-/// Sends all limits in as many datagrams as they need; nothing while no server names one.
-void RouterNode::Impl::sendLimitReports(const RouterLimitReport &demands,
-                                        const std::vector<Endpoint> &targets)
+/// Sends the latest limits in one datagram, so that its cost does not grow with the servers; who
+/// misses one hears it in an answer of the server. Sends nothing while no server names a limit.
+void RouterNode::Impl::sendLimitReport(RouterLimitReport report,
+                                       const std::vector<Endpoint> &targets)
 {
-    const std::vector<HeardLimit> heard = pool.heardLimits(clock.now());
-    for (std::size_t first = 0; first < heard.size(); first += limitsPerReport) {
-        RouterLimitReport report = demands;
-        const std::size_t end = std::min(first + limitsPerReport, heard.size());
-        for (std::size_t i = first; i < end; ++i)
-            report.limits.push_back(
-                    ServerLimitNews{heard[i].server, heard[i].run,
-                                    heard[i].perSecond ? toPerKilosecond(*heard[i].perSecond) : 0,
-                                    ageMs(heard[i].heardAt)});
+    for (const HeardLimit &heard : pool.heardLimits(limitsPerReport, clock.now()))
+        report.limits.push_back(ServerLimitNews{
+                heard.server, heard.run, heard.perSecond ? toPerKilosecond(*heard.perSecond) : 0,
+                ageMs(heard.heardAt)});
+    if (!report.limits.empty())
         datagramSocket->sendToAll(targets, std::move(report));
-    }
 }
 
 void RouterNode::Impl::onMessage(const DaemonId &sender, RouterLimitReport &&report)
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -370,18 +370,31 @@
     }
 }
 
-std::vector<HeardLimit> ServerPool::heardLimits(TimePoint now) const
+std::vector<HeardLimit> ServerPool::heardLimits(std::size_t maxCount, TimePoint now) const
 {
     // Others that still know the limit are told for so long that it has ended.
     constexpr seconds endedLimitAge{5};
-    std::vector<HeardLimit> heard;
+    struct Changed
+    {
+        TimePoint at;
+        HeardLimit heard;
+    };
+    std::vector<Changed> changed;
     for (const auto &[id, server] : servers_) {
         const RequestLimit &limit = server.words.limit;
         const bool hasEnded =
                 !limit.named && limit.heardAt != TimePoint() && now - limit.heardAt < endedLimitAge;
         if (limit.named || hasEnded)
-            heard.push_back(
-                    HeardLimit{runOf(id), reportHash(id.value), limit.named, limit.heardAt});
+            changed.push_back({limit.changedAt, HeardLimit{runOf(id), reportHash(id.value),
+                                                           limit.named, limit.heardAt}});
+    }
+    std::sort(changed.begin(), changed.end(),
+              [](const Changed &left, const Changed &right) { return left.at > right.at; });
+    std::vector<HeardLimit> heard;
+    for (const Changed &entry : changed) {
+        if (heard.size() == maxCount)
+            break;
+        heard.push_back(entry.heard);
     }
     return heard;
 }
--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -140,8 +140,8 @@
     void updateLimitParts(const RouterCounts &counts, TimePoint now);
     /// Another router has told what a server said.
     void onLimitReported(const HeardLimit &heard, TimePoint now);
-    /// Limits of servers and those that have ended a short time ago.
-    std::vector<HeardLimit> heardLimits(TimePoint now) const;
+    /// Limits of servers and those that have ended a short time ago, the latest changes first.
+    std::vector<HeardLimit> heardLimits(std::size_t maxCount, TimePoint now) const;
     /// True when a limit has changed since the last call.
     bool takeLimitsChanged() { return std::exchange(haveLimitsChanged_, false); }
     /// Logs one line per service with the learned speed and one per server with slowness and load.
--- a/src/placing/RequestLimit.cpp
+++ b/src/placing/RequestLimit.cpp
@@ -51,6 +51,8 @@
     limit.heardAt = heardAt;
     const double counted = std::max(perSecond, minRequestLimit);
     const bool isChanged = limit.named != counted;
+    if (isChanged)
+        limit.changedAt = heardAt;
     limit.named = counted;
     if (!limit.perSecond) {
         // Requests that were sent before the limit was heard still arrive.
@@ -74,6 +76,7 @@
         return false;
     limit.named.reset();
     limit.heardAt = heardAt;
+    limit.changedAt = heardAt;
     rise(limit, std::nullopt, heardAt);
     return true;
 }
--- a/src/placing/RequestLimit.h
+++ b/src/placing/RequestLimit.h
@@ -15,6 +15,8 @@
     std::optional<double> named;
     /// When an answer last named the limit or showed that there is none, at any router.
     TimePoint heardAt;
+    /// When what is named has last changed.
+    TimePoint changedAt;
     /// The limit in force: the lowest of those named within limitWindow. Empty when there is none.
     std::optional<double> perSecond;
     /// A higher limit, or none, has been named since this time; it is not in force yet.
--- a/tests/direct/WithheldServerTest.cpp
+++ b/tests/direct/WithheldServerTest.cpp
@@ -300,7 +300,7 @@
     pool.updateLimitParts(RouterCounts{4, 4}, clock.now());
     pool.onLimitReported(heard, clock.now());
     CHECK(call("POST", "/unsafe/x", {}, "b").status == 503);
-    REQUIRE(pool.heardLimits(clock.now()).size() == 1);
+    REQUIRE(pool.heardLimits(8, clock.now()).size() == 1);
     heard.perSecond.reset();
     pool.onLimitReported(heard, clock.now());
     CHECK(call("POST", "/unsafe/x", {}, "b").status == 503);
@@ -310,11 +310,34 @@
     pool.updateLimitParts(RouterCounts{4, 4}, clock.now() + limitWindow);
     CHECK(call("POST", "/unsafe/x", {}, "b").status == 200);
     // It is passed on that the limit has ended, for routers that have missed it.
-    REQUIRE(pool.heardLimits(clock.now()).size() == 1);
-    CHECK_FALSE(pool.heardLimits(clock.now())[0].perSecond);
+    REQUIRE(pool.heardLimits(8, clock.now()).size() == 1);
+    CHECK_FALSE(pool.heardLimits(8, clock.now())[0].perSecond);
     heard.run += 1;
     heard.perSecond = 1;
     heard.heardAt = clock.now();
     pool.onLimitReported(heard, clock.now());
     CHECK(call("POST", "/unsafe/x", {}, "b").status == 200);
 }
+
+// Guards against reports that grow with the number of limited servers.
+TEST_CASE_METHOD(WithheldServerFixture,
+                 "withheld server, many limits, the latest changes are told first")
+{
+    for (int i = 0; i < 5; ++i)
+        addAnsweringServer();
+    const TimePoint now = clock.now();
+    const auto tell = [&](std::size_t server, double perSecond, TimePoint heardAt) {
+        const ServerId id = entries[server].id;
+        pool.onLimitReported(HeardLimit{pool.runOf(id), reportHash(id.value), perSecond, heardAt},
+                             now);
+    };
+    for (std::size_t server = 0; server < 5; ++server)
+        tell(server, 10, now + milliseconds(server));
+    // Named again, unchanged.
+    tell(0, 10, now + milliseconds(50));
+    tell(2, 7, now + milliseconds(60));
+    const std::vector<HeardLimit> heard = pool.heardLimits(2, now);
+    REQUIRE(heard.size() == 2);
+    CHECK(heard[0].server == reportHash("s3"));
+    CHECK(heard[1].server == reportHash("s5"));
+}
