Keep the reads that a catch-up overtakes

Cause: in a busy router each announcement of a further change gave up the read of the one before, whose answer had arrived and was not handled yet: 11 reads in a row, nothing applied for 2.2 s. Fix: at most one read on a new connection at a time, and it is not given up; the answer to a read that it has overtaken is used; a router that is still behind waits for a tenth of the bound, not a twentieth. Evidence: two sections of "other router has read more"; the first failed before (7 reads in place of 2).

--- a/src/direct/PollTiming.cpp
+++ b/src/direct/PollTiming.cpp
@@ -17,7 +17,7 @@
 constexpr double maxRetryShare = 0.2;
 // Long enough for the store's answer to all routers, which are told of a change at about the same
 // time, to arrive and be handled.
-constexpr double catchUpShare = 0.05;
+constexpr double catchUpShare = 0.1;
 
 milliseconds part(milliseconds whole, double share)
 {
--- a/src/direct/PollTiming.h
+++ b/src/direct/PollTiming.h
@@ -20,7 +20,7 @@
     /// failure, in case that the store is slow.
     milliseconds answerTimeout{800};
     /// Time from another router's news of records that this one has not read to a read of its own.
-    milliseconds catchUpDelay{100};
+    milliseconds catchUpDelay{200};
 };
 
 /// Timing for the configuration: a long poll, which returns changes at once. A change is read
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -46,9 +46,19 @@
 
 void StoreFollower::onReadElsewhere(LogOffset next)
 {
+    // The first read returns what there is.
+    if (!next_)
+        return;
     readElsewhere_ = std::max(readElsewhere_, next);
-    const bool isBehind = next_ && *next_ < next && caughtUp_ < next;
-    if (isBehind && !catchUpTimer_.isActive())
+    scheduleCatchUp();
+}
+
+void StoreFollower::scheduleCatchUp()
+{
+    const bool isBehind = next_ && *next_ < readElsewhere_ && caughtUp_ < readElsewhere_;
+    // Changes may follow each other faster than a busy process handles a read.
+    const bool isCatchingUp = isReading_ && isCatchingUp_;
+    if (isBehind && !isCatchingUp && !catchUpTimer_.isActive())
         catchUpTimer_.startOnce(timing_.catchUpDelay);
 }
 
@@ -69,11 +79,18 @@
 {
     const bool isFullRead = !next_.has_value();
     isReading_ = true;
+    isCatchingUp_ = isCatchUp;
     readStart_ = clock_.now();
-    const auto onDone = [this, isFullRead, number = ++readNumber_,
+    const auto onDone = [this, isFullRead, number = ++readNumber_, start = readStart_,
                          alive = std::weak_ptr<bool>(alive_)](const KeyedResult &result) {
-        if (!alive.expired() && number == readNumber_)
+        if (alive.expired())
+            return;
+        if (number == readNumber_)
             onResult(result, isFullRead);
+        else
+            onEarlierResult(result, start);
+        if (!alive.expired())
+            scheduleCatchUp();
     };
     const bool isRetry = failures_ > 0;
     const milliseconds answerTimeout = timing_.answerTimeout * (isRetry ? 2 : 1);
@@ -125,6 +142,20 @@
         handlers_.onRecords(records, followsFullRead ? to : from, to);
 }
 
+/// Uses the answer to a read that a catch-up has overtaken: this process may only have been late.
+void StoreFollower::onEarlierResult(const KeyedResult &result, TimePoint start)
+{
+    const auto *batch = std::get_if<KeyedBatch>(&result);
+    if (!batch || !next_ || batch->next <= *next_)
+        return;
+    const LogOffset from = *next_;
+    std::vector<KeyedRecord> records = batch->records;
+    std::erase_if(records, [&](const KeyedRecord &record) { return record.offset < from; });
+    previousAsOf_ = asOf_;
+    setCurrent(batch->next, start);
+    handlers_.onRecords(records, from, batch->next);
+}
+
 bool StoreFollower::skipUnchanged(LogOffset from, LogOffset to, TimePoint asOf)
 {
     if (!canSkip() || *next_ < from || to < *next_)
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -45,8 +45,8 @@
     /// follow a newer one. Also while a read of this follower is in progress or has failed.
     bool takeOver(LogOffset from, LogOffset to, TimePoint asOf);
     /// Another router has read all records before this offset. If this follower does not get them
-    /// within the catch-up delay, it gives up the read in progress, whose connection may be silent,
-    /// and reads on a new connection.
+    /// within the catch-up delay, it reads on a new connection beside the read in progress, whose
+    /// connection may be silent; the first answer counts.
     void onReadElsewhere(LogOffset next);
     /// Start of the last read whose records are applied, by this follower or by the router that
     /// passed them on. Changes from before it are known. Empty before the first read.
@@ -61,7 +61,9 @@
 private:
     void read(bool isCatchUp = false);
     void catchUp();
+    void scheduleCatchUp();
     void onResult(const KeyedResult &result, bool isFullRead);
+    void onEarlierResult(const KeyedResult &result, TimePoint start);
     void onFault(StoreFault fault);
     bool canSkip() const;
     void setCurrent(LogOffset next, TimePoint asOf);
@@ -74,6 +76,8 @@
     Timer timer_;
     std::optional<LogOffset> next_;
     bool isReading_ = false;
+    /// The read in progress uses a new connection, on account of what another router has read.
+    bool isCatchingUp_ = false;
     /// Counts reads; only the result of the last one is used.
     std::uint64_t readNumber_ = 0;
     Timer catchUpTimer_;
--- a/tests/direct/StoreFollowerTest.cpp
+++ b/tests/direct/StoreFollowerTest.cpp
@@ -511,6 +511,36 @@
         runFor(milliseconds(60));
         CHECK(heldStore.offsets == std::vector<std::uint64_t>{7, 7, 9});
     }
+    SECTION("changes follow each other, a read on a new connection is not given up")
+    {
+        follower.onReadElsewhere(LogOffset(9));
+        for (std::uint64_t next = 10; next < 16; ++next) {
+            runFor(milliseconds(40));
+            follower.onReadElsewhere(LogOffset(next));
+        }
+        REQUIRE(heldStore.offsets == std::vector<std::uint64_t>{7, 7});
+        std::exchange(heldStore.pending, nullptr)(answer);
+        CHECK(applied == std::vector<std::uint64_t>{7, 8});
+        // What was announced meanwhile is caught up with as well.
+        runFor(milliseconds(60));
+        REQUIRE(heldStore.offsets.size() == 4);
+        CHECK(heldStore.offsets.back() == 9);
+        CHECK(heldStore.isFresh);
+    }
+    SECTION("the own answer comes after the further read has begun, is used")
+    {
+        follower.onReadElsewhere(LogOffset(9));
+        runFor(milliseconds(60));
+        REQUIRE(heldStore.offsets == std::vector<std::uint64_t>{7, 7});
+        silent(answer);
+        CHECK(applied == std::vector<std::uint64_t>{7, 8});
+        CHECK(follower.next() == LogOffset(9));
+        std::exchange(heldStore.pending, nullptr)(KeyedBatch{{KeyedRecord{"a", "1", LogOffset(7)},
+                                                              KeyedRecord{"a", "2", LogOffset(8)},
+                                                              KeyedRecord{"b", "1", LogOffset(9)}},
+                                                             LogOffset(10)});
+        CHECK(applied == std::vector<std::uint64_t>{7, 8, 9});
+    }
     SECTION("another router names records that don't exist, one further read")
     {
         follower.onReadElsewhere(LogOffset(99));
