Share the silent store and the count of requests in tests

Found while reading the whole change: two stand-ins of a silent store differed only in when they answer again, and two tests had the same count of the requests at all servers. One SilentStore takes the number of silent calls or is told of its return; the count is requestsAtServers() of the fixture. All assertions are as before; no program code changes.

--- a/tests/direct/DirectRouterFixture.h
+++ b/tests/direct/DirectRouterFixture.h
@@ -210,6 +210,15 @@
         return *chosen;
     }
 
+    /// Requests that all servers have received.
+    std::size_t requestsAtServers() const
+    {
+        std::size_t count = 0;
+        for (const auto &server : servers)
+            count += server->requests().size();
+        return count;
+    }
+
     HttpTransferId lastTransfer;
 };
 
--- a/tests/direct/DirectRouterTest.cpp
+++ b/tests/direct/DirectRouterTest.cpp
@@ -378,22 +378,16 @@
         return HeaderList{{"x-lovagecourse-prompt-prefix",
                            "a:100," + middle + ",b:50," + std::to_string(1000 + own) + ":5"}};
     };
-    const auto sends = [this] {
-        std::size_t count = 0;
-        for (const auto &server : servers)
-            count += server->requests().size();
-        return count;
-    };
     for (int i = 0; i < 8; ++i) {
         call("POST", "/resume/x", prompt(crashing, i), "b");
         sound += call("POST", "/resume/x", prompt("d00d:10", i), "b").status == 200 ? 1 : 0;
     }
     CHECK(sound == 8);
-    const std::size_t before = sends();
+    const std::size_t before = requestsAtServers();
     const CallerAnswer got = call("POST", "/resume/x", prompt(crashing, 99), "b");
     CHECK(got.status == 503);
     CHECK(std::stod(std::string(findHeader(got.headers, "retry-after"))) > 60);
-    CHECK(sends() == before);
+    CHECK(requestsAtServers() == before);
     // Two attempts of each request until three servers are known to have crashed.
     CHECK(before - 8 <= 4);
     CHECK_FALSE(reportedCrashes.empty());
@@ -416,22 +410,16 @@
                 connection.send(answer(request, 200, "ok"));
         });
     }
-    const auto sends = [this] {
-        std::size_t count = 0;
-        for (const auto &server : servers)
-            count += server->requests().size();
-        return count;
-    };
     for (int i = 0; i < 6; ++i) {
         call("POST", target, {{"x-lovagecourse-attempt-id", "id-" + std::to_string(i)}}, "crash");
         CHECK(call("POST", target, {}, "sound").status == 200);
         CHECK(call("POST", "/safe/other", {}, "crash").status == 200);
     }
-    const std::size_t before = sends();
+    const std::size_t before = requestsAtServers();
     const CallerAnswer got = call("POST", target, {}, "crash");
     CHECK(got.status == 503);
     CHECK(std::stod(std::string(findHeader(got.headers, "retry-after"))) > 60);
-    CHECK(sends() == before);
+    CHECK(requestsAtServers() == before);
     // Two attempts of each repeatable request until three servers are known to have crashed.
     CHECK(before - 12 <= 4);
     CHECK(call("POST", target, {}, "sound").status == 200);
--- a/tests/direct/StoreFollowerTest.cpp
+++ b/tests/direct/StoreFollowerTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <deque>
+#include <limits>
 
 using namespace lovagecourse;
 
@@ -50,37 +51,6 @@
     }
 };
 
-/// Store whose connection has gone silent: the call in progress gets no answer, further calls, on
-/// a new connection, are answered. Times out as the real client does.
-class SilentOnceStore final : public ReadOnlyStore
-{
-public:
-    explicit SilentOnceStore(EventLoop &loop)
-        : loop_(loop)
-    {}
-
-    void readNewest(KeyedTopic, milliseconds,
-                    std::function<void(const KeyedResult &)> onDone) override
-    {
-        onDone(KeyedBatch{{}, LogOffset(7)});
-    }
-    void readFrom(KeyedTopic, LogOffset, const ReadOptions &options,
-                  std::function<void(const KeyedResult &)> onDone) override
-    {
-        if (std::exchange(wasSilent_, true)) {
-            onDone(KeyedBatch{{KeyedRecord{"k", "v", {}}}, LogOffset(8)});
-            return;
-        }
-        timeout_ = std::make_unique<Timer>(loop_, [onDone] { onDone(StoreFault::NoAnswer); });
-        timeout_->startOnce(options.timeout);
-    }
-
-private:
-    EventLoop &loop_;
-    bool wasSilent_ = false;
-    std::unique_ptr<Timer> timeout_;
-};
-
 /// Store whose answers are handled late.
 class DelayingStore final : public ReadOnlyStore
 {
@@ -138,12 +108,14 @@
     std::function<void(const KeyedResult &)> pending;
 };
 
-/// Store that is silent after the full read, and answers calls that begin after its return.
-class SilentUntilStore final : public ReadOnlyStore
+/// Store that is silent after the full read, for a number of calls or until its return. Calls that
+/// begin later are answered. Times out as the real client does.
+class SilentStore final : public ReadOnlyStore
 {
 public:
-    explicit SilentUntilStore(EventLoop &loop)
+    explicit SilentStore(EventLoop &loop, int silentReads = std::numeric_limits<int>::max())
         : loop_(loop)
+        , silentReads_(silentReads)
     {}
 
     void readNewest(KeyedTopic, milliseconds,
@@ -155,7 +127,7 @@
                   std::function<void(const KeyedResult &)> onDone) override
     {
         ++reads;
-        if (isBack) {
+        if (isBack || reads > silentReads_) {
             onDone(KeyedBatch{{KeyedRecord{"k", "v", {}}}, LogOffset(8)});
             return;
         }
@@ -168,6 +140,7 @@
 
 private:
     EventLoop &loop_;
+    int silentReads_;
     std::unique_ptr<Timer> timeout_;
 };
 
@@ -329,7 +302,7 @@
     constexpr milliseconds maxDelay{400};
     const PollTiming timing =
             GENERATE_COPY(configurationPollTiming(maxDelay), serversPollTiming(maxDelay, 1));
-    SilentOnceStore silentStore(loop);
+    SilentStore silentStore(loop, 1);
     TimePoint fullRead;
     std::optional<TimePoint> applied;
     StoreFollower::Handlers handlers = ignoringHandlers();
@@ -435,7 +408,7 @@
             GENERATE_COPY(configurationPollTiming(maxDelay), serversPollTiming(maxDelay, 1));
     // The read that begins just before the return.
     const int lastSilentRead = GENERATE(1, 2, 5);
-    SilentUntilStore silentStore(loop);
+    SilentStore silentStore(loop);
     std::optional<TimePoint> applied;
     StoreFollower::Handlers handlers = ignoringHandlers();
     handlers.onRecords = [&](const auto &, LogOffset, LogOffset) {
