--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -1,8 +1,8 @@
 #include "Checks.h"
 
 #include <csignal>
-#include <cstdlib>
 #include <iostream>
+#include <string>
 
 int main(int argc, char **argv)
 {
@@ -12,13 +12,12 @@
                                            static_cast<std::uint16_t>(std::stoul(argv[3])));
         return 2;
     }
-    const auto found = argc == 3 ? review::allCases().find(argv[1]) : review::allCases().end();
+    const auto found = argc == 4 ? review::allCases().find(argv[1]) : review::allCases().end();
     if (found == review::allCases().end()) {
-        std::cerr << "usage: review-case NAME RECORD\n";
+        std::cerr << "usage: review-case NAME RECORD TROUBLE, 0 for none\n";
         return 2;
     }
-    const char *trouble = std::getenv("TROUBLE");
     review::Record record(argv[2]);
-    found->second(record, !trouble || std::string(trouble) != "0");
+    found->second(record, std::string(argv[3]) != "0");
     return 2;
 }
