--- a/src/agent/AgentNode.cpp
+++ b/src/agent/AgentNode.cpp
@@ -20,6 +20,8 @@
 // agents of a small site within 50 ms anyway.
 constexpr milliseconds minIdleNoticeInterval{100};
 constexpr milliseconds grantTimeout{250};
+// Bytes of an answer in transit to its entry, while memory is short.
+constexpr std::uint32_t shortAnswerCreditBytes = 32U << 10;
 
 } // namespace
 
@@ -36,7 +38,7 @@
         options.order = OfferOrder::FirstComeFirstServed;
     queue = std::make_unique<OfferQueue>(options);
     monitor = std::make_unique<ServerMonitor>(*daemon, [this](bool isUp) {
-        crashRecorded = crashRecorded && !isUp;
+        isOutageRecorded = isOutageRecorded && !isUp;
         broadcastState();
         grantQueuedOffers();
     });
@@ -301,7 +303,16 @@
         return;
     }
     RequestRun &run = *found->second;
+    run.requestMemory = MemoryReservation(daemon->memory(), MemoryHolder::RequestBodies);
+    if (run.requestMemory.growTo(accept.body.size()) == ReserveResult::Full) {
+        logInfo(LogPart::Agent,
+                "event=request-rejected reason=memory-short bytes=", accept.body.size(),
+                " memory_used=", daemon->memory()->used());
+        return finish(run.grant, false, Refusal{RefusalReason::MemoryShort, Ran::No});
+    }
     run.request = std::move(accept);
+    if (daemon->memory() && daemon->memory()->isUnderPressure())
+        run.request.credit = std::min(run.request.credit, shortAnswerCreditBytes);
     run.deadline = now() + milliseconds(run.request.deadlineMs);
     const Service *service = findService(run.offer.flow.service);
     const bool needsClaim = service && !service->repeatable;
--- a/src/agent/AgentNodeImpl.h
+++ b/src/agent/AgentNodeImpl.h
@@ -53,13 +53,20 @@
     void send(RequestRun &run);
     void onHead(RequestRun &run, int status, const HeaderList &headers);
     void onPart(RequestRun &run, AnswerPart &&part);
+    /// Adds to the collected answer; returns false if that ended the run.
+    bool collect(RequestRun &run, std::string_view bytes);
+    /// Returns the run whose answer makes room for the growing one.
+    RequestRun &answerToDrop(RequestRun &growing, std::size_t wanted);
+    void dropAnswer(RequestRun &run);
     void onBackendEnd(GrantId grant, BackendOutcome outcome);
     void onComplete(RequestRun &run, std::chrono::nanoseconds elapsed);
     void onProbedAfterUnprovenEnd(GrantId grant, bool serverAnswered,
                                   std::chrono::nanoseconds elapsed);
     void onProbedAfterFailure(GrantId grant, bool serverAnswered);
-    void recordCrash();
+    std::optional<TimePoint> findServerCrash(const RequestRun &run, bool serverAnswered) const;
+    void recordCrash(const RequestRun &broken, TimePoint crashedAt);
     void finish(GrantId grant, bool complete, const Refusal &refusal);
+    void recordAnswer(const RequestRun &run);
     void replay(RequestRun &run, const RecordedAnswer &answer);
     void chargeWork(RequestRun &run, Work work);
     /// True for a model's answer that is not an event stream; its body reports the token count.
@@ -92,8 +99,8 @@
     std::set<FlowId> backlogged;
     std::uint64_t lastGrant = 0;
     std::uint64_t lastCrash = 0;
-    /// The current outage of the server is recorded as a crash, with its crash suspects.
-    bool crashRecorded = false;
+    /// A crash is recorded for the current outage of the server.
+    bool isOutageRecorded = false;
     /// Exponentially weighted mean service time.
     double serviceTimeMs = 0;
     bool leaving = false;
--- a/src/agent/RequestRun.h
+++ b/src/agent/RequestRun.h
@@ -36,10 +36,18 @@
     CostClass costClass = CostClass::Short;
     TimePoint grantedAt;
     TimePoint sentAt;
+    /// When the connection to the server was ready; no byte was sent before.
+    std::optional<TimePoint> connectedAt;
     TimePoint lastPartAt;
+    /// When the end of the connection to the server was noticed.
+    TimePoint brokenAt;
+    /// The request is recorded as running at a crash of the server.
+    bool isCrashRecorded = false;
     /// Set when the entry accepts the grant.
     TimePoint deadline;
+    /// Its body is moved to the transfer.
     GrantAccept request;
+    MemoryReservation requestMemory;
     /// Estimated work not yet charged, part of the flow's outstanding work in the ledger.
     Work outstanding;
     /// Measured work so far, as charged to the flow.
@@ -55,6 +63,10 @@
     /// Collected for claimed requests, to be recorded. Of a model's non-streaming answer only the
     /// body is collected, to read its token count.
     RecordedAnswer answer;
+    /// For the body of the answer.
+    MemoryReservation answerMemory;
+    /// There was no memory for the body of a model's answer; its token count is unknown.
+    bool answerDropped = false;
     std::unique_ptr<BackendRequest> backend;
 };
 
--- a/src/agent/RequestRuns.cpp
+++ b/src/agent/RequestRuns.cpp
@@ -1,6 +1,9 @@
 #include "agent/AgentNodeImpl.h"
+#include "agent/CollectedAnswers.h"
 
 #include "core/Log.h"
+#include "routing/BreakEvidence.h"
+#include "wire/FramePayload.h"
 
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
@@ -84,7 +87,8 @@
     HeaderList headers = answer.headers;
     headers.emplace_back("idempotent-replayed", "true");
     links->send(run.link, AnswerHead{run.grant, answer.status, headers});
-    links->send(run.link, AnswerData{run.grant, 0, 0, answer.body});
+    for (AnswerData &piece : splitIntoFrames(run.grant, answer.body))
+        links->send(run.link, std::move(piece));
     daemon->metrics().count("lovagecourse_replayed_answers_total");
     finish(run.grant, true, Refusal{});
 }
@@ -98,7 +102,7 @@
     request.method = run.request.method;
     request.url = "http://" + toString(server->address) + run.request.path;
     request.headers = run.request.headers;
-    request.body = run.request.body;
+    request.body = SharedBody(std::move(run.request.body), std::move(run.requestMemory));
     request.totalTimeout = milliseconds(std::max<std::uint32_t>(run.request.deadlineMs, 1));
     if (run.claim) {
         request.headers.emplace_back("idempotency-key", run.request.idempotencyKey.value);
@@ -109,10 +113,15 @@
         request.connectTimeout = std::clamp(left, milliseconds(1), request.connectTimeout);
         request.freshConnection = true;
     }
+    // On a kept connection that ends before the answer begins, libcurl would send the request
+    // again, perhaps to the next process of a server that it has crashed.
+    request.sendBodyOnce = true;
+    request.freshConnection = request.freshConnection || run.offer.suspect || request.body.empty();
     if (run.request.resumeFromEvent > 0)
         request.headers.emplace_back("x-resume-from", std::to_string(run.request.resumeFromEvent));
     BackendRequest::Handlers handlers;
     RequestRun *const runPointer = &run;
+    handlers.onConnected = [this, runPointer] { runPointer->connectedAt = now(); };
     handlers.onHead = [this, runPointer](int status, const HeaderList &headers) {
         onHead(*runPointer, status, headers);
     };
@@ -151,13 +160,68 @@
     run.lastPartAt = arrived;
     if (run.isEventStream)
         chargeWork(run, Work(part.eventCount - (part.isDone ? 1 : 0)));
-    if (run.claim || isNonStreamingModelAnswer(run))
-        run.answer.body += part.bytes;
+    const bool isCollected = run.claim || isNonStreamingModelAnswer(run);
+    if (isCollected && !collect(run, part.bytes))
+        return;
     if (!run.cancelled)
         links->send(run.link,
                     AnswerData{run.grant, part.firstEvent, part.eventCount, std::move(part.bytes)});
 }
 
+bool AgentNode::Impl::collect(RequestRun &run, std::string_view bytes)
+{
+    if (run.answerDropped)
+        return true;
+    const std::size_t wanted = run.answer.body.size() + bytes.size();
+    if (run.answerMemory.bytes() == 0)
+        run.answerMemory = MemoryReservation(daemon->memory(), MemoryHolder::ServerAnswers);
+    while (run.answerMemory.growTo(wanted) == ReserveResult::Full) {
+        RequestRun &dropped = answerToDrop(run, wanted);
+        const bool isThisRun = &dropped == &run;
+        const bool isEnded = isThisRun && run.claim.has_value();
+        dropAnswer(dropped);
+        if (isThisRun)
+            return !isEnded;
+    }
+    run.answer.body += bytes;
+    return true;
+}
+
+RequestRun &AgentNode::Impl::answerToDrop(RequestRun &growing, std::size_t wanted)
+{
+    const MemoryAccount &memory = *daemon->memory();
+    const bool isSmall = wanted <= maxSmallReservation;
+    const std::size_t limit =
+            memory.limits().totalBytes - (isSmall ? 0 : memory.limits().smallReserveBytes);
+    const std::size_t total = memory.used() + wanted - growing.answerMemory.bytes();
+    std::vector<CollectedAnswer> answers{{wanted, growing.claim.has_value()}};
+    std::vector<RequestRun *> holders{&growing};
+    for (const auto &[grant, run] : runs) {
+        if (run.get() == &growing || run->answerMemory.bytes() == 0)
+            continue;
+        answers.push_back({run->answerMemory.bytes(), run->claim.has_value()});
+        holders.push_back(run.get());
+    }
+    return *holders[chooseAnswerToDrop(answers, 0, total - std::min(total, limit))];
+}
+
+/// Frees a collected answer for which there is no memory. A claimed request ends with it, because
+/// its answer can't be recorded.
+void AgentNode::Impl::dropAnswer(RequestRun &run)
+{
+    daemon->metrics().count("lovagecourse_answers_aborted_total", "memory-short");
+    logWarning(LogPart::Agent,
+               "event=answer-dropped reason=memory-short claimed=", run.claim.has_value(),
+               " bytes=", run.answer.body.size(), " memory_used=", daemon->memory()->used());
+    std::string().swap(run.answer.body);
+    run.answerMemory.release();
+    run.answerDropped = true;
+    if (!run.claim)
+        return;
+    claimLog->coordinator().recordUnknownOutcome(*run.claim);
+    finish(run.grant, false, Refusal{RefusalReason::AnswerBroken, Ran::Unknown});
+}
+
 void AgentNode::Impl::chargeWork(RequestRun &run, Work work)
 {
     run.chargedWork += work;
@@ -192,6 +256,7 @@
     RequestRun &run = *runs.at(grant);
     if (outcome == BackendOutcome::Complete)
         return onComplete(run, now() - run.sentAt);
+    run.brokenAt = now();
     if (outcome == BackendOutcome::Unproven) {
         run.phase = RunPhase::Probing;
         return monitor->probe([this, grant, elapsed = now() - run.sentAt](bool answered) {
@@ -223,10 +288,21 @@
         links->sendToAll(CrashSuspectNotice{daemon->suspects().recent(now(), 1)});
     }
     if (run.claim)
-        claimLog->coordinator().recordOutcome(*run.claim, run.answer);
+        recordAnswer(run);
     finish(run.grant, true, Refusal{});
 }
 
+/// Records the answer of a claimed request; without it, repeats are refused as unsettled.
+void AgentNode::Impl::recordAnswer(const RequestRun &run)
+{
+    const RecordResult result = claimLog->coordinator().recordOutcome(*run.claim, run.answer);
+    if (result == RecordResult::Recorded)
+        return;
+    daemon->metrics().count("lovagecourse_answers_unrecorded_total", "too-large");
+    logWarning(LogPart::Agent,
+               "event=answer-unrecorded reason=too-large bytes=", run.answer.body.size());
+}
+
 void AgentNode::Impl::onProbedAfterUnprovenEnd(GrantId grant, bool serverAnswered,
                                                std::chrono::nanoseconds elapsed)
 {
@@ -234,13 +310,14 @@
     if (found == runs.end())
         return;
     RequestRun &run = *found->second;
+    const bool crashed = findServerCrash(run, serverAnswered).has_value();
     logInfo(LogPart::Backend, "answer ended with its connection, server ",
-            serverAnswered ? "answers" : "does not answer");
-    if (serverAnswered)
+            crashed ? "crashed" : "answers");
+    if (!crashed)
         return onComplete(run, elapsed);
     if (run.claim)
         claimLog->coordinator().recordUnknownOutcome(*run.claim);
-    onProbedAfterFailure(grant, false);
+    onProbedAfterFailure(grant, serverAnswered);
 }
 
 void AgentNode::Impl::onProbedAfterFailure(GrantId grant, bool serverAnswered)
@@ -248,27 +325,47 @@
     const auto found = runs.find(grant);
     if (found == runs.end())
         return;
-    if (!serverAnswered)
-        recordCrash();
-    const bool notSent = found->second->phase == RunPhase::NotSent;
+    const RequestRun &run = *found->second;
+    if (const auto crashedAt = findServerCrash(run, serverAnswered))
+        recordCrash(run, *crashedAt);
+    const bool notSent = run.phase == RunPhase::NotSent;
     const Ran ran = notSent ? Ran::No : Ran::Unknown;
     finish(grant, false, Refusal{RefusalReason::ServerLost, ran});
 }
 
-void AgentNode::Impl::recordCrash()
+std::optional<TimePoint> AgentNode::Impl::findServerCrash(const RequestRun &run,
+                                                          bool serverAnswered) const
+{
+    BreakEvidence evidence;
+    evidence.connectedAt = run.connectedAt;
+    evidence.brokenAt = run.brokenAt;
+    evidence.answersProbe = serverAnswered;
+    if (run.phase != RunPhase::NotSent)
+        evidence.idleEnds = monitor->idleEnds();
+    return findCrash(evidence);
+}
+
+/// Records the requests that were running when the server crashed. All connections
+/// broken by one crash lead here, but the crash must be counted once: for each request, not for the
+/// outage, because a server that has restarted may crash again before it is probed.
+void AgentNode::Impl::recordCrash(const RequestRun &broken, TimePoint crashedAt)
 {
-    // All connections broken by one crash lead here, but the crash must be counted once.
-    if (crashRecorded)
+    const bool isKnown =
+            broken.phase == RunPhase::NotSent ? isOutageRecorded : broken.isCrashRecorded;
+    if (isKnown)
         return;
     std::vector<Fingerprint> running;
     for (const auto &[grant, run] : runs) {
-        const bool wasRunning = run->phase == RunPhase::Running || run->phase == RunPhase::Probing;
-        if (wasRunning)
-            running.push_back(run->offer.fingerprint);
+        const bool wasRunning = (run->phase == RunPhase::Running || run->phase == RunPhase::Probing)
+                                && !run->isCrashRecorded && ranAtCrash(run->connectedAt, crashedAt);
+        if (!wasRunning)
+            continue;
+        run->isCrashRecorded = true;
+        running.push_back(run->offer.fingerprint);
     }
     if (running.empty())
         return;
-    crashRecorded = true;
+    isOutageRecorded = !monitor->isUp();
     const std::uint64_t crashId = daemon->incarnation().value * 1000 + ++lastCrash;
     logWarning(LogPart::Agent, "server crashed while running ", running.size(), " requests");
     daemon->metrics().count("lovagecourse_server_crashes_total");
--- a/src/agent/ServerMonitor.cpp
+++ b/src/agent/ServerMonitor.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Log.h"
 
+#include <iterator>
 #include <utility>
 
 namespace lovagecourse {
@@ -16,6 +17,7 @@
 ServerMonitor::ServerMonitor(Daemon &daemon, ChangeHandler onChange)
     : daemon_(daemon)
     , onChange_(std::move(onChange))
+    , restartWatch_(daemon.loop(), daemon.clock())
     , retryTimer_(daemon.loop(), [this] { startProbe(); })
 {}
 
@@ -29,7 +31,8 @@
 
 void ServerMonitor::probe(ProbeHandler onProbed)
 {
-    probeHandlers_.push_back(std::move(onProbed));
+    // The answer to a running probe may be older than the break that the caller has seen.
+    (probing_ ? laterHandlers_ : probeHandlers_).push_back(std::move(onProbed));
     startProbe();
 }
 
@@ -59,9 +62,19 @@
     up_ = answered;
     if (!answered)
         retryTimer_.startOnce(retryInterval);
-    const auto handlers = std::exchange(probeHandlers_, {});
+    auto handlers = std::exchange(probeHandlers_, {});
+    auto later = std::exchange(laterHandlers_, {});
+    if (answered) {
+        if (daemon_.settings().watchRestarts)
+            restartWatch_.watch(*address_);
+        probeHandlers_ = std::move(later);
+    } else {
+        std::move(later.begin(), later.end(), std::back_inserter(handlers));
+    }
     for (const ProbeHandler &handler : handlers)
         handler(answered);
+    if (!probeHandlers_.empty())
+        startProbe();
     if (!changed)
         return;
     logInfo(LogPart::Backend, answered ? "server answers probes" : "server does not answer probes");
--- a/src/agent/ServerMonitor.h
+++ b/src/agent/ServerMonitor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agent/RestartWatch.h"
 #include "daemon/Daemon.h"
 #include "wire/Endpoint.h"
 
@@ -22,9 +23,11 @@
     /// Sets the server's address and probes it.
     void setAddress(const Endpoint &address);
     bool isUp() const { return up_; }
-    /// Probes the server now and calls the handler with the result. Joins a probe that is already
-    /// running.
+    /// Probes the server and calls the handler with the result. The result is that of a probe that
+    /// was sent after the call, unless one that is already running fails.
     void probe(ProbeHandler onProbed);
+    /// Latest ends of idle connections to the server.
+    const std::vector<IdleEnd> &idleEnds() const { return restartWatch_.ends(); }
 
 private:
     void startProbe();
@@ -33,7 +36,11 @@
     Daemon &daemon_;
     ChangeHandler onChange_;
     std::optional<Endpoint> address_;
+    /// Handlers of the running probe.
     std::vector<ProbeHandler> probeHandlers_;
+    /// Handlers that were added after the running probe was sent.
+    std::vector<ProbeHandler> laterHandlers_;
+    RestartWatch restartWatch_;
     bool probing_ = false;
     bool up_ = false;
     Timer retryTimer_;
--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -1,6 +1,7 @@
 #include "app/CommandLine.h"
 
 #include "agent/AgentNode.h"
+#include "app/CheckCommand.h"
 #include "app/KeyCommands.h"
 #include "app/NoteCommands.h"
 #include "app/StatusCommand.h"
@@ -35,6 +36,8 @@
   keys   unsettled | settle ACCOUNT KEY ran|not-run
                                      list or settle requests that may have run
   status --admin ADDRESS [--json]    print the status of a running process
+  check  FILE [--against FILE] [--settings FILE] [--json]
+                                     check a configuration before it is sent to routers
 )";
 
 void printFaults(const std::vector<SettingsFault> &faults)
@@ -142,6 +145,8 @@
         return runKeyCommand(argc - 1, argv + 1);
     if (command == "status")
         return runStatusCommand(argc - 1, argv + 1);
+    if (command == "check")
+        return runCheckCommand(argc - 1, argv + 1);
     const bool wantsHelp = command == "--help" || command == "help";
     (wantsHelp ? std::cout : std::cerr) << usage;
     return wantsHelp ? 0 : exitUsage;
--- a/src/backend/BackendRequest.cpp
+++ b/src/backend/BackendRequest.cpp
@@ -13,6 +13,11 @@
     , credit_(credit)
 {
     HttpClient::Handlers transferHandlers;
+    transferHandlers.onConnected = [this] {
+        if (handlers_.onConnected)
+            handlers_.onConnected();
+        return true;
+    };
     transferHandlers.onHead = [this](const HttpHead &head) {
         isEventStream_ = isEventStream(head.headers);
         endsWithConnection_ = head.framing == BodyFraming::ConnectionEnd;
--- a/src/backend/BackendRequest.h
+++ b/src/backend/BackendRequest.h
@@ -41,6 +41,9 @@
 public:
     struct Handlers
     {
+        /// Called when the connection is ready, before any byte of the request is sent; may be
+        /// empty.
+        std::function<void()> onConnected;
         std::function<void(int status, const HeaderList &headers)> onHead;
         std::function<void(AnswerPart &&part)> onPart;
         std::function<void(BackendOutcome outcome)> onEnd;
--- a/src/claims/ClaimCoordinator.cpp
+++ b/src/claims/ClaimCoordinator.cpp
@@ -2,6 +2,8 @@
 
 #include "claims/ClaimAppendQueue.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <list>
 #include <map>
@@ -19,6 +21,24 @@
 /// incarnation have expired.
 constexpr milliseconds takeoverDelay{3000};
 
+/// Readers take at most 16 MiB at once (LogClient). A larger record would stop every follower of
+/// the stream; the rest is for the other fields of the reader's answer.
+constexpr std::size_t maxRecordBytes = 15U << 20;
+/// Encoding enlarges a byte up to sevenfold, so that smaller answers need no check.
+constexpr std::size_t alwaysFittingBytes = 1U << 20;
+
+/// Returns whether the answer's record fits, as the JSON string that readers get.
+bool fitsRecord(const RecordedAnswer &answer)
+{
+    std::size_t bytes = answer.body.size();
+    for (const auto &[name, value] : answer.headers)
+        bytes += name.size() + value.size();
+    if (bytes <= alwaysFittingBytes)
+        return true;
+    const nlohmann::json record = encodeClaimEntries({ClaimOutcome{{}, {}, answer}});
+    return record.dump().size() <= maxRecordBytes;
+}
+
 /// Order that this incarnation announced last.
 struct AnnouncedOrder
 {
@@ -354,9 +374,14 @@
     impl_->abandon(claim);
 }
 
-void ClaimCoordinator::recordOutcome(const ClaimId &claim, const RecordedAnswer &answer)
+RecordResult ClaimCoordinator::recordOutcome(const ClaimId &claim, const RecordedAnswer &answer)
 {
+    if (!fitsRecord(answer)) {
+        impl_->queueOutcome(claim, std::nullopt);
+        return RecordResult::TooLarge;
+    }
     impl_->queueOutcome(claim, answer);
+    return RecordResult::Recorded;
 }
 
 void ClaimCoordinator::recordUnknownOutcome(const ClaimId &claim)
--- a/src/claims/ClaimCoordinator.h
+++ b/src/claims/ClaimCoordinator.h
@@ -55,6 +55,9 @@
     std::string body;
 };
 
+/// Whether an answer was queued for the log.
+enum class RecordResult : std::uint8_t { Recorded, TooLarge };
+
 /// Manages an agent's claims from the request to the recorded outcome, so that each idempotency key
 /// runs at most once. It does no I/O: its owner appends the records that appendDue() returns, and
 /// passes in the append results and the records read from the log.
@@ -76,8 +79,9 @@
     bool mayRun(const ClaimId &claim, TimePoint now) const;
     /// The request was not and will not be sent: queues a void entry.
     void abandonClaim(const ClaimId &claim);
-    /// The request was sent and its complete answer was received.
-    void recordOutcome(const ClaimId &claim, const RecordedAnswer &answer);
+    /// The request was sent and its complete answer was received. An answer that readers of the log
+    /// can't take is recorded as unknown.
+    RecordResult recordOutcome(const ClaimId &claim, const RecordedAnswer &answer);
     /// The request was sent, but its answer will not become known.
     void recordUnknownOutcome(const ClaimId &claim);
 
--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/histogram.hpp>
 
+#include <algorithm>
+#include <array>
 #include <cmath>
 #include <map>
 #include <sstream>
@@ -28,15 +30,44 @@
     double count = 0;
 };
 
-using CounterKey = std::pair<std::string, std::string>;
+// Ratios between 0.8 and 1.25 are good predictions; an error of a factor of 2 or 4 shows which
+// way a model is wrong.
+constexpr std::array ratioEdges{0.25, 0.5, 0.8, 1.25, 2., 4.};
+
+struct Ratios
+{
+    /// Values up to each edge and above the one before.
+    std::array<double, ratioEdges.size()> counts{};
+    double sum = 0;
+    double count = 0;
+};
+
+/// Name and label value.
+using LabelledKey = std::pair<std::string, std::string>;
+
+/// Escapes a label value as the Prometheus text format requires.
+std::string escapeLabel(std::string_view value)
+{
+    std::string escaped;
+    for (const char c : value) {
+        if (c == '\\' || c == '"')
+            escaped += '\\';
+        if (c == '\n')
+            escaped += "\\n";
+        else
+            escaped += c;
+    }
+    return escaped;
+}
 
 } // namespace
 
 struct Metrics::Impl
 {
-    std::map<CounterKey, double> counters;
+    std::map<LabelledKey, double> counters;
     std::map<std::string, double, std::less<>> gauges;
     std::map<std::string, Latency, std::less<>> latencies;
+    std::map<LabelledKey, Ratios> ratios;
 };
 
 Metrics::Metrics()
@@ -47,7 +78,7 @@
 
 void Metrics::count(std::string_view name, std::string_view reason, double amount)
 {
-    impl_->counters[CounterKey(name, reason)] += amount;
+    impl_->counters[LabelledKey(name, reason)] += amount;
 }
 
 void Metrics::gauge(std::string_view name, double value)
@@ -66,9 +97,21 @@
     found->second.count += 1;
 }
 
+void Metrics::ratio(std::string_view name, std::string_view service, double value)
+{
+    if (!std::isfinite(value) || value < 0)
+        return;
+    Ratios &ratios = impl_->ratios[LabelledKey(name, service)];
+    const auto edge = std::lower_bound(ratioEdges.begin(), ratioEdges.end(), value);
+    if (edge != ratioEdges.end())
+        ratios.counts.at(static_cast<std::size_t>(edge - ratioEdges.begin())) += 1;
+    ratios.sum += value;
+    ratios.count += 1;
+}
+
 double Metrics::counterValue(std::string_view name, std::string_view reason) const
 {
-    const auto found = impl_->counters.find(CounterKey(name, reason));
+    const auto found = impl_->counters.find(LabelledKey(name, reason));
     return found == impl_->counters.end() ? 0 : found->second;
 }
 
@@ -118,6 +161,23 @@
         out << name << "_bucket{le=\"+Inf\"} " << latency.count << '\n';
         out << name << "_sum " << latency.sum << '\n' << name << "_count " << latency.count << '\n';
     }
+    lastName.clear();
+    for (const auto &[key, ratios] : impl_->ratios) {
+        const std::string &name = key.first;
+        const std::string label = "service=\"" + escapeLabel(key.second) + '"';
+        if (name != lastName)
+            out << "# TYPE " << name << " histogram\n";
+        lastName = name;
+        double cumulative = 0;
+        for (std::size_t i = 0; i < ratioEdges.size(); ++i) {
+            cumulative += ratios.counts.at(i);
+            out << name << "_bucket{" << label << ",le=\"" << ratioEdges.at(i) << "\"} "
+                << cumulative << '\n';
+        }
+        out << name << "_bucket{" << label << ",le=\"+Inf\"} " << ratios.count << '\n'
+            << name << "_sum{" << label << "} " << ratios.sum << '\n'
+            << name << "_count{" << label << "} " << ratios.count << '\n';
+    }
     return out.str();
 }
 
--- a/src/core/Refusal.cpp
+++ b/src/core/Refusal.cpp
@@ -37,6 +37,7 @@
         {"agent-queue-full", 503},
         {"agent-leaving", 503},
         {"caller-left", 499},
+        {"memory-short", 503},
 }};
 
 } // namespace
--- a/src/core/Refusal.h
+++ b/src/core/Refusal.h
@@ -35,6 +35,7 @@
     AgentQueueFull,
     AgentLeaving,
     CallerLeft,
+    MemoryShort,
     Count
 };
 
--- a/src/daemon/ConfigurationFollower.cpp
+++ b/src/daemon/ConfigurationFollower.cpp
@@ -1,6 +1,7 @@
 #include "daemon/ConfigurationFollower.h"
 
 #include "core/Log.h"
+#include "membership/PeerDiscovery.h"
 
 #include <algorithm>
 
@@ -24,9 +25,6 @@
 // Once a peer has been ahead for this long, its state is fetched even if the log appears to be
 // available: a read over a silently broken connection fails only after 15 s.
 constexpr milliseconds maxLagBehindPeers{1000};
-// While the log is unavailable, a daemon becomes ready no earlier than this after its start. About
-// a dozen peers report their offsets in that time; the first peer's state may be outdated.
-constexpr seconds peerDiscoveryTime{3};
 // Time before another append of a snapshot that is still due, such as after a failed append.
 constexpr seconds snapshotRetryInterval{10};
 
@@ -262,7 +260,13 @@
         endFetch(std::holds_alternative<ConfigurationStateReply>(message));
     };
     handlers.onClosed = [this](const LinkFailure &) { endFetch(false); };
-    fetchLink = Link::connect(wire, endpoint, std::move(handlers));
+    auto connected = Link::connect(wire, endpoint, std::move(handlers));
+    if (const auto *failure = std::get_if<SocketFailure>(&connected)) {
+        logWarning(LogPart::Configuration, "event=link-connect-failed peer=", toString(endpoint),
+                   " error=", toString(*failure));
+        return endFetch(false);
+    }
+    fetchLink = std::move(std::get<0>(connected));
 }
 
 void ConfigurationFollower::Impl::endFetch(bool answered)
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/Daemon.h"
 
 #include "core/Log.h"
+#include "membership/PeerDiscovery.h"
 
 #include <nlohmann/json.hpp>
 #include <sys/resource.h>
@@ -16,6 +17,8 @@
 
 constexpr milliseconds gossipInterval{500};
 constexpr std::size_t gossipFanOut = 2;
+// How often a starting daemon checks whether a contact of its configured peers is due.
+constexpr milliseconds discoveryTick{50};
 // With 2 targets per round and a configured peer every fourth round, gossip sends about 2.5 KB/s. A
 // daemon may send 8 KB/s; the rest is for service reports.
 constexpr std::size_t maxGossipPeers = 6;
@@ -74,19 +77,26 @@
         , settings(std::move(daemonSettings))
         , handlers(std::move(roleHandlers))
         , fleetKey(settings.fleetKey)
-        , wire{loop, clock, metrics, fleetKey, makeHello(settings, clock)}
+        , memory(memoryLimits(settings.maxMemoryMb))
+        , wire{loop, clock, metrics, fleetKey, makeHello(settings, clock), memoryOrNull()}
         , peers(makeOwnPeerEntry(wire.hello))
-        , http(loop)
+        , http(loop, EventPriority::Normal, memoryOrNull())
         , log(http, settings.platformUrl)
+        , discovery(settings.peers, settings.datagrams, clock.now())
         , gossipTimer(loop, [this] { gossip(); })
+        , discoveryTimer(loop, [this] { contactConfiguredPeers(); })
         , hostListTimer(loop, [this] { readHostList(); })
         , onTerm(loop, SIGTERM, [this] { handlers.onTerminate(); })
         , onInterrupt(loop, SIGINT, [this] { handlers.onTerminate(); })
     {}
 
+    /// Returns null if the settings don't limit the memory.
+    MemoryAccount *memoryOrNull() { return settings.maxMemoryMb > 0 ? &memory : nullptr; }
     std::optional<SocketFailure> openSockets();
     void start();
     void gossip();
+    void contactConfiguredPeers();
+    void sendOwnEntry(const std::vector<Endpoint> &targets);
     void onDatagram(const DaemonId &sender, Message &&message);
     void onGossip(const DaemonId &sender, const Gossip &message);
     void acceptStateLink(int descriptor);
@@ -102,6 +112,7 @@
     Handlers handlers;
     Metrics metrics;
     Authenticator fleetKey;
+    MemoryAccount memory;
     WireContext wire;
     PeerTable peers;
     SuspectList suspects;
@@ -117,7 +128,9 @@
     bool leaving = false;
     unsigned gossipRounds = 0;
     std::mt19937_64 random{std::random_device{}()};
+    PeerDiscovery discovery;
     Timer gossipTimer;
+    Timer discoveryTimer;
     Timer hostListTimer;
     SignalWatcher onTerm;
     SignalWatcher onInterrupt;
@@ -162,6 +175,7 @@
                 handlers.onConfiguration(state);
             });
     gossipTimer.startRepeating(gossipInterval);
+    contactConfiguredPeers();
     hostListTimer.startOnce(milliseconds(0));
 }
 
@@ -187,6 +201,33 @@
     }
 }
 
+/// Asks configured peers for a newer configuration while this daemon is starting.
+void Daemon::Impl::contactConfiguredPeers()
+{
+    const TimePoint now = clock.now();
+    const std::vector<Endpoint> targets = discovery.takeTargets(now);
+    metrics.count("lovagecourse_peer_discovery_contacts_total", {},
+                  static_cast<double>(targets.size()));
+    sendOwnEntry(targets);
+    if (!discovery.isOver(now))
+        return discoveryTimer.startOnce(discoveryTick);
+    logInfo(LogPart::Membership, "event=peer-discovery-over peers=", settings.peers.size(),
+            " unanswered=", discovery.unansweredCount(),
+            " offset=", configuration->state().offset.value);
+}
+
+/// Sends only the entry about this daemon, which holds the offset of its configuration.
+void Daemon::Impl::sendOwnEntry(const std::vector<Endpoint> &targets)
+{
+    if (targets.empty())
+        return;
+    std::vector<Endpoint> translated;
+    translated.reserve(targets.size());
+    for (const Endpoint &target : targets)
+        translated.push_back(translateAddress(target));
+    datagrams->sendToAll(translated, Gossip{peers.gossipEntries(1, random), {}});
+}
+
 void Daemon::Impl::onDatagram(const DaemonId &sender, Message &&message)
 {
     if (const auto *gossipMessage = std::get_if<Gossip>(&message))
@@ -202,8 +243,14 @@
     suspects.merge(message.suspects, now);
     // Only a peer's entry about itself shows that the peer is reachable.
     for (const PeerEntry &entry : message.peers) {
-        if (entry.daemon == sender)
-            configuration->onPeerOffset(entry.datagramEndpoint, entry.configurationOffset);
+        if (entry.daemon != sender)
+            continue;
+        configuration->onPeerOffset(entry.datagramEndpoint, entry.configurationOffset);
+        // A peer without a configuration is starting too, and may have a newer one in a moment.
+        if (entry.configurationOffset.value > 0)
+            discovery.onAnswer(entry.datagramEndpoint);
+        if (shouldReplyToGossip(configuration->state().offset, entry.configurationOffset))
+            sendOwnEntry({entry.datagramEndpoint});
     }
 }
 
@@ -294,6 +341,8 @@
                   inSeconds(usage.ru_utime) + inSeconds(usage.ru_stime));
     // Linux reports the peak resident size in kilobytes.
     metrics.gauge("process_peak_resident_bytes", static_cast<double>(usage.ru_maxrss) * 1024.);
+    if (settings.maxMemoryMb > 0)
+        memory.report(metrics);
     metrics.gauge("lovagecourse_note_number",
                   static_cast<double>(configuration->state().note.value));
     metrics.gauge("lovagecourse_live_peers", static_cast<double>(peers.livePeers().size()));
@@ -308,6 +357,8 @@
 std::variant<std::unique_ptr<Daemon>, SocketFailure>
 Daemon::open(EventLoop &loop, const Clock &clock, DaemonSettings settings, Handlers handlers)
 {
+    if (settings.maxMemoryMb > 0)
+        configureAllocator();
     auto impl = std::make_unique<Impl>(loop, clock, std::move(settings), std::move(handlers));
     if (const auto failure = impl->openSockets())
         return *failure;
@@ -346,6 +397,11 @@
     return impl_->settings;
 }
 
+MemoryAccount *Daemon::memory()
+{
+    return impl_->memoryOrNull();
+}
+
 const WireContext &Daemon::wire() const
 {
     return impl_->wire;
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -53,6 +53,8 @@
     TimePoint now() const;
     Metrics &metrics();
     const DaemonSettings &settings() const;
+    /// Counts the bytes kept for clients, servers and links; null if the settings don't limit them.
+    MemoryAccount *memory();
     const WireContext &wire() const;
     Incarnation incarnation() const;
     HttpClient &http();
--- a/src/direct/ClientRequest.h
+++ b/src/direct/ClientRequest.h
@@ -26,6 +26,8 @@
     std::string model;
     double promptTokens = 0;
     double maxOutputTokens = 0;
+    /// The caller's estimate of the output tokens; 0 without one.
+    double expectedOutputTokens = 0;
     std::vector<PromptPart> prompt;
     /// Headers that are forwarded to the server unchanged.
     HeaderList forwarded;
@@ -71,6 +73,8 @@
     std::optional<double> limitPerSecond;
     /// The server names a limit; true without limitPerSecond if it can't be read.
     bool namesLimit = false;
+    /// Time for which the server says that it warms up.
+    std::optional<milliseconds> warmingLeft;
     /// Headers that are forwarded to the caller unchanged.
     HeaderList forwarded;
 };
--- a/src/direct/DirectConfiguration.cpp
+++ b/src/direct/DirectConfiguration.cpp
@@ -22,6 +22,13 @@
     return nullptr;
 }
 
+int accountPriority(const DirectConfiguration &configuration, const AccountId &account)
+{
+    const auto found = configuration.accountPriorities.find(account);
+    return found == configuration.accountPriorities.end() ? configuration.leastUrgentPriority
+                                                          : found->second;
+}
+
 const ServiceId &selectService(const Route &route, double draw)
 {
     assert(!route.services.empty());
--- a/src/direct/DirectConfiguration.h
+++ b/src/direct/DirectConfiguration.h
@@ -62,6 +62,10 @@
     unsigned maxConnections = 0;
     /// Capacity of one engine's prompt cache in tokens; 0 for services without engines.
     double cacheTokens = 0;
+    /// How long a server warms up after its start; 0 when unknown.
+    milliseconds warmingTime{0};
+    /// Requests a second that a warming server takes from all routers together; 0 when unknown.
+    double warmingRate = 0;
 };
 
 /// One version of the fleet's configuration: routes, services, accounts and limits.
@@ -73,6 +77,9 @@
     std::unordered_map<ServiceId, ServiceInfo> services;
     /// Accounts by API key.
     std::unordered_map<std::string, AccountId> accounts;
+    /// Priorities of accounts; 0 is the most urgent.
+    std::unordered_map<AccountId, int> accountPriorities;
+    int leastUrgentPriority = 0;
     /// False when the platform defines no accounts; then no request needs a key.
     bool hasAccounts = false;
     std::size_t maxHeaderBytes = 0;
@@ -86,6 +93,8 @@
 /// Returns the host's route with the longest matching path prefix; null when none matches.
 const Route *selectRoute(const DirectConfiguration &configuration, std::string_view host,
                          std::string_view path);
+/// Returns the account's priority; that of the least urgent account for a request without one.
+int accountPriority(const DirectConfiguration &configuration, const AccountId &account);
 /// Selects one of the route's services in proportion to the weights; draw is in [0, 1).
 const ServiceId &selectService(const Route &route, double draw);
 
--- a/src/direct/DirectExchange.h
+++ b/src/direct/DirectExchange.h
@@ -19,9 +19,15 @@
 
 namespace lovagecourse {
 
+/// Identifies an attempt among those of one exchange.
+using AttemptKey = StrongId<struct AttemptKeyTag, std::uint64_t>;
+
 /// One attempt: a request sent to one server, and its answer so far.
 struct DirectAttempt
 {
+    AttemptKey key;
+    /// Sent while an earlier attempt was not answered yet.
+    bool isHedge = false;
     Placement placement;
     /// Run of the server at the send.
     ServerRunHash serverRun = 0;
@@ -35,6 +41,7 @@
     ServerAnswer answer;
     /// Buffered body of an answer that is not an event stream.
     std::string body;
+    MemoryReservation bodyMemory;
     bool hasHead = false;
     bool hasBodyBytes = false;
     /// Not sent, because the server had begun to leave when the connection was ready.
@@ -42,9 +49,25 @@
     /// The answer has the wrong attempt id, no signature or no end.
     bool isInvalid = false;
     AnswerEvidence evidence;
+    /// Last sign of the server: the send, bytes of the answer, or its end.
+    TimePoint lastHeardAt;
     /// End of the answer's connection, while the server is checked.
     TimePoint endedAt;
+    /// The server has accepted a connection after the end.
+    TimePoint checkedAt;
     EventStreamSplitter splitter;
+    /// Ends the attempt after its answer was rejected.
+    std::unique_ptr<Timer> rejectTimer;
+    /// Waits for a newer registration of the server, while it is checked.
+    std::unique_ptr<Timer> checkTimer;
+};
+
+/// A hedge whose outcome is open.
+struct OpenHedge
+{
+    TimePoint firstSentAt;
+    /// Predicted time to first byte of the first attempt, in ms.
+    double firstPredictedMs = 0;
 };
 
 /// State of one caller's request from its arrival to the end of its answer.
@@ -65,9 +88,10 @@
     std::vector<TraitHash> traits;
     TimePoint arrived;
     /// Upper bound of the time that the request waited unread in this process before its arrival.
+    /// 0 after the deadline has passed.
     std::chrono::nanoseconds waitedUnread{0};
     /// Arrival minus waitedUnread plus the lesser of the route's timeout and the caller's timeout
-    /// with deadlineSlack.
+    /// with deadlineSlack. An answer that is being streamed then ends waitedUnread later.
     TimePoint deadline;
     std::unique_ptr<Timer> deadlineTimer;
     std::unique_ptr<Timer> stallTimer;
@@ -79,6 +103,8 @@
     /// Input of the admission decision, and the number of servers that were compared.
     AdmissionInput admissionInput;
     std::size_t candidateCount = 0;
+    /// When it was rejected because of overload: the time that its client was told.
+    milliseconds retryAfter{0};
     /// Time from arrival to the first byte of an answer; 0 when none arrived.
     double firstByteMs = 0;
     /// Of the last attempt that was written: age of the list of servers at the choice of the
@@ -89,7 +115,13 @@
     double predictedMs = 0;
     /// A server may have started to run the request.
     bool mayHaveRun = false;
+    /// The only attempt, or of two concurrent ones that of the latest callback.
     std::unique_ptr<DirectAttempt> attempt;
+    /// The other of two concurrent attempts; never set without attempt.
+    std::unique_ptr<DirectAttempt> rival;
+    std::uint64_t lastAttemptKey = 0;
+    std::unique_ptr<Timer> hedgeTimer;
+    std::optional<OpenHedge> openHedge;
     /// Error answer of an earlier attempt; sent to the caller when no retry succeeds.
     std::unique_ptr<DirectAttempt> failedAnswer;
 
--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -3,7 +3,9 @@
 #include "core/Log.h"
 #include "gateway/Problem.h"
 #include "placing/Admission.h"
+#include "placing/EngineMemory.h"
 #include "placing/StopAcceptance.h"
+#include "wire/ReportHash.h"
 
 #include <xxhash.h>
 
@@ -52,11 +54,6 @@
     return host.substr(0, std::min(host.find(':'), host.size()));
 }
 
-bool isRetryable(RequestKind kind)
-{
-    return kind == RequestKind::Safe || kind == RequestKind::ResumableStream;
-}
-
 std::string retryAfterText(milliseconds delay)
 {
     const std::int64_t millis = delay.count();
@@ -66,12 +63,28 @@
 
 } // namespace
 
+bool isRetryable(RequestKind kind)
+{
+    return kind == RequestKind::Safe || kind == RequestKind::ResumableStream;
+}
+
 DirectExchange *DirectRouter::Impl::find(CallerId caller)
 {
     const auto found = exchanges.find(caller);
     return found == exchanges.end() ? nullptr : found->second.get();
 }
 
+/// Returns the exchange with the attempt as its current one; null when the attempt has ended.
+DirectExchange *DirectRouter::Impl::find(CallerId caller, AttemptKey key)
+{
+    DirectExchange *exchange = find(caller);
+    if (!exchange)
+        return nullptr;
+    if (exchange->rival && exchange->rival->key == key)
+        std::swap(exchange->attempt, exchange->rival);
+    return exchange->attempt && exchange->attempt->key == key ? exchange : nullptr;
+}
+
 FleetRetryBudget &DirectRouter::Impl::budget(const ServiceId &service)
 {
     return budgets.try_emplace(service, context.retryLimits).first->second;
@@ -103,6 +116,8 @@
     exchanges.emplace(exchange.caller, std::move(owned));
     budget(exchange.service).onRequest(exchange.arrived);
     context.pool.limitParts().onRequest(reportHash(exchange.service.value), exchange.arrived);
+    if (hedgeShare > 0)
+        hedgesOf(exchange.service).budget.onRequest(exchange.arrived);
     if (isStreamKind(exchange.route->kind))
         context.shares.onRequested(exchange.accountHash, exchange.costTokens, exchange.arrived);
     const CallerId caller = exchange.caller;
@@ -150,7 +165,7 @@
     exchange.traits = sharedPartHashes(exchange.client.prompt);
     exchange.traits.push_back(wholeRequestTrait(exchange.account.value, exchange.request.method,
                                                 exchange.request.path + exchange.request.query,
-                                                exchange.request.body));
+                                                exchange.request.body.str()));
     exchange.costTokens =
             exchange.client.promptTokens + outputTokenCost * exchange.client.maxOutputTokens;
     milliseconds limit = exchange.route->timeout;
@@ -172,6 +187,8 @@
     request.service = exchange.service;
     request.prompt = exchange.prompt;
     request.promptTokens = exchange.client.promptTokens;
+    request.outputTokens = expectedOutputTokens(exchange.client.expectedOutputTokens,
+                                                exchange.client.maxOutputTokens);
     request.objectiveMs = static_cast<double>(exchange.route->objective.count());
     request.excluded = exchange.triedServers;
     return request;
@@ -193,6 +210,10 @@
         const auto withheld = context.pool.withheldFor(exchange.service, now());
         if (!withheld)
             return refuse(exchange, "no-server", defaultRetryAfter);
+        if (withheld->reason == Withheld::Evacuated)
+            return refuse(exchange, "servers-evacuated", spreadRetryAfter(defaultRetryAfter));
+        if (withheld->reason == Withheld::Warming)
+            return refuse(exchange, "servers-warming", spreadRetryAfter(withheld->wait));
         return refuse(exchange,
                       withheld->reason == Withheld::Limited ? "servers-limited" : "servers-paused",
                       spreadRetryAfter(withheld->wait));
@@ -227,12 +248,21 @@
     input.objectiveMs = static_cast<double>(exchange.route->objective.count());
     input.remainingMs = toMs(exchange.deadline - now());
     input.fairShareRatio = context.shares.fairShareRatio(exchange.accountHash, now());
+    const RequestPriority priority{accountPriority(*exchange.configuration, exchange.account),
+                                   exchange.route->priority};
+    input.urgency = urgencyRanks[exchange.service].onRequest(priority, now());
     exchange.candidateCount = placement.candidateCount;
     exchange.admissionInput = input;
     const AdmissionDecision decision = decideAdmission(input);
-    if (const auto *refused = std::get_if<AdmissionRefused>(&decision)) {
+    const auto *refused = std::get_if<AdmissionRefused>(&decision);
+    ReturnPromises &promises = returns[exchange.service];
+    if (promises.takeReturn(exchange.accountHash, now()))
+        context.metrics.count("lovagecourse_returns_total", refused ? "refused" : "admitted");
+    if (refused) {
+        exchange.retryAfter = refused->retryAfter;
+        promises.onRejected(exchange.accountHash, exchange.retryAfter, now());
         exchange.predictedMs = input.firstByteMs;
-        refuse(exchange, "overload", refused->retryAfter);
+        refuse(exchange, "overload", exchange.retryAfter);
         return false;
     }
     if (isStreamKind(exchange.route->kind))
@@ -244,6 +274,8 @@
 {
     const TimePoint current = now();
     auto attempt = std::make_unique<DirectAttempt>();
+    attempt->key = AttemptKey(++exchange.lastAttemptKey);
+    attempt->isHedge = exchange.rival != nullptr;
     attempt->placement = std::move(placement);
     attempt->sentAt = current;
     attempt->serverRun = context.pool.runOf(attempt->placement.server);
@@ -255,11 +287,15 @@
     ServerRequest server;
     server.account = exchange.account;
     server.expectedServer = attempt->placement.server;
-    const auto remaining = std::chrono::duration_cast<milliseconds>(exchange.deadline - current);
+    // The router ends a stream later by the time that its request waited unread; see onDeadline().
+    const auto moved = isStreamKind(exchange.route->kind) ? exchange.waitedUnread
+                                                          : std::chrono::nanoseconds(0);
+    const auto remaining =
+            std::chrono::duration_cast<milliseconds>(exchange.deadline + moved - current);
     server.remainingTime = std::max(remaining, milliseconds(1));
     if (exchange.client.callerTimeout) {
-        const auto elapsed = std::chrono::duration_cast<milliseconds>(current - exchange.arrived
-                                                                      + exchange.waitedUnread);
+        const auto elapsed = std::chrono::duration_cast<milliseconds>(
+                current - exchange.arrived + exchange.waitedUnread - moved);
         server.remainingTime = std::clamp(*exchange.client.callerTimeout - elapsed, milliseconds(1),
                                           server.remainingTime);
     }
@@ -293,21 +329,26 @@
             " local=", attempt->placement.prediction.isLocal,
             " list_age_ms=", toMs(attempt->placement.listAge));
     const CallerId caller = exchange.caller;
+    const AttemptKey key = attempt->key;
     HttpClient::Handlers handlers;
-    handlers.onConnected = [this, caller] { return onConnected(caller); };
+    handlers.onConnected = [this, caller, key] { return onConnected(caller, key); };
     // A copy of an answer without an id could not be told from the answer to the next request.
     handlers.mayReuseConnection = [this](const HeaderList &headers) {
         return context.codec.namesAttempt(headers);
     };
-    handlers.onHead = [this, caller](const HttpHead &head) { onHead(caller, head); };
-    handlers.onData = [this, caller](std::string_view bytes) { onData(caller, bytes); };
-    handlers.onDone = [this, caller](const std::optional<HttpFailure> &failure) {
-        onDone(caller, failure);
+    handlers.onHead = [this, caller, key](const HttpHead &head) { onHead(caller, key, head); };
+    handlers.onData = [this, caller, key](std::string_view bytes) { onData(caller, key, bytes); };
+    handlers.onDone = [this, caller, key](const std::optional<HttpFailure> &failure) {
+        onDone(caller, key, failure);
     };
     exchange.predictedMs = attempt->placement.prediction.firstByteMs();
+    attempt->lastHeardAt = attempt->sentAt;
     exchange.attempt = std::move(attempt);
     exchange.attempt->transfer = context.http.start(std::move(request), std::move(handlers));
+    if (exchange.attempt->isHedge)
+        return;
     armStallTimer(exchange);
+    armHedgeTimer(exchange);
 }
 
 /// Starts the timer that retries a retryable request at another server when its answer does not
@@ -341,6 +382,10 @@
                                 milliseconds retryAfter)
 {
     context.metrics.count("lovagecourse_refusals_total", reason);
+    const bool isServiceShort =
+            reason == "overload" || reason == "no-server" || reason.starts_with("servers-");
+    if (isServiceShort)
+        onServiceRejected(exchange.service);
     gateway->answer(
             exchange.caller, statusUnavailable,
             {{"content-type", problemMediaType}, {"retry-after", retryAfterText(retryAfter)}},
@@ -357,7 +402,10 @@
         gateway->abortStream(exchange.caller);
         return finish(exchange, "broken-off", status, reason);
     }
-    if (exchange.failedAnswer)
+    const bool isAnswerTrue =
+            exchange.failedAnswer
+            && !(exchange.mayHaveRun && promisesNotRun(exchange.failedAnswer->status));
+    if (isAnswerTrue)
         return deliver(exchange, *exchange.failedAnswer);
     gateway->answer(exchange.caller, status, {{"content-type", problemMediaType}},
                     makeProblemBody(Refusal{RefusalReason::ServerLost, Ran::Unknown}));
@@ -370,17 +418,19 @@
 {
     context.metrics.count("lovagecourse_requests_total", outcome);
     context.metrics.latency("lovagecourse_request_seconds", now() - exchange.arrived);
+    if (exchange.openHedge)
+        endHedge(exchange, "unanswered", 0);
     const AdmissionInput &admissionInput = exchange.admissionInput;
     logInfo(LogPart::Routing, "event=", outcome, " request=", exchange.client.attemptId,
             " status=", status, " reason=", reason, " sends=", exchange.sendCount,
             " route=", exchange.route->name, " account=", exchange.account,
             " configuration=", exchange.configuration->version,
-            " standing=", admissionInput.fairShareRatio, " wait_ms=", admissionInput.waitMs,
-            " mean_wait_ms=", admissionInput.meanWaitMs,
+            " standing=", admissionInput.fairShareRatio, " urgency=", admissionInput.urgency,
+            " wait_ms=", admissionInput.waitMs, " mean_wait_ms=", admissionInput.meanWaitMs,
             " objective_ms=", admissionInput.objectiveMs, " servers=", exchange.candidateCount,
-            " predicted_ms=", exchange.predictedMs, " first_byte_ms=", exchange.firstByteMs,
-            " list_age_ms=", exchange.listAgeMs, " send_delay_ms=", exchange.sendDelayMs,
-            " took_ms=", toMs(now() - exchange.arrived));
+            " retry_after_ms=", exchange.retryAfter.count(), " predicted_ms=", exchange.predictedMs,
+            " first_byte_ms=", exchange.firstByteMs, " list_age_ms=", exchange.listAgeMs,
+            " send_delay_ms=", exchange.sendDelayMs, " took_ms=", toMs(now() - exchange.arrived));
     exchanges.erase(exchange.caller);
 }
 
@@ -407,6 +457,11 @@
         budget.setLimits(limits);
 }
 
+void DirectRouter::setHedgeShare(double share)
+{
+    impl_->setHedgeShare(share);
+}
+
 void DirectRouter::onRequest(CallerRequest &&request)
 {
     impl_->receive(std::move(request));
@@ -417,7 +472,7 @@
     DirectExchange *exchange = impl_->find(caller);
     if (!exchange)
         return;
-    impl_->cancelAttempt(*exchange);
+    impl_->cancelAttempts(*exchange);
     impl_->finish(*exchange, "caller-left", 0, "caller-left");
 }
 
@@ -437,7 +492,7 @@
         if (!exchange)
             continue;
         exchange->mayHaveRun = exchange->mayHaveRun || exchange->attempt;
-        impl_->cancelAttempt(*exchange);
+        impl_->cancelAttempts(*exchange);
         if (exchange->mayHaveRun)
             impl_->fail(*exchange, statusBadGateway, "stopping");
         else
--- a/src/direct/DirectRouter.h
+++ b/src/direct/DirectRouter.h
@@ -33,6 +33,8 @@
     /// Called when this router has seen a crash that is new, or an answer that clears a trait.
     std::function<void(const TraitCrash &crash)> onTraitCrash;
     std::function<void(TraitHash trait)> onTraitCleared;
+    /// Counts buffered answers; null means no limit.
+    MemoryAccount *memory = nullptr;
 };
 
 /// Forwards callers' requests directly to backend servers and their answers back. Retries at other
@@ -50,6 +52,9 @@
     void setConfiguration(std::shared_ptr<const DirectConfiguration> configuration);
     /// Changes the limits of all retry budgets; retries already made still count.
     void setRetryLimits(const RetryLimits &limits);
+    /// Sets the share of the requests, 0 to 1, that may be hedged; 0, the default, turns hedged
+    /// requests off.
+    void setHedgeShare(double share);
     void onRequest(CallerRequest &&request);
     void onCallerLeft(CallerId caller);
     void onConsumed(CallerId caller, std::size_t bytes);
--- a/src/direct/DirectRouterImpl.h
+++ b/src/direct/DirectRouterImpl.h
@@ -2,6 +2,11 @@
 
 #include "direct/DirectExchange.h"
 #include "direct/DirectRouter.h"
+#include "placing/HedgeBudget.h"
+#include "placing/HedgeDecision.h"
+#include "placing/LatencyDistribution.h"
+#include "placing/ReturnPromises.h"
+#include "placing/UrgencyRanks.h"
 
 #include <optional>
 #include <random>
@@ -11,6 +16,9 @@
 namespace lovagecourse {
 
 constexpr int firstErrorStatus = 400;
+constexpr int statusRequestTimeout = 408;
+constexpr int statusMisdirected = 421;
+constexpr int statusTooManyRequests = 429;
 constexpr int firstServerErrorStatus = 500;
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
@@ -20,10 +28,26 @@
 // Retry-After when no wait can be predicted; servers register again within one or two seconds.
 constexpr milliseconds defaultRetryAfter{300};
 
+/// Returns whether the request may be sent again once a server may have started it.
+bool isRetryable(RequestKind kind);
+
+/// Returns whether the status promises that the request has not run and never will.
+bool promisesNotRun(int status);
+
+/// Hedges of one service and what they are decided from.
+struct ServiceHedges
+{
+    HedgeBudget budget;
+    /// By the route's name.
+    std::unordered_map<std::string, LatencyDistribution> latencies;
+    /// When a request was last rejected because of the load.
+    std::optional<TimePoint> rejectedAt;
+};
+
 /// Implementation of DirectRouter. DirectRouter.cpp accepts requests and sends them to servers,
 /// DirectRouterAnswers.cpp handles answers, failures and timeouts, DirectRouterEnds.cpp decides
 /// whether an answer is whole, DirectRouterTraits.cpp finds and rejects requests that crash
-/// servers.
+/// servers, DirectRouterHedges.cpp sends a second attempt when the first is late.
 struct DirectRouter::Impl
 {
     explicit Impl(DirectContext routerContext)
@@ -33,6 +57,7 @@
 
     TimePoint now() const { return context.clock.now(); }
     DirectExchange *find(CallerId caller);
+    DirectExchange *find(CallerId caller, AttemptKey key);
     FleetRetryBudget &budget(const ServiceId &service);
 
     void receive(CallerRequest &&request);
@@ -47,15 +72,36 @@
     void armStallTimer(DirectExchange &exchange);
     bool tryTakeRetry(DirectExchange &exchange);
 
-    bool onConnected(CallerId caller);
-    void onHead(CallerId caller, const HttpHead &head);
-    void onData(CallerId caller, std::string_view bytes);
+    void setHedgeShare(double share);
+    ServiceHedges &hedgesOf(const ServiceId &service);
+    void armHedgeTimer(DirectExchange &exchange, double minDelayMs = 5);
+    void onHedgeTimer(CallerId caller, AttemptKey key);
+    HedgeTiming hedgeTiming(const DirectExchange &exchange);
+    HedgeInput hedgeInput(const DirectExchange &exchange, const std::optional<Placement> &second);
+    HedgeVerdict takeHedge(const DirectExchange &exchange, const HedgeInput &input);
+    bool hasSuspectTrait(const DirectExchange &exchange) const;
+    void sendHedge(DirectExchange &exchange, Placement placement);
+    void observeLatency(const DirectExchange &exchange, const DirectAttempt &attempt);
+    void onServiceRejected(const ServiceId &service);
+    void onAnswerWins(DirectExchange &exchange);
+    bool continueWithRival(DirectExchange &exchange);
+    bool endsRequest(const DirectExchange &exchange) const;
+    void onErrorWithRival(DirectExchange &exchange);
+    void endHedge(DirectExchange &exchange, std::string_view outcome, double savedMs);
+    void cancelRival(DirectExchange &exchange);
+    void cancelAttempts(DirectExchange &exchange);
+
+    bool onConnected(CallerId caller, AttemptKey key);
+    void onHead(CallerId caller, AttemptKey key, const HttpHead &head);
+    void onData(CallerId caller, AttemptKey key, std::string_view bytes);
     void onStreamData(DirectExchange &exchange, std::string_view bytes);
     void onAnswerWithoutEnd(DirectExchange &exchange, std::size_t bytes);
-    void onDone(CallerId caller, const std::optional<HttpFailure> &failure);
+    void onDone(CallerId caller, AttemptKey key, const std::optional<HttpFailure> &failure);
     void onAnswerEnded(DirectExchange &exchange);
     void checkServer(DirectExchange &exchange);
-    void onServerChecked(CallerId caller, bool acceptsConnections);
+    void onServerChecked(CallerId caller, AttemptKey key, bool acceptsConnections);
+    void judgeCheckedServer(CallerId caller, AttemptKey key, bool acceptsConnections);
+    void noteSignOfServer(DirectAttempt &attempt) const;
     void onBrokenBeforeAnswer(const DirectExchange &exchange);
     void onServerAnswers(const DirectAttempt &attempt);
     void onAnswerBegun(const DirectExchange &exchange);
@@ -69,7 +115,10 @@
     void onStalled(CallerId caller);
 
     void forward(DirectExchange &exchange, std::string_view bytes);
-    void deliver(DirectExchange &exchange, const DirectAttempt &attempt);
+    bool reserveAnswer(DirectExchange &exchange, std::size_t bytes);
+    DirectExchange *largestAnswer();
+    std::size_t maxUnconsumedBytes() const;
+    void deliver(DirectExchange &exchange, DirectAttempt &attempt);
     void endAttempt(DirectExchange &exchange);
     void cancelAttempt(DirectExchange &exchange);
     void refuse(DirectExchange &exchange, std::string_view reason, milliseconds retryAfter);
@@ -83,6 +132,12 @@
     std::shared_ptr<const DirectConfiguration> configuration;
     std::unordered_map<CallerId, std::unique_ptr<DirectExchange>> exchanges;
     std::unordered_map<ServiceId, FleetRetryBudget> budgets;
+    /// Part of the requests that may be hedged; 0 when hedged requests are off.
+    double hedgeShare = 0;
+    std::unordered_map<ServiceId, ServiceHedges> hedges;
+    std::unordered_map<ServerRunHash, ServerLateness> lateness;
+    std::unordered_map<ServiceId, UrgencyRanks> urgencyRanks;
+    std::unordered_map<ServiceId, ReturnPromises> returns;
     bool isDraining = false;
     /// Set while the process shuts down.
     std::optional<TimePoint> exitAt;
--- a/src/direct/EventSequence.cpp
+++ b/src/direct/EventSequence.cpp
@@ -1,6 +1,7 @@
 #include "direct/EventSequence.h"
 
 #include "backend/EventStreamSplitter.h"
+#include "direct/AnswerCopy.h"
 
 #include <algorithm>
 #include <charconv>
@@ -55,14 +56,15 @@
 
 } // namespace
 
-std::size_t EventSequence::add(std::string_view events)
+std::size_t EventSequence::add(std::string_view events, bool mayContainCopies)
 {
     std::size_t length = 0;
     while (length < events.size()) {
         const std::string_view rest = events.substr(length);
         const std::size_t next = firstEventLength(rest);
         const EventFields fields = parseEvent(rest.substr(0, next));
-        if (fields.hasStatusLine || (fields.hasFields && !follows(fields.id)))
+        const bool isCopy = mayContainCopies && containsStatusLine(rest.substr(0, next));
+        if (isCopy || fields.hasStatusLine || (fields.hasFields && !follows(fields.id)))
             return length;
         if (!fields.id.empty())
             accept(fields.id);
--- a/src/direct/EventSequence.h
+++ b/src/direct/EventSequence.h
@@ -14,7 +14,8 @@
 public:
     /// Adds complete events. Returns the length of those that belong to the stream; it is shorter
     /// than all when one is the head of another answer or does not follow the one before it.
-    std::size_t add(std::string_view events);
+    /// mayContainCopies: a status line within a line, too, ends the sequence.
+    std::size_t add(std::string_view events, bool mayContainCopies = false);
     /// The next event comes from another server, which goes on after the last id.
     void resume() { isResumed_ = true; }
     /// Id of the last event; empty while none had one.
--- a/src/direct/FleetStore.h
+++ b/src/direct/FleetStore.h
@@ -44,6 +44,8 @@
     Unavailable,
     /// The requested records have expired.
     Expired,
+    /// The store ends before the offset of the read: it has lost the records that were read.
+    HistoryLost,
     /// The answer can't be decoded or has an unknown status.
     Malformed
 };
@@ -66,7 +68,8 @@
 using WriteResult = std::optional<StoreFault>;
 
 /// Client interface of the platform's log for routers; calls are asynchronous and report their
-/// result through onDone.
+/// result through onDone. A call outlives this object: its result is reported also after the store
+/// was replaced. A receiver that may be destroyed first guards its callback, as StoreFollower does.
 class FleetStore
 {
 public:
--- a/src/direct/PlatformBinding.h
+++ b/src/direct/PlatformBinding.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -15,10 +16,15 @@
 
 class HttpClient;
 
-/// Decoding error; field is the first one that is missing or has the wrong type.
+/// Decoding error: a field that is missing or has an invalid value.
 struct DecodeFault
 {
+    /// Name of the field; "document" if the whole document can't be decoded.
     std::string field;
+    /// Path of the field, such as "routes[3].service"; empty for the whole document.
+    std::string path;
+    /// Describes a valid value.
+    std::string expected;
 };
 
 /// Adapter to one platform: its header names, record formats and store calls.
@@ -32,6 +38,10 @@
             decodeServer;
     /// Key under which the configuration topic holds the current configuration.
     std::string configurationKey;
+    /// Returns the data centre that a record with this key of the configuration topic evacuates;
+    /// empty for other keys.
+    std::function<std::optional<DataCentreId>(std::string_view key)> evacuatedDataCentre =
+            [](std::string_view) { return std::nullopt; };
     /// Path of the platform's readiness check.
     std::string readyPath;
 };
--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Log.h"
 #include "direct/RouterNodeImpl.h"
+#include "gateway/DescriptorReserve.h"
 
 #include <algorithm>
 #include <csignal>
@@ -35,13 +36,12 @@
 // Interval of log lines with the servers' estimated state, by which routing decisions can be
 // explained afterwards.
 constexpr seconds stateLogInterval{5};
-// Larger than platforms allow; the limit of the configuration is checked after it.
-constexpr std::size_t gatewayBodyBytes = 64U << 20;
+// Used until a configuration sets the limit.
+constexpr std::size_t gatewayBodyBytes = 4U << 20;
 // Each connection keeps a buffer of about three times this size.
 constexpr std::size_t gatewayHeaderBytes = 16U << 10;
-// Parts of maxSockets and maxMemoryMb that callers' connections may take; the rest is for
-// connections to backend servers and for the router's own state.
-constexpr unsigned callerSocketsPercent = 70;
+// Part of maxMemoryMb that callers' connections may take; the rest is for connections to backend
+// servers and for the router's own state.
 constexpr std::size_t callerMemoryPercent = 50;
 // Connections are closed after each answer when more than this part of the maximum is open.
 constexpr unsigned keepAlivePercent = 50;
@@ -88,9 +88,10 @@
     , clock(nodeClock)
     , settings(std::move(nodeSettings))
     , platform(std::move(nodePlatform))
+    , memory(memoryLimits(settings.maxMemoryMb))
     , fleetKey(settings.fleetKey)
     , wire{loop, clock, metrics, fleetKey, makeHello(settings, clock)}
-    , http(loop)
+    , http(loop, EventPriority::Normal, &memory)
     , storeHttp(loop, EventPriority::High)
     , pool(settings.dataCentre)
     , peers(settings.name, settings.dataCentre, settings.processorPermille)
@@ -126,7 +127,8 @@
                          [this] { return peers.liveCount(clock.now()); },
                          crashTraits,
                          [this](const TraitCrash &crash) { onTraitCrash(crash); },
-                         [this](TraitHash trait) { onTraitCleared(trait); }};
+                         [this](TraitHash trait) { onTraitCleared(trait); },
+                         &memory};
 }
 
 HttpGateway::Handlers RouterNode::Impl::gatewayHandlers()
@@ -155,7 +157,10 @@
     limits.maxHeaderBytes = gatewayHeaderBytes;
     limits.idleTimeout = gatewayIdleTimeout;
     limits.dropHalfClosed = true;
-    const unsigned bySockets = settings.maxSockets * callerSocketsPercent / 100;
+    limits.memory = &memory;
+    limits.addressMemoryPercent = settings.addressMemoryPercent;
+    const auto bySockets = static_cast<unsigned>(callerDescriptors(
+            std::min<std::size_t>(settings.maxSockets, processDescriptorLimit())));
     const auto byMemory = static_cast<unsigned>(settings.maxMemoryMb * callerMemoryPercent / 100
                                                 * bytesPerMb / callerConnectionBytes);
     limits.maxConnections = std::min(bySockets, byMemory);
@@ -190,6 +195,7 @@
             " callers=", toString(settings.callers), " platform=", settings.platformUrl);
     directory.setRenewalInterval(settings.renewalInterval);
     pool.setMaxPause(settings.maxPause);
+    router->setHedgeShare(settings.hedgeShare);
     restartFollowers();
     registerSelf();
     readRouterRecords();
@@ -229,6 +235,7 @@
     settings.datagrams = previous.datagrams;
     startLog(settings.logLevel, LogFormat::Events, settings.name.value);
     router->setRetryLimits(retryLimits());
+    router->setHedgeShare(settings.hedgeShare);
     directory.setRenewalInterval(settings.renewalInterval);
     pool.setMaxPause(settings.maxPause);
     const bool pollingChanged = previous.maxConfigurationDelay != settings.maxConfigurationDelay
@@ -264,6 +271,9 @@
             " servers_failing=", serversFollower->isFailing());
     metrics.gauge("lovagecourse_caller_connections",
                   static_cast<double>(gateway->openConnections()));
+    memory.report(metrics);
+    logInfo(LogPart::App, "event=memory used=", memory.used(),
+            " high_water=", memory.highWaterMark(), " limit=", memory.limits().totalBytes);
     pool.logState(clock.now());
 }
 
@@ -358,6 +368,7 @@
     applyChanges(directory.expire(!serversFollower->isFailing(), now));
     crashTraits.expire(now);
     pool.updateLimitParts(limitCounts(), now);
+    updateWarming(now);
     if (pool.takeLimitsChanged())
         sendLimits(fleetTargets());
     flushLog();
@@ -390,6 +401,7 @@
 RouterNode::open(EventLoop &loop, const Clock &clock, const RouterSettings &settings,
                  PlatformBinding platform)
 {
+    configureAllocator();
     auto impl = std::make_unique<Impl>(loop, clock, settings, std::move(platform));
     if (const auto failure = impl->openSockets())
         return *failure;
--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -4,6 +4,7 @@
 #include "direct/RouterNode.h"
 #include "direct/RouterPeers.h"
 #include "direct/StoreFollower.h"
+#include "placing/EvacuationReads.h"
 #include "placing/IntakeLimit.h"
 #include "placing/RotationPause.h"
 #include "wire/DatagramSocket.h"
@@ -18,7 +19,8 @@
 /// Implementation of RouterNode. RouterNode.cpp contains sockets, settings and lifecycle,
 /// RouterNodeSync.cpp what is read from the store, RouterNodePeers.cpp the exchange of state with
 /// the other routers, RouterNodeTraits.cpp of it what concerns requests that crash servers,
-/// RouterNodeLimits.cpp what concerns limits of servers.
+/// RouterNodeLimits.cpp what concerns limits of servers, RouterNodeEvacuations.cpp what concerns
+/// evacuated data centres.
 struct RouterNode::Impl
 {
     Impl(EventLoop &eventLoop, const Clock &nodeClock, RouterSettings nodeSettings,
@@ -33,6 +35,10 @@
     void answerAdmin(HttpGateway &gateway, const CallerRequest &request);
 
     void onConfigurationRecords(const std::vector<KeyedRecord> &records);
+    void onAllEvacuationRecords(const std::vector<KeyedRecord> &records);
+    void onEvacuationRecords(const std::vector<KeyedRecord> &records, LogOffset next);
+    void applyEvacuations();
+    void sendEvacuations(const std::vector<Endpoint> &targets);
     void onAllServers(const std::vector<KeyedRecord> &records);
     void onServerRecords(const std::vector<KeyedRecord> &records, LogOffset from, LogOffset to);
     void onConfigurationRead();
@@ -76,6 +82,7 @@
     void onMessage(const DaemonId &sender, CrashTraitReport &&report);
     void onMessage(const DaemonId &sender, ConfigurationRead &&read);
     void onMessage(const DaemonId &sender, RouterLimitReport &&report);
+    void onMessage(const DaemonId &sender, EvacuatedDataCentres &&report);
     RouterCounts limitCounts() const;
     void sendLimits(const std::vector<Endpoint> &targets);
     void sendLimitsAsRelay(const std::vector<Endpoint> &targets);
@@ -101,6 +108,8 @@
     void restartFollowers();
     void onTerminate();
     void updateProcessLoad(TimePoint now);
+    void updateWarming(TimePoint now);
+    void updateWarmingView(TimePoint now);
     void updateIntakeLimit(const ProcessLoad &load, TimePoint now);
     void onTick();
 
@@ -108,6 +117,8 @@
     const Clock &clock;
     RouterSettings settings;
     PlatformBinding platform;
+    /// Declared before all that holds reservations.
+    MemoryAccount memory;
     Metrics metrics;
     Authenticator fleetKey;
     WireContext wire;
@@ -127,6 +138,7 @@
     std::vector<TraitCrash> unreportedCrashes;
     std::vector<std::pair<TraitHash, TimePoint>> unreportedClears;
     RouterPeers peers;
+    LiveRouters liveRouters;
     /// This router relays the load of its data centre to the others.
     bool isRelaying = false;
     unsigned presenceCount = 0;
@@ -137,6 +149,7 @@
     /// Up to where some router has announced that it has read the configuration.
     LogOffset announcedConfiguration;
     Timer configurationAnnouncement;
+    EvacuationReads evacuationReads;
     std::unique_ptr<StoreFollower> serversFollower;
     std::unique_ptr<DatagramSocket> datagramSocket;
     std::unique_ptr<HttpGateway> gateway;
--- a/src/direct/RouterNodeLimits.cpp
+++ b/src/direct/RouterNodeLimits.cpp
@@ -1,4 +1,5 @@
 #include "direct/RouterNodeImpl.h"
+#include "wire/ReportHash.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -60,6 +61,35 @@
     return counts;
 }
 
+/// Updates this router's shares of the requests to warming servers. A router that leaves uses none,
+/// because the others no longer count it.
+void RouterNode::Impl::updateWarming(TimePoint now)
+{
+    updateWarmingView(now);
+    const WarmingServers warming = pool.updateWarming(now);
+    metrics.gauge("lovagecourse_servers_warming", static_cast<double>(warming.count));
+    if (warming.begun > 0)
+        metrics.count("lovagecourse_warming_begun_total", {}, static_cast<double>(warming.begun));
+    if (warming.ended > 0)
+        metrics.count("lovagecourse_warming_ended_total", {}, static_cast<double>(warming.ended));
+}
+
+void RouterNode::Impl::updateWarmingView(TimePoint now)
+{
+    // A gap in the updates would look like a suspension of this process.
+    liveRouters.update(peers.memberSightings(), areRoutersKnown, now);
+    // Before the first configuration, the view is kept so that routers heard since the start count.
+    if (configuration && !pool.hasWarmingLimits())
+        return;
+    WarmingView view;
+    view.self = reportHash(settings.name.value);
+    view.isKnown = liveRouters.isKnown() && !terminatedAt;
+    view.routers = peers.remoteRouters();
+    view.routers[settings.dataCentre] = liveRouters.live();
+    view.routers[settings.dataCentre].push_back(view.self);
+    pool.setWarmingView(view, now);
+}
+
 /// Tells the limits that servers name, and what this router receives.
 void RouterNode::Impl::sendLimits(const std::vector<Endpoint> &targets)
 {
--- a/src/direct/RouterNodePeers.cpp
+++ b/src/direct/RouterNodePeers.cpp
@@ -112,6 +112,8 @@
     datagramSocket->sendToAll(isStarting ? peers.knownPeers() : peers.activePeers(now),
                               presence(false));
     sendKnownTraits(fleetTargets());
+    // The members of another data centre get the repetition from its relay.
+    sendEvacuations(isRelaying ? fleetTargets() : peers.activePeers(now));
 }
 
 RouterPresence RouterNode::Impl::presence(bool isReply) const
@@ -283,6 +285,7 @@
         datagramSocket->send(presence.datagramEndpoint, this->presence(true));
     sendReports(pool.makeReports(false, now), {presence.datagramEndpoint});
     sendKnownTraits({presence.datagramEndpoint});
+    sendEvacuations({presence.datagramEndpoint});
 }
 
 void RouterNode::Impl::onMessage(const DaemonId &sender, RouterReport &&report)
--- a/src/direct/RouterNodeSync.cpp
+++ b/src/direct/RouterNodeSync.cpp
@@ -1,5 +1,6 @@
 #include "core/Log.h"
 #include "direct/RouterNodeImpl.h"
+#include "wire/ReportHash.h"
 
 #include <algorithm>
 
@@ -25,18 +26,24 @@
 
 void RouterNode::Impl::restartFollowers()
 {
+    // Both refer to the store that is replaced.
+    configurationFollower.reset();
+    serversFollower.reset();
     store = platform.openStore(storeHttp, settings.platformUrl);
     announcedConfiguration = LogOffset(0);
     StoreFollower::Handlers forConfiguration;
     forConfiguration.onFullRead = [this](const auto &records) {
+        // Before the configuration, after which the router sends requests.
+        onAllEvacuationRecords(records);
         onConfigurationRecords(records);
         onConfigurationRead();
     };
-    forConfiguration.onRecords = [this](const auto &records, LogOffset, LogOffset) {
+    forConfiguration.onRecords = [this](const auto &records, LogOffset, LogOffset to) {
+        onEvacuationRecords(records, to);
         onConfigurationRecords(records);
         onConfigurationRead();
     };
-    forConfiguration.onEmptyRead = [](LogOffset) {};
+    forConfiguration.onEmptyRead = [this](LogOffset next) { onEvacuationRecords({}, next); };
     forConfiguration.onAnswer = [this] { storeContact.onAnswer(clock.now()); };
     forConfiguration.onStoreReturned = [](std::chrono::nanoseconds) {};
     configurationFollower = std::make_unique<StoreFollower>(
@@ -78,7 +85,9 @@
     if (next <= announcedConfiguration)
         return;
     announcedConfiguration = next;
-    datagramSocket->sendToAll(fleetTargets(), ConfigurationRead{next});
+    const std::vector<Endpoint> targets = fleetTargets();
+    datagramSocket->sendToAll(targets, ConfigurationRead{next});
+    sendEvacuations(targets);
 }
 
 void RouterNode::Impl::onConfigurationRecords(const std::vector<KeyedRecord> &records)
@@ -89,7 +98,8 @@
         auto decoded = platform.decodeConfiguration(*record.value);
         if (const auto *fault = std::get_if<DecodeFault>(&decoded)) {
             metrics.count("lovagecourse_configuration_faults_total");
-            logError(LogPart::Configuration, "event=configuration-unreadable field=", fault->field);
+            logError(LogPart::Configuration, "event=configuration-unreadable field=", fault->field,
+                     " path=", fault->path, " expected=\"", fault->expected, '"');
             continue;
         }
         auto &next = std::get<DirectConfiguration>(decoded);
@@ -101,8 +111,10 @@
                 " keys=", next.accounts.size());
         metrics.gauge("lovagecourse_configuration_version", static_cast<double>(next.version));
         configuration = std::make_shared<const DirectConfiguration>(std::move(next));
-        pool.setConfiguration(configuration);
+        pool.setConfiguration(configuration, clock.now());
         router->setConfiguration(configuration);
+        if (configuration->maxBodyBytes > 0)
+            gateway->setMaxBodyBytes(configuration->maxBodyBytes);
         if (configuration->idleTimeout.count() > 0)
             gateway->setIdleTimeout(std::chrono::ceil<seconds>(configuration->idleTimeout)
                                     + idleTimeoutSlack);
--- a/src/direct/RouterPeers.cpp
+++ b/src/direct/RouterPeers.cpp
@@ -1,6 +1,7 @@
 #include "direct/RouterPeers.h"
 
 #include "core/Log.h"
+#include "wire/ReportHash.h"
 
 #include <algorithm>
 #include <tuple>
@@ -180,6 +181,26 @@
     return static_cast<std::size_t>(live) + 1;
 }
 
+std::vector<RouterSighting> RouterPeers::memberSightings() const
+{
+    std::vector<RouterSighting> sightings;
+    for (const auto &[router, peer] : peers_) {
+        if (isLocal(peer))
+            sightings.push_back(RouterSighting{reportHash(router.value), peer.lastHeard});
+    }
+    return sightings;
+}
+
+std::map<DataCentreId, std::vector<RouterHash>> RouterPeers::remoteRouters() const
+{
+    std::map<DataCentreId, std::vector<RouterHash>> routers;
+    for (const auto &[router, peer] : peers_) {
+        if (!isLocal(peer))
+            routers[*peer.dataCentre].push_back(reportHash(router.value));
+    }
+    return routers;
+}
+
 std::size_t RouterPeers::liveCount(TimePoint now) const
 {
     std::size_t count = memberCount(now);
--- a/src/direct/RouterPeers.h
+++ b/src/direct/RouterPeers.h
@@ -2,6 +2,7 @@
 
 #include "core/Clock.h"
 #include "core/Ids.h"
+#include "placing/WarmingShare.h"
 #include "wire/Endpoint.h"
 
 #include <map>
@@ -59,6 +60,10 @@
     std::size_t liveCount(TimePoint now) const;
     /// Returns the number of routers that were heard or are registered, including this one.
     std::size_t knownCount() const { return peers_.size() + 1; }
+    /// The other known routers of this data centre, and when they were last heard.
+    std::vector<RouterSighting> memberSightings() const;
+    /// The registered routers of the other data centres.
+    std::map<DataCentreId, std::vector<RouterHash>> remoteRouters() const;
     /// Returns the number of live routers of this data centre, including this one.
     std::size_t memberCount(TimePoint now) const;
 
--- a/src/direct/ServerDirectory.cpp
+++ b/src/direct/ServerDirectory.cpp
@@ -19,7 +19,7 @@
         const auto lastRenewal =
                 found == entries_.end() ? std::nullopt : found->second.renewedAfter;
         entries_[id] = KnownServer{*entry, writtenAfter ? writtenAfter : lastRenewal, std::nullopt};
-        return {RegistrationChange{id, std::move(entry), {}}};
+        return {RegistrationChange{id, std::move(entry), writtenAfter.value_or(TimePoint())}};
     }
     if (found == entries_.end())
         return {};
--- a/src/direct/ServerDirectory.h
+++ b/src/direct/ServerDirectory.h
@@ -16,7 +16,7 @@
     ServerId id;
     /// Empty when the server was removed.
     std::optional<ServerEntry> entry;
-    /// Of a removal: its record was written after this time.
+    /// The record was written after this time; TimePoint() for an entry when it is not known.
     TimePoint writtenAfter;
 };
 
--- a/src/direct/ServerEntry.h
+++ b/src/direct/ServerEntry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/Clock.h"
 #include "core/Ids.h"
 #include "wire/Endpoint.h"
 
@@ -21,6 +22,8 @@
     /// Start time of the server in milliseconds since the epoch; a change means that it restarted
     /// under the same id with an empty prompt cache. 0 when unknown.
     std::uint64_t startedMs = 0;
+    /// Time for which the server still warms up; 0 when it does not.
+    milliseconds warmingLeft{0};
 
     bool operator==(const ServerEntry &) const = default;
 };
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -1,6 +1,8 @@
 #include "direct/ServerPool.h"
 
 #include "core/Log.h"
+#include "placing/SlotServers.h"
+#include "wire/ReportHash.h"
 
 #include <xxhash.h>
 
@@ -13,23 +15,31 @@
 // Sends with less prefill time don't change other routers' choices; the next full report contains
 // them.
 constexpr double minReportedPrefillMs = 15;
-// A run whose registration has been gone for longer has ended.
-constexpr std::chrono::minutes maxDepartedAge{10};
 
 } // namespace
 
-std::uint32_t reportHash(const std::string &id)
-{
-    return XXH32(id.data(), id.size(), 0);
-}
-
 ServerPool::ServerPool(DataCentreId dataCentre)
     : dataCentre_(std::move(dataCentre))
 {}
 
-void ServerPool::setConfiguration(std::shared_ptr<const DirectConfiguration> configuration)
+void ServerPool::setConfiguration(std::shared_ptr<const DirectConfiguration> configuration,
+                                  TimePoint now)
 {
     configuration_ = std::move(configuration);
+    hasWarmingLimits_ = std::any_of(configuration_->services.begin(),
+                                    configuration_->services.end(), [](const auto &entry) {
+                                        return entry.second.warmingTime.count() > 0
+                                               && entry.second.warmingRate > 0;
+                                    });
+    for (auto &[id, server] : servers_)
+        updateWarmingShare(server, now);
+}
+
+void ServerPool::setListTime(TimePoint asOf)
+{
+    listTime_ = asOf;
+    for (auto &[id, server] : servers_)
+        onListRead(server.warming, asOf);
 }
 
 ServerPool::Server *ServerPool::find(const ServerId &id)
@@ -46,6 +56,12 @@
     return found == configuration_->services.end() ? 0 : found->second.cacheTokens;
 }
 
+double ServerPool::meanRequestTokens(const ServiceId &service) const
+{
+    const auto found = meanRequestTokens_.find(service);
+    return found == meanRequestTokens_.end() ? 0 : found->second.value();
+}
+
 std::size_t ServerPool::count(const ServiceId &service) const
 {
     return static_cast<std::size_t>(
@@ -62,22 +78,11 @@
     return XXH64(server.value.data(), server.value.size(), started);
 }
 
-bool ServerPool::accepts(const ServerId &server, TimePoint now) const
+std::optional<ServerRunHash> ServerPool::registeredRun(const ServerId &server) const
 {
     const auto found = servers_.find(server);
-    if (found == servers_.end())
-        return false;
-    const Server &known = found->second;
-    // The request that asks is in flight itself.
-    const unsigned others = std::max(known.model.running(), 1U) - 1;
-    const Withheld reason = withheldReason(known.entry.isDraining, known.words, others, now);
-    // The request that asks has taken its part of the limit already.
-    return reason == Withheld::No || reason == Withheld::Limited;
-}
-
-Withheld ServerPool::withheld(const Server &server, TimePoint now)
-{
-    return withheldReason(server.entry.isDraining, server.words, server.model.running(), now);
+    const bool hasStart = found != servers_.end() && found->second.entry.startedMs != 0;
+    return hasStart ? std::optional(runOf(server)) : std::nullopt;
 }
 
 unsigned ServerPool::running(const ServerId &server) const
@@ -105,7 +110,7 @@
         if (server) {
             logInfo(LogPart::Membership, "event=server-gone server=", change.id,
                     " running=", server->model.running());
-            keepWords(change.id, *server, now);
+            keepDeparted(change.id, *server, now);
             serversByHash_.erase(reportHash(change.id.value));
             serversByService_.clear();
             std::erase(unreportedServers_, server);
@@ -122,22 +127,30 @@
                 " draining=", entry.isDraining);
         Server added;
         added.entry = entry;
+        added.isEvacuated = evacuations_.isEvacuated(entry.dataCentre);
         added.model.setLoopDelay(toMs(loopDelay_));
         const auto position = servers_.emplace(change.id, std::move(added)).first;
-        if (const auto departed = departedWords_.extract(runOf(change.id)))
-            position->second.words = departed.mapped().words;
         serversByHash_[reportHash(change.id.value)] = &position->second;
         serversByService_.clear();
+        restoreDeparted(position->second, change, now);
         return;
     }
     const bool restarted =
             server->entry.startedMs != entry.startedMs || server->entry.address != entry.address;
     if (restarted) {
         server->cache.clear();
+        server->memory.clear();
         server->model.onRestarted();
     }
-    if (server->entry.startedMs != entry.startedMs)
+    const bool isNewRun = server->entry.startedMs != entry.startedMs;
+    if (isNewRun) {
         server->words = ServerWords();
+        server->warming = WarmingState();
+    }
+    // A record that is read again would prolong the time.
+    const bool isWarmingChanged = isNewRun || server->entry.warmingLeft != entry.warmingLeft;
+    const bool isMoved = isNewRun || server->entry.dataCentre != entry.dataCentre
+                         || server->entry.service != entry.service;
     if (restarted || server->entry.isDraining != entry.isDraining)
         logInfo(LogPart::Membership, "event=server-changed server=", change.id,
                 " restarted=", restarted, " draining=", entry.isDraining,
@@ -145,6 +158,12 @@
     if (server->entry.service != entry.service)
         serversByService_.clear();
     server->entry = entry;
+    server->isEvacuated = evacuations_.isEvacuated(entry.dataCentre);
+    if (isMoved)
+        updateWarmingShare(*server, now);
+    if (isWarmingChanged)
+        onWarmingReported(server->warming, entry.warmingLeft, now);
+    onRunShown(server->warming, change.writtenAfter);
 }
 
 /// Returns the servers of a service in the order of their ids.
@@ -160,6 +179,7 @@
 std::optional<Placement> ServerPool::choose(const PlacementRequest &request, TimePoint now) const
 {
     const double capacity = cacheTokens(request.service);
+    const double meanTokens = meanRequestTokens(request.service);
     const PrefillSpeed &serviceSpeed = speed(request.service);
     const std::vector<const Server *> &known = serversOf(request.service);
     std::vector<PlacementCandidate> candidates;
@@ -177,20 +197,29 @@
         const Server &server = *candidateServer;
         if (withheld(server, now) != Withheld::No || request.excluded.contains(server.entry.id))
             continue;
+        const PeerLoad peers = server.peerLoads.sum(now);
+        const double runningTokens =
+                server.memory.runningTokens(peers.running, meanTokens, server.entry.slots);
+        const double room = prefixCacheRoom(capacity, runningTokens);
         const double cachedTokens = server.holderMark == placementNumber
-                                            ? server.cache.cachedTokens(request.prompt, capacity)
+                                            ? server.cache.cachedTokens(request.prompt, room)
                                             : 0;
         const PrefillWork work{std::max(0., request.promptTokens - cachedTokens), cachedTokens};
         const double slowness = server.model.slowness(now);
         PlacementCandidate candidate;
         candidate.server = server.entry.id;
-        candidate.waitMs = server.model.waitMs(serviceSpeed, server.peerLoads.sum(now),
-                                               server.entry.slots, now);
+        candidate.waitMs = server.model.waitMs(serviceSpeed, peers, server.entry.slots, now);
         candidate.prefillMs = serviceSpeed.prefillMs(work) * slowness;
         candidate.baseMs = serviceSpeed.baseMs() * slowness;
+        if (capacity <= 0) {
+            const SlotLoad load{candidate.baseMs, server.model.running(), server.entry.slots};
+            candidate.spreadCostMs = slotSpreadCostMs(load, server.entry.id, placementNumber);
+        }
         candidate.failureRate = server.model.failureRate();
         candidate.isLocal = server.entry.dataCentre == dataCentre_;
         candidate.isInBackoff = server.model.isInBackoff(now);
+        candidate.exceedsMemory =
+                exceedsMemory(capacity, runningTokens, request.promptTokens, request.outputTokens);
         candidates.push_back(std::move(candidate));
         servers.push_back(&server);
         works.push_back(work);
@@ -207,6 +236,7 @@
     placement.address = servers[*best]->entry.address;
     placement.uncachedTokens = works[*best].uncachedTokens;
     placement.cachedTokens = works[*best].cachedTokens;
+    placement.outputTokens = request.outputTokens;
     placement.prediction = candidates[*best];
     placement.candidateCount = candidates.size();
     placement.meanWaitMs = waitSum / static_cast<double>(candidates.size());
@@ -221,7 +251,9 @@
     Server *server = find(placement.server);
     if (!server)
         return 0;
-    const double capacity = cacheTokens(server->entry.service);
+    const ServiceId &service = server->entry.service;
+    const double capacity = cacheTokens(service);
+    const PeerLoad peers = server->peerLoads.sum(now);
     if (!prompt.empty()) {
         // The last part is specific to one request or session; other routers have no use for it.
         for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
@@ -232,21 +264,32 @@
             if (isRelaying_)
                 unrelayedPrefixes_.push_back(sent);
         }
-        server->cache.insert(prompt, capacity);
+        const double running = server->memory.runningTokens(
+                peers.running, meanRequestTokens(service), server->entry.slots);
+        server->cache.insert(prompt, prefixCacheRoom(capacity, running),
+                             maxPrefixCacheRoom(capacity));
         prefixHolders_.add(prompt.front().hash, server);
         prefixHolders_.removeExpired([](const Server &holder, std::uint64_t prefix) {
             return holder.cache.contains(prefix);
         });
     }
     const PrefillWork work{placement.uncachedTokens, placement.cachedTokens};
-    if (speed(server->entry.service).prefillMs(work) >= minReportedPrefillMs) {
+    if (speed(service).prefillMs(work) >= minReportedPrefillMs) {
         markUnreported(*server);
         markUnrelayed(*server);
     }
     takeRoom(server->words.limit, now);
+    takeWarmingToken(server->warming, now);
     server->sentTokens += static_cast<std::uint32_t>(placement.uncachedTokens);
-    return server->model.onSent(speed(server->entry.service), work, server->peerLoads.sum(now),
-                                server->entry.slots, now);
+    const SendNumber number =
+            server->model.onSent(speed(service), work, peers, server->entry.slots, now);
+    if (capacity > 0) {
+        const double tokens =
+                requestTokens(placement.uncachedTokens, placement.outputTokens, capacity);
+        server->memory.onSent(number, tokens);
+        meanRequestTokens_[service].add(tokens);
+    }
+    return number;
 }
 
 void ServerPool::onFirstByte(const ServerId &server, SendNumber number, TimePoint now, bool isExact)
@@ -277,8 +320,10 @@
 
 void ServerPool::onEnded(const ServerId &server, SendNumber number)
 {
-    if (Server *known = find(server))
+    if (Server *known = find(server)) {
         known->model.onEnded(number);
+        known->memory.onEnded(number);
+    }
 }
 
 void ServerPool::onOutcome(const ServerId &server, bool failed)
@@ -293,139 +338,6 @@
         known->model.onUnreachable(now);
 }
 
-void ServerPool::onWords(const AnswerOrigin &origin, const ServerAnswer &answer, TimePoint now)
-{
-    Server *server = find(origin.server);
-    if (!server || runOf(origin.server) != origin.run)
-        return;
-    ServerWords &words = server->words;
-    if (answer.isLeaving && !words.leavingSince) {
-        words.leavingSince = now;
-        logInfo(LogPart::Membership, "event=server-leaving server=", origin.server,
-                " run=", origin.run, " request=", origin.attemptId,
-                " running=", server->model.running());
-    }
-    onLimitHeard(*server, answer, origin, now);
-    if (answer.pause) {
-        const milliseconds pause = std::min(*answer.pause, maxPause_);
-        logInfo(LogPart::Membership, "event=server-paused server=", origin.server,
-                " run=", origin.run, " request=", origin.attemptId, " pause_ms=", pause.count(),
-                " asked_ms=", answer.pause->count(), " replaced=", words.pausedAt.has_value());
-        onPauseHeard(words, pause, now);
-    } else if (!answer.notExecuted && onAnswerHeard(words, origin.sentAt)) {
-        logInfo(LogPart::Membership, "event=server-pause-over server=", origin.server,
-                " run=", origin.run, " request=", origin.attemptId);
-    }
-}
-
-double ServerPool::limitPart(const Server &server, TimePoint now) const
-{
-    return limitParts_.part(reportHash(server.entry.service.value), routerCounts_, now);
-}
-
-void ServerPool::onLimitHeard(Server &server, const ServerAnswer &answer,
-                              const AnswerOrigin &origin, TimePoint now)
-{
-    RequestLimit &limit = server.words.limit;
-    const auto before = limit.named;
-    bool isChanged = false;
-    if (answer.limitPerSecond)
-        isChanged = onLimitNamed(limit, *answer.limitPerSecond, limitPart(server, now), now, now);
-    else if (!answer.namesLimit)
-        isChanged = onLimitAbsent(limit, origin.sentAt, now);
-    if (!isChanged)
-        return;
-    haveLimitsChanged_ = true;
-    logInfo(LogPart::Membership, "event=server-limit server=", origin.server, " run=", origin.run,
-            " request=", origin.attemptId, " per_second=", limit.named.value_or(-1),
-            " in_force=", limit.perSecond.value_or(-1), " before=", before.value_or(-1),
-            " own_per_second=", limit.ownPerSecond, " routers=", routerCounts_.fleet);
-}
-
-void ServerPool::onLimitReported(const HeardLimit &heard, TimePoint now)
-{
-    Server *server = findByHash(heard.server);
-    if (!server || runOf(server->entry.id) != heard.run)
-        return;
-    RequestLimit &limit = server->words.limit;
-    const auto before = limit.named;
-    const bool isChanged = heard.perSecond
-                                   ? onLimitNamed(limit, *heard.perSecond, limitPart(*server, now),
-                                                  heard.heardAt, now)
-                                   : onLimitAbsent(limit, heard.heardAt, heard.heardAt);
-    if (!isChanged)
-        return;
-    logInfo(LogPart::Membership, "event=server-limit server=", server->entry.id, " run=", heard.run,
-            " per_second=", limit.named.value_or(-1), " in_force=", limit.perSecond.value_or(-1),
-            " before=", before.value_or(-1), " own_per_second=", limit.ownPerSecond,
-            " routers=", routerCounts_.fleet, " heard_ms_ago=", toMs(now - heard.heardAt));
-}
-
-void ServerPool::updateLimitParts(const RouterCounts &counts, TimePoint now)
-{
-    routerCounts_ = counts;
-    for (auto &[id, server] : servers_) {
-        if (server.words.limit.perSecond)
-            updateLimit(server.words.limit, limitPart(server, now), now);
-    }
-}
-
-std::vector<HeardLimit> ServerPool::heardLimits(std::size_t maxCount, TimePoint now) const
-{
-    // Others that still know the limit are told for so long that it has ended.
-    constexpr seconds endedLimitAge{5};
-    struct Changed
-    {
-        TimePoint at;
-        HeardLimit heard;
-    };
-    std::vector<Changed> changed;
-    for (const auto &[id, server] : servers_) {
-        const RequestLimit &limit = server.words.limit;
-        const bool hasEnded =
-                !limit.named && limit.heardAt != TimePoint() && now - limit.heardAt < endedLimitAge;
-        if (limit.named || hasEnded)
-            changed.push_back({limit.changedAt, HeardLimit{runOf(id), reportHash(id.value),
-                                                           limit.named, limit.heardAt}});
-    }
-    std::sort(changed.begin(), changed.end(),
-              [](const Changed &left, const Changed &right) { return left.at > right.at; });
-    std::vector<HeardLimit> heard;
-    for (const Changed &entry : changed) {
-        if (heard.size() == maxCount)
-            break;
-        heard.push_back(entry.heard);
-    }
-    return heard;
-}
-
-std::optional<ServersWithheld> ServerPool::withheldFor(const ServiceId &service,
-                                                       TimePoint now) const
-{
-    std::optional<ServersWithheld> first;
-    for (const Server *server : serversOf(service)) {
-        const Withheld reason = withheld(*server, now);
-        if (reason != Withheld::Paused && reason != Withheld::Limited)
-            continue;
-        const auto left = reason == Withheld::Paused ? server->words.pausedUntil - now
-                                                     : timeToRoom(server->words.limit, now);
-        const auto wait = std::chrono::ceil<milliseconds>(left);
-        if (!first || wait < first->wait)
-            first = ServersWithheld{reason, wait};
-    }
-    return first;
-}
-
-/// Keeps what a server has said while its registration is gone, because it may come back.
-void ServerPool::keepWords(const ServerId &id, const Server &server, TimePoint now)
-{
-    std::erase_if(departedWords_, [&](const auto &entry) {
-        return now - entry.second.departedAt > maxDepartedAge;
-    });
-    if (server.words.leavingSince || server.words.pausedAt || server.words.limit.perSecond)
-        departedWords_[runOf(id)] = DepartedWords{server.words, now};
-}
-
 void ServerPool::logState(TimePoint now) const
 {
     for (const auto &[service, known] : speeds_)
@@ -436,7 +348,10 @@
         logInfo(LogPart::Routing, "event=server server=", id, " service=", server.entry.service,
                 " slowness=", server.model.slowness(now), " told=", server.model.reportedSlowness(),
                 " failures=", server.model.failureRate(), " running=", server.model.running(),
-                " backlog_ms=", server.model.backlogMs(now),
+                " backlog_ms=", server.model.backlogMs(now), " running_tokens=",
+                server.memory.runningTokens(server.peerLoads.sum(now).running,
+                                            meanRequestTokens(server.entry.service),
+                                            server.entry.slots),
                 " overdue_ms=", server.model.overdueMs(now),
                 " avoided=", server.model.isInBackoff(now), " draining=", server.entry.isDraining);
 }
--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -5,6 +5,8 @@
 #include "direct/LoadSources.h"
 #include "direct/ServerDirectory.h"
 #include "placing/CrashTraits.h"
+#include "placing/EngineMemory.h"
+#include "placing/Evacuations.h"
 #include "placing/LimitParts.h"
 #include "placing/PeerLoads.h"
 #include "placing/PlacementChoice.h"
@@ -12,6 +14,8 @@
 #include "placing/PrefixHolders.h"
 #include "placing/ServerModel.h"
 #include "placing/ServerWords.h"
+#include "placing/WarmingShare.h"
+#include "placing/WarmingState.h"
 
 #include <functional>
 #include <memory>
@@ -52,12 +56,23 @@
     milliseconds wait{0};
 };
 
+/// Servers that are warming up.
+struct WarmingServers
+{
+    std::size_t count = 0;
+    /// Those that have begun or ended to warm up since the last call.
+    std::size_t begun = 0;
+    std::size_t ended = 0;
+};
+
 /// Properties of a request by which a server is chosen.
 struct PlacementRequest
 {
     ServiceId service;
     std::vector<PromptPrefix> prompt;
     double promptTokens = 0;
+    /// Expected output.
+    double outputTokens = 0;
     double objectiveMs = 0;
     /// Servers that the request must not be sent to again.
     std::set<ServerId> excluded;
@@ -72,6 +87,8 @@
     double uncachedTokens = 0;
     /// Tokens of the prompt that are expected in the server's prompt cache.
     double cachedTokens = 0;
+    /// Expected output.
+    double outputTokens = 0;
     PlacementCandidate prediction;
     /// Number of servers that were compared, and the mean of their waits in ms, each capped at the
     /// objective.
@@ -90,10 +107,23 @@
     explicit ServerPool(DataCentreId dataCentre);
 
     /// Sets the cache capacities of the services and the fleet's token rate.
-    void setConfiguration(std::shared_ptr<const DirectConfiguration> configuration);
+    void setConfiguration(std::shared_ptr<const DirectConfiguration> configuration, TimePoint now);
+    /// True when the configuration limits the requests to warming servers of some service.
+    bool hasWarmingLimits() const { return hasWarmingLimits_; }
     void apply(const RegistrationChange &change, TimePoint now);
+    /// A data centre's evacuation was requested or withdrawn.
+    void onEvacuationRecord(const DataCentreId &dataCentre, bool isEvacuated, TimePoint now);
+    /// Replaces the set of evacuated data centres after a full read of the store.
+    void setEvacuated(const std::set<DataCentreId> &evacuated, TimePoint now);
+    std::size_t evacuatedCount() const { return evacuations_.count(); }
     /// Sets the time of the store's list of servers that the changes so far amount to.
-    void setListTime(TimePoint asOf) { listTime_ = asOf; }
+    void setListTime(TimePoint asOf);
+    std::optional<TimePoint> listTime() const { return listTime_; }
+    /// Sets by which routers warming servers are used. Call it several times a second: an old view
+    /// allows no request to them.
+    void setWarmingView(const WarmingView &view, TimePoint now);
+    /// Logs which servers have begun or ended to warm up.
+    WarmingServers updateWarming(TimePoint now);
     /// isMember: the router is in this data centre, so its load is part of the data centre's sum.
     void applyReport(const DaemonId &router, const RouterReport &report, bool isMember,
                      TimePoint now);
@@ -127,12 +157,16 @@
     void onEnded(const ServerId &server, SendNumber number);
     void onOutcome(const ServerId &server, bool failed);
     void onUnreachable(const ServerId &server, TimePoint now);
+    /// A connection to the server has broken or could not be opened.
+    void onConnectionBroken(const ServerId &server, ServerRunHash run, TimePoint now);
+    bool warmsUp(const ServerId &server, TimePoint now) const;
     /// Takes what an answer says about further requests to its server.
     void onWords(const AnswerOrigin &origin, const ServerAnswer &answer, TimePoint now);
     /// Longest pause that is taken from an answer.
     void setMaxPause(milliseconds pause) { maxPause_ = pause; }
-    /// Time until the first server of the service may get a request, after a pause or within its
-    /// limit; empty if none is in a pause or at its limit.
+    /// Time until the first server of the service may get a request, after a pause, within its
+    /// limit or when it has warmed up. If there is none of these, but some are evacuated, the
+    /// reason with a wait of zero, because the end of an evacuation is not known; otherwise empty.
     std::optional<ServersWithheld> withheldFor(const ServiceId &service, TimePoint now) const;
     /// By which the limits of servers are divided among the routers.
     LimitParts &limitParts() { return limitParts_; }
@@ -149,8 +183,13 @@
     std::size_t count(const ServiceId &service) const;
     /// Identifies the server's present run among those of all servers.
     ServerRunHash runOf(const ServerId &server) const;
-    /// True when the server is registered, is not leaving and has not asked for a pause.
-    bool accepts(const ServerId &server, TimePoint now) const;
+    /// Empty if the server is not registered or its registration does not tell its runs apart.
+    std::optional<ServerRunHash> registeredRun(const ServerId &server) const;
+    /// True when the server is registered, is not leaving, has not asked for a pause and is not in
+    /// an evacuated data centre. sentAt: when the request was given to the server; a request from
+    /// before the server began to warm up has taken no token and is not accepted.
+    bool accepts(const ServerId &server, TimePoint now,
+                 std::optional<TimePoint> sentAt = std::nullopt) const;
     /// Requests of this router in flight at the server; 0 for an unknown server.
     unsigned running(const ServerId &server) const;
 
@@ -161,10 +200,16 @@
         ServerWords words;
         ServerModel model;
         PrefixCacheModel cache;
+        EngineMemory memory;
         /// Load that the other routers report.
         PeerLoads peerLoads;
         /// Number of the last placement whose prompt the server may have cached.
         mutable std::uint64_t holderMark = 0;
+        /// Its data centre is evacuated. Kept here because each placement needs it of all servers.
+        bool isEvacuated = false;
+        WarmingState warming;
+        /// At the last updateWarming().
+        bool wasWarming = false;
         /// Counter for reports: prompt tokens sent there that were not cached, modulo 2^32.
         std::uint32_t sentTokens = 0;
         /// The same of the members, as far as this router has counted them.
@@ -182,17 +227,26 @@
         bool hasUnrelayedLoad = false;
     };
 
-    struct DepartedWords
+    /// What is kept of a run while its registration is gone.
+    struct DepartedRun
     {
         ServerWords words;
+        WarmingState warming;
+        bool wasWarming = false;
+        /// Of its last registration.
+        milliseconds warmingLeft{0};
         TimePoint departedAt;
     };
 
-    static Withheld withheld(const Server &server, TimePoint now);
+    Withheld withheld(const Server &server, TimePoint now) const;
+    WarmingLimits warmingLimits(const ServiceId &service) const;
+    void updateWarmingShare(Server &server, TimePoint now) const;
+    void onEvacuationChanged(const EvacuationChange &change, TimePoint now);
     void onLimitHeard(Server &server, const ServerAnswer &answer, const AnswerOrigin &origin,
                       TimePoint now);
     double limitPart(const Server &server, TimePoint now) const;
-    void keepWords(const ServerId &id, const Server &server, TimePoint now);
+    void keepDeparted(const ServerId &id, const Server &server, TimePoint now);
+    void restoreDeparted(Server &server, const RegistrationChange &change, TimePoint now);
     Server *find(const ServerId &id);
     const std::vector<const Server *> &serversOf(const ServiceId &service) const;
     Server *findByHash(std::uint32_t hash);
@@ -205,6 +259,7 @@
     void markUnreported(Server &server);
     void markUnrelayed(Server &server);
     double cacheTokens(const ServiceId &service) const;
+    double meanRequestTokens(const ServiceId &service) const;
     PrefillSpeed &speed(const ServiceId &service) const;
 
     DataCentreId dataCentre_;
@@ -213,6 +268,7 @@
     /// Servers by service; cleared when a server is added, removed or changes its service.
     mutable std::unordered_map<ServiceId, std::vector<const Server *>> serversByService_;
     mutable std::unordered_map<ServiceId, PrefillSpeed> speeds_;
+    std::unordered_map<ServiceId, MeanRequestTokens> meanRequestTokens_;
     PrefixHolders<Server> prefixHolders_;
     mutable std::uint64_t lastPlacement_ = 0;
     /// By the hash of the server's id.
@@ -227,15 +283,16 @@
     std::vector<Server *> unrelayedServers_;
     std::chrono::nanoseconds loopDelay_{0};
     std::optional<TimePoint> listTime_;
-    /// What runs of servers have said whose registration is gone and may come back.
-    std::unordered_map<ServerRunHash, DepartedWords> departedWords_;
+    /// Runs of servers whose registration is gone and may come back.
+    std::unordered_map<ServerRunHash, DepartedRun> departedRuns_;
     milliseconds maxPause_{60000};
+    Evacuations evacuations_;
+    bool hasWarmingLimits_ = false;
+    WarmingView warmingView_;
+    TimePoint warmingViewAt_;
     LimitParts limitParts_;
     RouterCounts routerCounts_;
     bool haveLimitsChanged_ = false;
 };
 
-/// Returns the hash that identifies a server or an account in reports between routers.
-std::uint32_t reportHash(const std::string &id);
-
 } // namespace lovagecourse
--- a/src/direct/ServerPoolReports.cpp
+++ b/src/direct/ServerPoolReports.cpp
@@ -1,5 +1,6 @@
 #include "direct/ServerPool.h"
 #include "direct/TakeFirst.h"
+#include "wire/ReportHash.h"
 
 #include <algorithm>
 #include <utility>
@@ -111,6 +112,8 @@
     server.cache.insertReported(prefix);
     // Only first parts are looked up; the report does not tell which of them this is.
     prefixHolders_.add(prefix, &server);
+    prefixHolders_.removeExpired(
+            [](const Server &holder, std::uint64_t hash) { return holder.cache.contains(hash); });
 }
 
 void ServerPool::applyPrefixes(const std::vector<RouterSentPrefix> &prefixes, bool isMember)
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 3> topicNames{"configuration", "servers", "daemons"};
-constexpr std::array<std::string_view, 5> faultNames{"no-answer", "overloaded", "unavailable",
-                                                     "expired", "malformed"};
+constexpr std::array<std::string_view, 6> faultNames{"no-answer", "overloaded",   "unavailable",
+                                                     "expired",   "history-lost", "malformed"};
 
 } // namespace
 
@@ -44,6 +44,14 @@
     read();
 }
 
+void StoreFollower::startOver()
+{
+    next_.reset();
+    timer_.stop();
+    catchUpTimer_.stop();
+    read();
+}
+
 void StoreFollower::onReadElsewhere(LogOffset next)
 {
     // The first read returns what there is.
@@ -194,9 +202,13 @@
 
 void StoreFollower::onFault(StoreFault fault)
 {
-    if (fault == StoreFault::Expired) {
+    // A store without history has no servers' records either until the servers register again, so
+    // the servers that are known stay in use.
+    const bool isHistoryLost =
+            fault == StoreFault::HistoryLost && topic_ == KeyedTopic::Configuration;
+    if (fault == StoreFault::Expired || isHistoryLost) {
         logInfo(LogPart::Platform, "event=records-expired topic=", toString(topic_),
-                " from=", next_ ? next_->value : 0);
+                " from=", next_ ? next_->value : 0, " fault=", toString(fault));
         next_.reset();
         timer_.startOnce(milliseconds(0));
         return;
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -35,6 +35,8 @@
                   PollTiming timing, Handlers handlers);
 
     void start();
+    /// Drops a read in progress and reads the newest record of every key again.
+    void startOver();
     /// Another router has read this range of records and found no change in it. Skips the range and
     /// postpones the next read, if this follower has read all records before it; returns whether it
     /// has. asOf: start of the other router's read.
--- a/src/entry/AgentLinks.cpp
+++ b/src/entry/AgentLinks.cpp
@@ -64,8 +64,14 @@
     };
     handlers.onMessage = [this, id](Message &&message) { onMessage(id, std::move(message)); };
     handlers.onClosed = [this, id](const LinkFailure &failure) { onClosed(id, failure); };
-    agent.link = Link::connect(daemon_.wire(), daemon_.translateAddress(agent.server.agent),
-                               std::move(handlers));
+    auto connected = Link::connect(daemon_.wire(), daemon_.translateAddress(agent.server.agent),
+                                   std::move(handlers));
+    if (const auto *failure = std::get_if<SocketFailure>(&connected)) {
+        logWarning(LogPart::Entry, "event=link-connect-failed server=", id,
+                   " error=", toString(*failure));
+        return onClosed(id, *failure);
+    }
+    agent.link = std::move(std::get<0>(connected));
 }
 
 void AgentLinks::onClosed(const ServerId &server, const LinkFailure &failure)
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -7,9 +7,12 @@
 #include "entry/RequestValidator.h"
 #include "fairness/FairnessHome.h"
 #include "fairness/ReplyPacer.h"
+#include "gateway/DescriptorReserve.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace lovagecourse {
 
 namespace {
@@ -20,6 +23,31 @@
 // Time for the load balancer to notice the failing /readyz and direct new requests elsewhere. Until
 // then, requests are served as usual.
 constexpr seconds balancerGrace{2};
+// With a memory limit, callers' connections may take this part of the memory; each keeps buffers of
+// up to 48 KB and a typical prompt.
+constexpr std::size_t callerMemoryPercent = 50;
+constexpr std::size_t callerConnectionBytes = 64U << 10;
+constexpr std::size_t bytesPerMb = 1U << 20;
+// Servers, too, cut off an answer that remains unread for some seconds.
+constexpr milliseconds maxUnreadTime{5000};
+
+GatewayLimits gatewayLimits(const DaemonSettings &settings, MemoryAccount *memory)
+{
+    GatewayLimits limits = settings.limits;
+    limits.maxConnections = static_cast<unsigned>(std::min<std::size_t>(
+            limits.maxConnections, callerDescriptors(processDescriptorLimit())));
+    if (!memory)
+        return limits;
+    const std::size_t byMemory =
+            settings.maxMemoryMb * bytesPerMb * callerMemoryPercent / 100 / callerConnectionBytes;
+    limits.maxConnections =
+            static_cast<unsigned>(std::min<std::size_t>(limits.maxConnections, byMemory));
+    limits.maxKeepAliveConnections =
+            std::min(limits.maxKeepAliveConnections, limits.maxConnections / 2);
+    limits.memory = memory;
+    limits.maxUnreadTime = maxUnreadTime;
+    return limits;
+}
 
 } // namespace
 
@@ -62,8 +90,9 @@
     validator = std::make_unique<RequestValidator>(settings.keyWindow);
     links = std::make_unique<AgentLinks>(*daemon, linkHandlers());
     router = std::make_unique<RequestRouter>(*daemon, *links, answerSink());
-    auto gatewayOpened = HttpGateway::open(eventLoop, daemon->metrics(), settings.callers,
-                                           settings.limits, gatewayHandlers());
+    auto gatewayOpened =
+            HttpGateway::open(eventLoop, daemon->metrics(), settings.callers,
+                              gatewayLimits(settings, daemon->memory()), gatewayHandlers());
     if (const auto *failure = std::get_if<SocketFailure>(&gatewayOpened))
         return *failure;
     gateway = std::move(std::get<0>(gatewayOpened));
@@ -122,9 +151,8 @@
 AnswerSink EntryNode::Impl::answerSink()
 {
     AnswerSink sink;
-    sink.answer = [this](CallerId caller, int status, const HeaderList &headers,
-                         const std::string &body) {
-        gateway->answer(caller, status, headers, body);
+    sink.answer = [this](CallerId caller, int status, const HeaderList &headers, SharedBody body) {
+        gateway->answer(caller, status, headers, std::move(body));
     };
     sink.refuse = [this](CallerId caller, const Refusal &refusal) {
         gateway->refuse(caller, refusal);
@@ -137,6 +165,7 @@
     };
     sink.endStream = [this](CallerId caller) { gateway->endStream(caller); };
     sink.abortStream = [this](CallerId caller) { gateway->abortStream(caller); };
+    sink.relieveMemory = [this](std::size_t bytes) { gateway->relieveMemory(bytes, bytes); };
     return sink;
 }
 
--- a/src/entry/PendingRequest.h
+++ b/src/entry/PendingRequest.h
@@ -63,6 +63,7 @@
     std::size_t alreadyCredited = 0;
     /// Body of a non-streaming answer, buffered until it is complete so that it can be retried.
     std::string bufferedBody;
+    MemoryReservation bufferedMemory;
     bool firstByteSeen = false;
 };
 
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -1,5 +1,6 @@
 #include "entry/RequestRouter.h"
 
+#include "core/Log.h"
 #include "entry/RequestRouterImpl.h"
 #include "routing/PushChoice.h"
 
@@ -22,6 +23,8 @@
 constexpr std::size_t maxRequestsPerOfferRound = 24;
 // Bytes of one answer that may be in transit between its server and its caller.
 constexpr std::uint32_t answerCreditBytes = 256U << 10;
+// The same while memory is short.
+constexpr std::uint32_t shortAnswerCreditBytes = 32U << 10;
 // The agent decides on a claimed request at its deadline; the entry waits this much longer for it.
 constexpr milliseconds claimDecisionGrace{2000};
 constexpr milliseconds timerGranularity{5};
@@ -54,8 +57,10 @@
     request.waiting = true;
     request.hedging = false;
     request.winner.reset();
-    if (!request.streamBegun)
-        request.bufferedBody.clear();
+    if (!request.streamBegun) {
+        std::string().swap(request.bufferedBody);
+        request.bufferedMemory.release();
+    }
     waiting.add(request.details.flow, request.estimate.costClass, request.caller, true);
     offerMore(request);
     scheduleWake(request);
@@ -161,7 +166,8 @@
     PendingRequest &request = *requests.at(outstanding->caller);
     request.offers.erase(server);
     assert(request.waiting || request.hedging);
-    if (!mayAcceptGrant(request, server, grant.grant, outstanding->suspect))
+    if (!mayAcceptGrant(request, server, grant.grant, outstanding->suspect)
+        || !hasMemoryFor(request, server, grant.grant))
         return;
     accept(request, server, grant.grant);
 }
@@ -185,6 +191,37 @@
     return false;
 }
 
+bool RequestRouter::Impl::hasMemoryFor(PendingRequest &request, const ServerId &server,
+                                       GrantId grant)
+{
+    MemoryAccount *memory = daemon.memory();
+    const std::size_t bytes = request.request.body.size();
+    if (!memory || memory->fits(bytes, bytes))
+        return true;
+    sink.relieveMemory(bytes);
+    if (memory->fits(bytes, bytes))
+        return true;
+    daemon.metrics().count("lovagecourse_grants_declined_total");
+    logInfo(LogPart::Entry, "event=grant-declined reason=memory-short server=", server,
+            " bytes=", bytes, " memory_used=", memory->used());
+    links.send(server, GrantDecline{grant});
+    withdrawOffers(request);
+    if (request.waiting)
+        refuse(request, Refusal{RefusalReason::MemoryShort, request.ran});
+    else // The first attempt of a hedged request continues.
+        request.hedging = false;
+    return false;
+}
+
+/// Unconsumed bytes of an earlier attempt still occupy this entry's memory.
+std::uint32_t RequestRouter::Impl::answerCredit(const PendingRequest &request) const
+{
+    const MemoryAccount *memory = daemon.memory();
+    const std::uint32_t most =
+            memory && memory->isUnderPressure() ? shortAnswerCreditBytes : answerCreditBytes;
+    return most - std::min<std::uint32_t>(most, request.unconsumed);
+}
+
 void RequestRouter::Impl::accept(PendingRequest &request, const ServerId &server, GrantId grant)
 {
     if (request.waiting)
@@ -212,14 +249,12 @@
         if (!isNotForwarded)
             message.headers.emplace_back(name, value);
     }
-    message.body = request.request.body;
+    message.body = request.request.body.str();
     message.idempotencyKey = request.details.idempotencyKey;
     message.resumeFromEvent = request.deliveredEvents;
     const auto left = std::chrono::duration_cast<milliseconds>(request.deadline - now());
     message.deadlineMs = static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 1));
-    // Unconsumed bytes of an earlier attempt still occupy this entry's memory.
-    message.credit =
-            answerCreditBytes - std::min<std::uint32_t>(answerCreditBytes, request.unconsumed);
+    message.credit = answerCredit(request);
     links.send(server, std::move(message));
     daemon.metrics().latency("lovagecourse_wait_seconds", now() - request.arrived);
     scheduleWake(request);
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -12,12 +12,14 @@
 /// Callbacks that send an answer or a refusal to a caller.
 struct AnswerSink
 {
-    std::function<void(CallerId, int status, const HeaderList &, const std::string &body)> answer;
+    std::function<void(CallerId, int status, const HeaderList &, SharedBody body)> answer;
     std::function<void(CallerId, const Refusal &)> refuse;
     std::function<void(CallerId, int status, const HeaderList &)> beginStream;
     std::function<void(CallerId, std::string_view bytes)> sendData;
     std::function<void(CallerId)> endStream;
     std::function<void(CallerId)> abortStream;
+    /// Ends what callers hold without progress until this many more bytes fit, if possible.
+    std::function<void(std::size_t bytes)> relieveMemory;
 };
 
 /// Routes requests to backend servers: offers each request to several agents, sends it to the first
--- a/src/entry/RequestRouterImpl.h
+++ b/src/entry/RequestRouterImpl.h
@@ -59,6 +59,10 @@
     bool mayAcceptGrant(PendingRequest &request, const ServerId &server, GrantId grant,
                         bool offeredAsSuspect);
     void accept(PendingRequest &request, const ServerId &server, GrantId grant);
+    /// Declines the grant and returns false when there is no memory for the copy of the request
+    /// that its agent gets.
+    bool hasMemoryFor(PendingRequest &request, const ServerId &server, GrantId grant);
+    std::uint32_t answerCredit(const PendingRequest &request) const;
     void cancelAttempts(PendingRequest &request, const std::optional<AttemptId> &except);
 
     // Answers.
@@ -66,6 +70,8 @@
     void onData(const ServerId &server, const AnswerData &data);
     void onEnd(const ServerId &server, const AnswerEnd &end);
     void onFirstByte(PendingRequest &request, const RequestAttempt &attempt);
+    /// Returns false if the part of the answer must be forwarded instead.
+    bool bufferData(PendingRequest &request, const AnswerData &data);
     /// Forwards or buffers a part of the answer; refuses the request when the part does not
     /// continue what was forwarded.
     void forwardData(PendingRequest &request, const RequestAttempt &attempt,
--- a/src/entry/RouterAnswers.cpp
+++ b/src/entry/RouterAnswers.cpp
@@ -1,3 +1,4 @@
+#include "core/Log.h"
 #include "entry/RequestRouterImpl.h"
 
 #include <algorithm>
@@ -84,6 +85,25 @@
     forwardData(*request, attempt, data);
 }
 
+/// Returns false for an answer that must be forwarded as it arrives: an event stream, or one that
+/// is too long or finds no memory.
+bool RequestRouter::Impl::bufferData(PendingRequest &request, const AnswerData &data)
+{
+    const std::size_t bytes = request.bufferedBody.size() + data.bytes.size();
+    if (request.isEventStream || request.streamBegun || bytes > maxBufferedBytes)
+        return false;
+    if (request.bufferedMemory.bytes() == 0)
+        request.bufferedMemory = MemoryReservation(daemon.memory(), MemoryHolder::ServerAnswers);
+    if (request.bufferedMemory.growTo(bytes) == ReserveResult::Full) {
+        daemon.metrics().count("lovagecourse_answers_unbuffered_total", "memory-short");
+        logInfo(LogPart::Entry, "event=answer-unbuffered reason=memory-short bytes=", bytes,
+                " memory_used=", daemon.memory()->used());
+        return false;
+    }
+    request.bufferedBody += data.bytes;
+    return true;
+}
+
 void RequestRouter::Impl::forwardData(PendingRequest &request, const RequestAttempt &attempt,
                                       const AnswerData &data)
 {
@@ -99,10 +119,7 @@
     }
     request.deliveredEvents += data.eventCount;
     request.doneDelivered = isStream && data.bytes.ends_with(doneEvent);
-    const bool mayBuffer = !request.isEventStream
-                           && request.bufferedBody.size() + data.bytes.size() <= maxBufferedBytes;
-    if (mayBuffer && !request.streamBegun) {
-        request.bufferedBody += data.bytes;
+    if (bufferData(request, data)) {
         links.send(attempt.server,
                    Credit{attempt.grant, static_cast<std::uint32_t>(data.bytes.size())});
         return;
@@ -112,6 +129,7 @@
         sink.beginStream(request.caller, attempt.status, attempt.headers);
         request.alreadyCredited = request.bufferedBody.size();
         request.unconsumed = request.bufferedBody.size();
+        request.bufferedMemory.release();
         if (!request.bufferedBody.empty())
             sink.sendData(request.caller, std::exchange(request.bufferedBody, {}));
     }
@@ -147,10 +165,13 @@
     estimator.onFinished(request.details.flow, request.details.costHint, cost);
     daemon.metrics().count("lovagecourse_answers_total");
     daemon.metrics().latency("lovagecourse_answer_seconds", now() - request.arrived);
-    if (request.streamBegun)
+    if (request.streamBegun) {
         sink.endStream(request.caller);
-    else
-        sink.answer(request.caller, attempt.status, attempt.headers, request.bufferedBody);
+    } else {
+        request.bufferedMemory.moveTo(MemoryHolder::UnreadAnswers);
+        sink.answer(request.caller, attempt.status, attempt.headers,
+                    SharedBody(std::move(request.bufferedBody), std::move(request.bufferedMemory)));
+    }
     remove(request);
 }
 
@@ -159,6 +180,7 @@
     const bool isFinal = refusal.reason == RefusalReason::CrashSuspect
                          || refusal.reason == RefusalReason::DeadlineExpired
                          || refusal.reason == RefusalReason::ClaimUnavailable
+                         || refusal.reason == RefusalReason::MemoryShort
                          || refusal.reason == RefusalReason::IdempotencyKeyConflict
                          || refusal.reason == RefusalReason::IdempotencyKeyInProgress
                          || refusal.reason == RefusalReason::IdempotencyKeyUnsettled;
@@ -207,6 +229,9 @@
 
 void RequestRouter::Impl::refuse(PendingRequest &request, Refusal refusal)
 {
+    // The status of MemoryShort promises that the request has not run.
+    if (refusal.reason == RefusalReason::MemoryShort && refusal.ran != Ran::No)
+        refusal.reason = RefusalReason::AgentLost;
     withdrawOffers(request);
     if (request.waiting)
         waiting.remove(request.details.flow, request.caller);
--- a/src/gateway/CallerExchange.cpp
+++ b/src/gateway/CallerExchange.cpp
@@ -1,5 +1,9 @@
+#include "core/Ascii.h"
 #include "gateway/GatewayImpl.h"
 #include "gateway/Problem.h"
+#include "gateway/RequestHead.h"
+
+#include <netinet/in.h>
 
 #include <algorithm>
 #include <charconv>
@@ -9,17 +13,19 @@
 
 namespace {
 
-// A body over the limit is read and discarded up to this many times the limit: closing a connection
-// with unread bytes resets it, and the caller may lose the 413 answer.
-constexpr std::size_t discardFactor = 16;
+// libmicrohttpd keeps seven words for each header line in the connection's pool, aligned to two
+// words.
+constexpr std::size_t poolBytesPerField = 8 * sizeof(void *);
 
-std::string toLower(std::string_view text)
+ClientAddress addressOf(MHD_Connection *connection)
 {
-    std::string lower(text);
-    for (char &letter : lower)
-        if (letter >= 'A' && letter <= 'Z')
-            letter = static_cast<char>(letter - 'A' + 'a');
-    return lower;
+    const MHD_ConnectionInfo *info =
+            MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    if (!info || !info->client_addr || info->client_addr->sa_family != AF_INET)
+        return 0;
+    sockaddr_in address{};
+    std::memcpy(&address, info->client_addr, sizeof(address));
+    return address.sin_addr.s_addr;
 }
 
 } // namespace
@@ -28,8 +34,10 @@
 {
     auto &impl = *static_cast<Impl *>(self);
     auto exchange = std::make_unique<Exchange>();
+    impl.quietConnections.remove(connection);
     exchange->gateway = &impl;
     exchange->connection = connection;
+    exchange->address = addressOf(connection);
     exchange->request.id = CallerId(++impl.lastCaller);
     // The target as sent by the caller; the path that libmicrohttpd passes is percent-decoded.
     const std::string_view target(uri);
@@ -42,7 +50,7 @@
 }
 
 MHD_Result HttpGateway::Impl::onAccess(void *self, MHD_Connection *, const char *,
-                                       const char *method, const char *, const char *body,
+                                       const char *method, const char *version, const char *body,
                                        std::size_t *bodyBytes, void **context)
 {
     auto &impl = *static_cast<Impl *>(self);
@@ -50,81 +58,75 @@
     if (impl.stopping)
         return MHD_NO;
     if (!exchange.headersReceived)
-        return impl.receiveHeaders(exchange, method);
+        return impl.receiveHeaders(exchange, method, version);
     if (*bodyBytes > 0) {
-        impl.receiveBody(exchange, std::string_view(body, *bodyBytes));
+        const std::string_view bytes(body, *bodyBytes);
         *bodyBytes = 0;
-        const bool exceedsDiscardLimit =
-                exchange.bodyBytes > discardFactor * impl.limits.maxBodyBytes;
-        return exceedsDiscardLimit ? MHD_NO : MHD_YES;
+        return impl.receiveBody(exchange, bytes);
     }
     return impl.finishRequest(exchange);
 }
 
 MHD_Result HttpGateway::Impl::onHeader(void *context, MHD_ValueKind, const char *name,
-                                       const char *value)
+                                       std::size_t nameBytes, const char *value,
+                                       std::size_t valueBytes)
 {
-    auto &exchange = *static_cast<Exchange *>(context);
-    const char *text = value ? value : "";
-    exchange.headerBytes += std::strlen(name) + std::strlen(text);
-    exchange.request.headers.emplace_back(toLower(name), text);
+    auto &head = *static_cast<RequestHead *>(context);
+    head.fields.emplace_back(std::string_view(name, nameBytes),
+                             value ? std::string_view(value, valueBytes) : std::string_view());
     return MHD_YES;
 }
 
-MHD_Result HttpGateway::Impl::receiveHeaders(Exchange &exchange, const char *method)
+MHD_Result HttpGateway::Impl::receiveHeaders(Exchange &exchange, const char *method,
+                                             const char *version)
 {
     exchange.headersReceived = true;
-    exchange.request.method = method;
-    exchange.headerBytes = exchange.request.path.size() + exchange.request.query.size();
-    MHD_get_connection_values(exchange.connection, MHD_HEADER_KIND, &Impl::onHeader, &exchange);
+    CallerRequest &request = exchange.request;
+    request.method = method;
+    const std::string target = request.path + request.query;
+    const MHD_ConnectionInfo *size =
+            MHD_get_connection_info(exchange.connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+    RequestHead head;
+    head.bytes = std::string_view(method, size ? size->header_size : 0);
+    head.method = method;
+    head.target = target;
+    head.version = version;
+    MHD_get_connection_values_n(exchange.connection, MHD_HEADER_KIND, &Impl::onHeader, &head);
+    exchange.headPoolBytes = head.bytes.size() + head.fields.size() * poolBytesPerField;
+    exchange.headerBytes = target.size();
+    for (const auto &[name, value] : head.fields) {
+        exchange.headerBytes += name.size() + value.size();
+        request.headers.emplace_back(toLower(name), value);
+    }
     if (exchange.headerBytes > limits.maxHeaderBytes) {
+        // Its framing was not checked.
+        exchange.isMalformed = true;
+        prepareRefusal(exchange, Refusal{RefusalReason::MalformedRequest, Ran::No});
+        return queueAnswer(exchange);
+    }
+    if (const auto fault = findFault(head)) {
+        exchange.isMalformed = true;
+        metrics.count("lovagecourse_malformed_heads_total", toString(*fault));
         prepareRefusal(exchange, Refusal{RefusalReason::MalformedRequest, Ran::No});
         return queueAnswer(exchange);
     }
     std::size_t declaredLength = 0;
-    std::size_t lengthHeaders = 0;
     bool expectsContinue = false;
-    for (const auto &[name, value] : exchange.request.headers) {
+    for (const auto &[name, value] : request.headers) {
         if (name == "content-length")
             std::from_chars(value.data(), value.data() + value.size(), declaredLength);
         expectsContinue = expectsContinue || name == "expect";
-        lengthHeaders += name == "content-length" || name == "transfer-encoding" ? 1 : 0;
     }
-    if (lengthHeaders > 1) {
-        // Prevents request smuggling: another HTTP parser could end the body elsewhere and parse
-        // the rest as a request.
-        exchange.hasAmbiguousLength = true;
-        prepareRefusal(exchange, Refusal{RefusalReason::MalformedRequest, Ran::No});
-        return queueAnswer(exchange);
-    }
-    exchange.bodyTooLarge = declaredLength > limits.maxBodyBytes;
-    const bool answerNow = expectsContinue || declaredLength > discardFactor * limits.maxBodyBytes;
-    if (!exchange.bodyTooLarge || !answerNow)
-        return MHD_YES;
-    prepareRefusal(exchange, Refusal{RefusalReason::BodyTooLarge, Ran::No});
-    return queueAnswer(exchange);
-}
-
-void HttpGateway::Impl::receiveBody(Exchange &exchange, std::string_view bytes)
-{
-    exchange.bodyBytes += bytes.size();
-    exchange.bodyTooLarge = exchange.bodyTooLarge || exchange.bodyBytes > limits.maxBodyBytes;
-    if (exchange.bodyTooLarge)
-        std::string().swap(exchange.request.body);
-    else
-        exchange.request.body.append(bytes);
+    return beginBody(exchange, declaredLength, expectsContinue);
 }
 
 MHD_Result HttpGateway::Impl::finishRequest(Exchange &exchange)
 {
-    if (exchange.callerLeft || (exchange.answerAborted && !exchange.responseQueued))
+    if (exchange.isBodyRejected || exchange.callerLeft
+        || (exchange.answerAborted && !exchange.responseQueued))
         return MHD_NO;
     if (exchange.response)
         return queueAnswer(exchange);
-    if (exchange.bodyTooLarge) {
-        prepareRefusal(exchange, Refusal{RefusalReason::BodyTooLarge, Ran::No});
-        return queueAnswer(exchange);
-    }
     if (!exchange.requestDelivered) {
         exchange.requestDelivered = true;
         metrics.count("lovagecourse_caller_requests_total");
@@ -137,7 +139,10 @@
             return MHD_NO;
         }
         peerCloseWatcher.add(exchange.request.id.value, info->connect_fd);
+        exchange.bodyMemory.resize(exchange.body.size());
+        exchange.deliveredBytes = exchange.body.size();
         CallerRequest request = std::move(exchange.request);
+        request.body = SharedBody(std::move(exchange.body), std::move(exchange.bodyMemory));
         exchange.request.id = request.id;
         exchange.request.method = request.method;
         events.emplace_back(std::move(request));
@@ -171,10 +176,13 @@
     if (count > 0) {
         exchange.unsent.copy(buffer, count, exchange.unsentOffset);
         exchange.unsentOffset += count;
+        exchange.lastProgress = std::chrono::steady_clock::now();
         if (exchange.unsentOffset == exchange.unsent.size()) {
-            exchange.unsent.clear();
+            // Keeps no capacity that the memory account does not count.
+            std::string().swap(exchange.unsent);
             exchange.unsentOffset = 0;
         }
+        exchange.unsentMemory.resize(exchange.unsent.size() - exchange.unsentOffset);
         events.emplace_back(Consumed{exchange.request.id, count});
         return static_cast<ssize_t>(count);
     }
@@ -185,8 +193,8 @@
     return 0;
 }
 
-void HttpGateway::Impl::onCompleted(void *self, MHD_Connection *, void **context,
-                                    MHD_RequestTerminationCode)
+void HttpGateway::Impl::onCompleted(void *self, MHD_Connection *connection, void **context,
+                                    MHD_RequestTerminationCode code)
 {
     auto &impl = *static_cast<Impl *>(self);
     auto *exchange = static_cast<Exchange *>(*context);
@@ -199,13 +207,19 @@
     if (exchange->requestDelivered && !exchange->answerEnded && !exchange->callerLeft)
         impl.events.emplace_back(CallerLeft{exchange->request.id});
     impl.exchanges.erase(exchange->request.id);
+    if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
+        impl.quietConnections.addIdle(connection, std::chrono::steady_clock::now());
 }
 
 void HttpGateway::Impl::prepareRefusal(Exchange &exchange, const Refusal &refusal)
 {
     metrics.count("lovagecourse_caller_requests_total");
-    prepareAnswer(exchange, httpStatus(refusal.reason), {{"content-type", problemMediaType}},
-                  makeProblemBody(refusal));
+    HeaderList headers{{"content-type", problemMediaType}};
+    if (refusal.reason == RefusalReason::MemoryShort) {
+        headers.emplace_back("retry-after", memoryRetryAfter(exchange.request.id));
+        headers.emplace_back("connection", "close");
+    }
+    prepareAnswer(exchange, httpStatus(refusal.reason), headers, makeProblemBody(refusal));
     metrics.count("lovagecourse_refusals_total", toString(refusal.reason));
 }
 
--- a/src/gateway/CallerListener.cpp
+++ b/src/gateway/CallerListener.cpp
@@ -1,5 +1,7 @@
 #include "core/Log.h"
+#include "gateway/DescriptorReserve.h"
 #include "gateway/GatewayImpl.h"
+#include "gateway/ReceivedBytes.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -25,6 +27,8 @@
 // listenPause.
 constexpr std::size_t maxRejectionsAtOnce = 16;
 constexpr milliseconds listenPause{50};
+// Closed when there is no descriptor for a new connection.
+constexpr std::size_t idleConnectionsPerFailure = 16;
 // Reason for closing a connection of which the process has no time to handle the request.
 constexpr const char *lateReason = "late";
 
@@ -77,6 +81,8 @@
 
 void HttpGateway::Impl::resumeListening()
 {
+    if (listener >= 0)
+        return acceptWatcher->watch(EV_READ);
     const auto socket = openListenSocket(endpoint);
     if (const auto *failure = std::get_if<SocketFailure>(&socket)) {
         logError(LogPart::Gateway, "event=listening-failed address=", toString(endpoint),
@@ -96,6 +102,50 @@
     listener = -1;
 }
 
+void HttpGateway::Impl::onConnection(void *self, MHD_Connection *connection, void **,
+                                     MHD_ConnectionNotificationCode code)
+{
+    auto &quiet = static_cast<Impl *>(self)->quietConnections;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED)
+        quiet.addUnused(connection, std::chrono::steady_clock::now());
+    else
+        quiet.remove(connection);
+}
+
+/// Closes connections on which no request is being served, see QuietConnections. Most clients of
+/// idle ones open a new connection for the next request.
+void HttpGateway::Impl::closeQuietConnections(std::size_t count)
+{
+    std::size_t unused = 0;
+    std::size_t idle = 0;
+    const TimePoint now = std::chrono::steady_clock::now();
+    quietConnections.visit([&](const QuietConnection &quiet) {
+        if (unused + idle >= count)
+            return false;
+        const MHD_ConnectionInfo *info =
+                MHD_get_connection_info(quiet.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        if (quiet.isUnused
+            && !mayCloseUnused(now - quiet.since, hasReceivedBytes(info->connect_fd)))
+            return true;
+        pollfd state{info->connect_fd, POLLIN, 0};
+        // A further request may have arrived.
+        if (poll(&state, 1, 0) != 0)
+            return true;
+        quietConnections.remove(quiet.connection);
+        // libmicrohttpd then closes the connection.
+        shutdown(info->connect_fd, SHUT_RDWR);
+        ++(quiet.isUnused ? unused : idle);
+        return true;
+    });
+    if (unused + idle == 0)
+        return;
+    metrics.count("lovagecourse_unused_connections_closed_total", {}, static_cast<double>(unused));
+    metrics.count("lovagecourse_idle_connections_closed_total", {}, static_cast<double>(idle));
+    logInfo(LogPart::Gateway, "event=idle-connections-closed count=", idle, " unused=", unused,
+            " connections=", connectionCount());
+    scheduleRun();
+}
+
 /// Returns the reason for closing a new connection unread, or null to accept it.
 const char *HttpGateway::Impl::dropReason(int descriptor, std::size_t acceptedAtOnce) const
 {
@@ -118,8 +168,17 @@
         const int descriptor = accept4(listener, reinterpret_cast<sockaddr *>(&address), &size,
                                        SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (descriptor < 0) {
-            if (errno != EAGAIN && errno != EWOULDBLOCK)
-                metrics.count("lovagecourse_accept_failures_total");
+            if (errno == EAGAIN || errno == EWOULDBLOCK)
+                break;
+            metrics.count("lovagecourse_accept_failures_total");
+            if (errno == ECONNABORTED || errno == EINTR)
+                continue;
+            // Without descriptors, the listener stays readable and would keep the loop busy.
+            closeQuietConnections(idleConnectionsPerFailure);
+            logWarning(LogPart::Gateway, "event=accept-failed error=", std::strerror(errno),
+                       " connections=", connectionCount());
+            acceptWatcher->watch(0);
+            listenTimer.startOnce(listenPause);
             break;
         }
         if (const char *reason = dropReason(descriptor, accepted)) {
@@ -143,6 +202,7 @@
             != MHD_YES)
             metrics.count("lovagecourse_connections_dropped_total", "library");
     }
+    closeQuietConnections(idleConnectionsToClose(connectionCount(), limits.maxConnections));
     scheduleRun();
 }
 
--- a/src/gateway/GatewayImpl.h
+++ b/src/gateway/GatewayImpl.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "gateway/AddressShare.h"
 #include "gateway/HttpGateway.h"
 #include "gateway/PeerCloseWatcher.h"
+#include "gateway/QuietConnections.h"
 
 #include <microhttpd.h>
 
@@ -12,6 +14,10 @@
 
 namespace lovagecourse {
 
+/// Value of Retry-After for a caller whose body finds no memory; spread so that callers do not
+/// return together.
+std::string memoryRetryAfter(CallerId caller);
+
 /// Returns whether the peer has closed its sending side or the connection has failed, even if
 /// received bytes are still unread.
 bool hasPeerClosed(int descriptor);
@@ -20,7 +26,8 @@
 std::variant<int, SocketFailure> openListenSocket(const Endpoint &endpoint);
 
 /// State of a gateway and its libmicrohttpd callbacks. CallerListener.cpp accepts connections,
-/// CallerExchange.cpp receives requests and sends answers.
+/// CallerExchange.cpp receives requests and sends answers, CallerBody.cpp bounds the memory of
+/// bodies.
 struct HttpGateway::Impl
 {
     /// Request on a connection, from its request line until libmicrohttpd reports its completion.
@@ -29,13 +36,35 @@
         Impl *gateway = nullptr;
         CallerRequest request;
         MHD_Connection *connection = nullptr;
+        ClientAddress address = 0;
         std::size_t headerBytes = 0;
+        /// Of the connection's memory pool, what the request's head occupies at most.
+        std::size_t headPoolBytes = 0;
+        /// Received bytes of the body, as it arrives. Empty once the body is rejected.
+        std::string body;
+        MemoryReservation bodyMemory;
+        /// Size of the body that was handed on with the request.
+        std::size_t deliveredBytes = 0;
+
+        /// Bytes that are kept for the request and its answer.
+        std::size_t heldBytes() const
+        {
+            return bodyMemory.bytes() + deliveredBytes + answerBody.size() + unsentMemory.bytes();
+        }
         std::size_t bodyBytes = 0;
+        std::size_t announcedBodyBytes = 0;
+        /// Largest body at the arrival of the head.
+        std::size_t maxBodyBytes = 0;
+        std::size_t discardedBytes = 0;
+        /// When the caller last sent or read a progressStep.
+        TimePoint lastProgress{};
         bool headersReceived = false;
-        bool bodyTooLarge = false;
-        /// Several headers state the body's length, so it is uncertain where the body ends; the
-        /// connection is closed after the answer.
-        bool hasAmbiguousLength = false;
+        /// The rejection has been sent although the body has not ended; the rest is discarded and
+        /// the connection closed.
+        bool isBodyRejected = false;
+        /// The head can't be trusted, so it is uncertain where the request ends; the connection is
+        /// closed after the answer.
+        bool isMalformed = false;
         bool requestDelivered = false;
         bool suspended = false;
         /// The caller closed the connection. If the request was delivered, onCallerLeft was queued.
@@ -51,6 +80,10 @@
         /// Buffered bytes of a streamed answer; libmicrohttpd has read those before unsentOffset.
         std::string unsent;
         std::size_t unsentOffset = 0;
+        MemoryReservation unsentMemory;
+        /// Body of a whole answer while it is sent; short bodies are copied by libmicrohttpd.
+        SharedBody answerBody;
+        std::size_t answerBytesRead = 0;
     };
 
     /// The caller's connection consumed bytes of a streamed answer.
@@ -87,6 +120,7 @@
         , peerCloseWatcher(loop, [this](std::uint64_t key) { onPeerClosed(CallerId(key)); })
         , timer(loop, [this] { run(); })
         , listenTimer(loop, [this] { resumeListening(); })
+        , unreadTimer(loop, [this] { endUnreadStreams(); })
     {}
 
     ~Impl();
@@ -98,6 +132,7 @@
     void pauseListening();
     void resumeListening();
     void acceptConnections();
+    void closeQuietConnections(std::size_t count);
     const char *dropReason(int descriptor, std::size_t acceptedAtOnce) const;
     void run();
     void dispatch();
@@ -107,14 +142,34 @@
     static MHD_Result onAccess(void *self, MHD_Connection *connection, const char *url,
                                const char *method, const char *version, const char *body,
                                std::size_t *bodyBytes, void **exchange);
-    static MHD_Result onHeader(void *exchange, MHD_ValueKind kind, const char *name,
-                               const char *value);
+    static MHD_Result onHeader(void *head, MHD_ValueKind kind, const char *name,
+                               std::size_t nameBytes, const char *value, std::size_t valueBytes);
     static ssize_t onRead(void *exchange, std::uint64_t position, char *buffer, std::size_t size);
+    static void onConnection(void *self, MHD_Connection *connection, void **context,
+                             MHD_ConnectionNotificationCode code);
     static void onCompleted(void *self, MHD_Connection *connection, void **exchange,
                             MHD_RequestTerminationCode code);
 
-    MHD_Result receiveHeaders(Exchange &exchange, const char *method);
-    void receiveBody(Exchange &exchange, std::string_view bytes);
+    MHD_Result receiveHeaders(Exchange &exchange, const char *method, const char *version);
+    static ssize_t onReadWhole(void *exchange, std::uint64_t position, char *buffer,
+                               std::size_t size);
+
+    MHD_Result beginBody(Exchange &exchange, std::size_t announcedBytes, bool expectsContinue);
+    MHD_Result receiveBody(Exchange &exchange, std::string_view bytes);
+    bool reserveBody(Exchange &exchange);
+    void rejectBody(Exchange &exchange, RefusalReason reason);
+    void endUnreadAnswer(Exchange &exchange);
+    void endHeldBytes(Exchange &exchange);
+    bool exceedsAddressShare(const Exchange &exchange, std::size_t additionalBytes) const;
+    std::vector<AddressBytes> heldByAddress() const;
+    void noteMemoryRefused(const Exchange &exchange);
+    std::size_t boundOfAddress() const;
+    void cutAddresses(std::size_t reservationBytes, std::size_t additionalBytes,
+                      const Exchange &wanting);
+    void endUnreadStreams();
+    void relieveMemory(std::size_t reservationBytes, std::size_t additionalBytes,
+                       const Exchange *except);
+    ssize_t readWhole(Exchange &exchange, std::size_t position, char *buffer, std::size_t size);
     MHD_Result finishRequest(Exchange &exchange);
     MHD_Result queueAnswer(Exchange &exchange);
     ssize_t readUnsent(Exchange &exchange, char *buffer, std::size_t size);
@@ -122,6 +177,8 @@
     void onPeerClosed(CallerId caller);
     std::size_t connectionCount() const;
     bool isKeepAliveDisabled() const;
+    std::size_t poolBytes() const;
+    bool canSendHead(const Exchange &exchange, const HeaderList &headers) const;
     void scheduleRun();
     void resume(Exchange &exchange);
     Exchange *find(CallerId caller);
@@ -129,8 +186,7 @@
     Exchange *findOpen(CallerId caller);
     void setResponse(Exchange &exchange, int status, const HeaderList &headers,
                      MHD_Response *response);
-    void prepareAnswer(Exchange &exchange, int status, const HeaderList &headers,
-                       const std::string &body);
+    void prepareAnswer(Exchange &exchange, int status, const HeaderList &headers, SharedBody body);
 
     EventLoop &loop;
     Metrics &metrics;
@@ -139,6 +195,8 @@
     PeerCloseWatcher peerCloseWatcher;
     Timer timer;
     Timer listenTimer;
+    /// Runs if the time that a stream may stay unread is limited.
+    Timer unreadTimer;
     Endpoint endpoint;
     /// The last one gets new connections; earlier ones keep theirs until they close.
     std::vector<Library> libraries;
@@ -148,10 +206,16 @@
     /// Events for the handlers, which are called after libmicrohttpd has returned, so that they
     /// never re-enter it.
     std::vector<Event> events;
+    QuietConnections quietConnections;
     std::uint64_t lastCaller = 0;
     bool stopping = false;
     bool closesAfterAnswers = false;
     std::size_t rejectedConnections = 0;
+    /// The address that was last refused memory although it is within its bound.
+    ClientAddress lastRefusedAddress = 0;
+    std::optional<TimePoint> lastRefusedAt;
+    /// When idle connections were last closed because memory was short.
+    TimePoint idleClosedAt;
     /// Number of connections that may still be accepted; empty means no limit.
     std::optional<std::size_t> acceptAllowance;
     /// Number of connections to accept in one iteration of the event loop.
--- a/src/gateway/HttpGateway.cpp
+++ b/src/gateway/HttpGateway.cpp
@@ -22,6 +22,13 @@
 constexpr std::size_t streamBlockBytes = 16U << 10;
 // Space in a connection's libmicrohttpd memory pool besides the request's headers.
 constexpr std::size_t poolReserveBytes = 16U << 10;
+constexpr milliseconds unreadCheckInterval{500};
+// Status line, and the header lines that libmicrohttpd adds.
+constexpr std::size_t addedHeadBytes = 512;
+// The size of the request's part in the pool is an upper bound, so small heads are always tried.
+constexpr std::size_t alwaysTriedHeadBytes = 2U << 10;
+// Colon, space and line end of a header line.
+constexpr std::size_t bytesPerLine = 4;
 constexpr int lowestFinalStatus = 200;
 constexpr int highestStatus = 599;
 
@@ -60,20 +67,21 @@
 bool HttpGateway::Impl::start(int listenSocket)
 {
     watchListener(listenSocket);
+    if (limits.maxUnreadTime.count() > 0)
+        unreadTimer.startRepeating(unreadCheckInterval);
     return openLibrary();
 }
 
 /// Opens an instance of libmicrohttpd for new connections, with the current idle timeout.
 bool HttpGateway::Impl::openLibrary()
 {
-    const std::size_t poolBytes = 2 * limits.maxHeaderBytes + poolReserveBytes;
     Library library;
     library.daemon = MHD_start_daemon(
             MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_NO_LISTEN_SOCKET, 0, nullptr,
             nullptr, &Impl::onAccess, this, MHD_OPTION_URI_LOG_CALLBACK, &Impl::onRequestLine, this,
-            MHD_OPTION_NOTIFY_COMPLETED, &Impl::onCompleted, this,
-            MHD_OPTION_CONNECTION_MEMORY_LIMIT, poolBytes, MHD_OPTION_CONNECTION_LIMIT,
-            limits.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT,
+            MHD_OPTION_NOTIFY_COMPLETED, &Impl::onCompleted, this, MHD_OPTION_NOTIFY_CONNECTION,
+            &Impl::onConnection, this, MHD_OPTION_CONNECTION_MEMORY_LIMIT, poolBytes(),
+            MHD_OPTION_CONNECTION_LIMIT, limits.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT,
             static_cast<unsigned>(limits.idleTimeout.count()), MHD_OPTION_STRICT_FOR_CLIENT, 1,
             MHD_OPTION_END);
     if (!library.daemon)
@@ -87,6 +95,21 @@
     return true;
 }
 
+/// Memory pool of a connection, which holds the heads of its request and its answer.
+std::size_t HttpGateway::Impl::poolBytes() const
+{
+    return 2 * limits.maxHeaderBytes + poolReserveBytes;
+}
+
+/// libmicrohttpd closes the connection without an answer if the head does not fit into the pool.
+bool HttpGateway::Impl::canSendHead(const Exchange &exchange, const HeaderList &headers) const
+{
+    std::size_t bytes = addedHeadBytes;
+    for (const auto &[name, value] : headers)
+        bytes += name.size() + value.size() + bytesPerLine;
+    return bytes <= alwaysTriedHeadBytes || exchange.headPoolBytes + bytes <= poolBytes();
+}
+
 /// Closes earlier instances whose connections are closed.
 void HttpGateway::Impl::closeUnusedLibraries()
 {
@@ -196,10 +219,12 @@
     exchange.status = valid ? status : MHD_HTTP_BAD_GATEWAY;
     exchange.noBody = hasNoBody(exchange.request.method, exchange.status);
     exchange.response = response;
-    bool closes = closesAfterAnswers || exchange.hasAmbiguousLength || isKeepAliveDisabled();
+    bool closes = closesAfterAnswers || exchange.isMalformed || isKeepAliveDisabled();
     for (const auto &[name, value] : headers) {
         closes = closes || (name == "connection" && value == "close");
-        if (!isHopByHop(name))
+        // The headers of an answer whose status can't be sent would vouch for the status sent
+        // instead.
+        if (valid && !isHopByHop(name))
             MHD_add_response_header(response, name.c_str(), value.c_str());
     }
     if (closes)
@@ -207,13 +232,27 @@
 }
 
 void HttpGateway::Impl::prepareAnswer(Exchange &exchange, int status, const HeaderList &headers,
-                                      const std::string &body)
+                                      SharedBody body)
 {
+    if (!canSendHead(exchange, headers)) {
+        metrics.count("lovagecourse_answer_heads_too_large_total");
+        const Refusal refusal{RefusalReason::AnswerBroken, Ran::Unknown};
+        return prepareAnswer(exchange, httpStatus(refusal.reason),
+                             {{"content-type", problemMediaType}}, makeProblemBody(refusal));
+    }
+    exchange.answerEnded = true;
+    if (body.size() > streamBlockBytes) {
+        exchange.answerBody = std::move(body);
+        exchange.lastProgress = std::chrono::steady_clock::now();
+        return setResponse(exchange, status, headers,
+                           MHD_create_response_from_callback(exchange.answerBody.size(),
+                                                             streamBlockBytes, &Impl::onReadWhole,
+                                                             &exchange, nullptr));
+    }
     // libmicrohttpd copies the buffer and does not write to it.
-    void *bytes = const_cast<char *>(body.data());
+    void *bytes = const_cast<char *>(body.str().data());
     setResponse(exchange, status, headers,
                 MHD_create_response_from_buffer(body.size(), bytes, MHD_RESPMEM_MUST_COPY));
-    exchange.answerEnded = true;
 }
 
 HttpGateway::HttpGateway(std::unique_ptr<Impl> impl)
@@ -236,21 +275,28 @@
     return std::unique_ptr<HttpGateway>(new HttpGateway(std::move(impl)));
 }
 
-void HttpGateway::answer(CallerId caller, int status, const HeaderList &headers,
-                         const std::string &body)
+bool HttpGateway::canSendHead(CallerId caller, const HeaderList &headers) const
+{
+    const Impl::Exchange *exchange = impl_->find(caller);
+    return !exchange || impl_->canSendHead(*exchange, headers);
+}
+
+void HttpGateway::answer(CallerId caller, int status, const HeaderList &headers, SharedBody body)
 {
     Impl::Exchange *exchange = impl_->findOpen(caller);
     if (!exchange || exchange->streaming)
         return;
-    impl_->prepareAnswer(*exchange, status, headers, body);
+    impl_->prepareAnswer(*exchange, status, headers, std::move(body));
     impl_->resume(*exchange);
 }
 
 void HttpGateway::refuse(CallerId caller, const Refusal &refusal)
 {
     impl_->metrics.count("lovagecourse_refusals_total", toString(refusal.reason));
-    answer(caller, httpStatus(refusal.reason), {{"content-type", problemMediaType}},
-           makeProblemBody(refusal));
+    HeaderList headers{{"content-type", problemMediaType}};
+    if (refusal.reason == RefusalReason::MemoryShort)
+        headers.emplace_back("retry-after", memoryRetryAfter(caller));
+    answer(caller, httpStatus(refusal.reason), headers, makeProblemBody(refusal));
 }
 
 void HttpGateway::beginStream(CallerId caller, int status, const HeaderList &headers)
@@ -271,16 +317,22 @@
 void HttpGateway::sendData(CallerId caller, std::string_view bytes)
 {
     Impl::Exchange *exchange = impl_->findOpen(caller);
-    if (!exchange || !exchange->streaming || bytes.empty())
+    if (!exchange || !exchange->streaming || exchange->answerAborted || bytes.empty())
         return;
     if (exchange->noBody) {
         impl_->events.emplace_back(Impl::Consumed{caller, bytes.size()});
         impl_->scheduleRun();
         return;
     }
+    if (exchange->unsent.empty())
+        exchange->lastProgress = std::chrono::steady_clock::now();
     exchange->unsent.erase(0, exchange->unsentOffset);
     exchange->unsentOffset = 0;
     exchange->unsent.append(bytes);
+    if (exchange->unsentMemory.bytes() == 0)
+        exchange->unsentMemory =
+                MemoryReservation(impl_->limits.memory, MemoryHolder::UnreadAnswers);
+    exchange->unsentMemory.resize(exchange->unsent.size());
     impl_->resume(*exchange);
 }
 
@@ -320,6 +372,16 @@
              " wanted=", timeout.count());
 }
 
+void HttpGateway::setMaxBodyBytes(std::size_t bytes)
+{
+    impl_->limits.maxBodyBytes = bytes;
+}
+
+void HttpGateway::relieveMemory(std::size_t reservationBytes, std::size_t additionalBytes)
+{
+    impl_->relieveMemory(reservationBytes, additionalBytes, nullptr);
+}
+
 void HttpGateway::limitAccepts(std::size_t count)
 {
     impl_->acceptAllowance = count;
--- a/src/gateway/HttpGateway.h
+++ b/src/gateway/HttpGateway.h
@@ -2,8 +2,10 @@
 
 #include "core/Clock.h"
 #include "core/EventLoop.h"
+#include "core/MemoryAccount.h"
 #include "core/Metrics.h"
 #include "core/Refusal.h"
+#include "core/SharedBody.h"
 #include "wire/Endpoint.h"
 #include "wire/Link.h"
 #include "wire/Messages.h"
@@ -28,6 +30,15 @@
     /// Drops new connections and requests whose caller has closed its sending side. Only for
     /// callers that never half-close a connection while they wait for an answer.
     bool dropHalfClosed = false;
+    /// A streamed answer of which its caller reads nothing for this long is ended; 0 means no
+    /// limit.
+    milliseconds maxUnreadTime{0};
+    /// Part of the memory account that one client address may take while another one is refused
+    /// memory.
+    unsigned addressMemoryPercent = 50;
+    /// Counts the bytes that are kept for callers; null means no limit. Must outlive the gateway
+    /// and its requests' bodies.
+    MemoryAccount *memory = nullptr;
 };
 
 /// Identifies a caller's request from its arrival to the end of its answer.
@@ -44,7 +55,7 @@
     std::string query;
     /// Names in lower case.
     HeaderList headers;
-    std::string body;
+    SharedBody body;
 };
 
 /// HTTP/1.1 server based on libmicrohttpd; runs in the event loop. Requests are buffered
@@ -69,9 +80,12 @@
     HttpGateway(const HttpGateway &) = delete;
     HttpGateway &operator=(const HttpGateway &) = delete;
 
+    /// Returns whether the headers of an answer fit into the connection's memory.
+    bool canSendHead(CallerId caller, const HeaderList &headers) const;
     /// Sends a complete answer; the header "connection: close" closes the connection after it.
-    /// Ignored if the caller has left, as are the calls below.
-    void answer(CallerId caller, int status, const HeaderList &headers, const std::string &body);
+    /// Sends status 502 instead if the headers don't fit into the connection's memory. Ignored if
+    /// the caller has left, as are the calls below.
+    void answer(CallerId caller, int status, const HeaderList &headers, SharedBody body);
     /// Answers with a problem document (application/problem+json with type, title, status and ran)
     /// and counts the reason in lovagecourse_refusals_total.
     void refuse(CallerId caller, const Refusal &refusal);
@@ -87,6 +101,11 @@
     /// Sets the idle time after which a connection is closed; applies to connections that are
     /// accepted from now on.
     void setIdleTimeout(seconds timeout);
+    /// Sets the largest body that is read; applies to requests whose head has not arrived yet.
+    void setMaxBodyBytes(std::size_t bytes);
+    /// Ends what callers hold without progress until the memory account has room for a reservation
+    /// of this size that grows by additionalBytes, or nothing is left to end.
+    void relieveMemory(std::size_t reservationBytes, std::size_t additionalBytes);
     /// Accepts this many connections until the next call and closes further ones unread, so that
     /// their callers can use another router at once. While limited, each answer closes its
     /// connection.
--- /dev/null
+++ b/src/http/ConnectionReuse.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "http/HttpClient.h"
+
+namespace lovagecourse {
+
+/// What is known of a connection after an answer.
+struct ConnectionHistory
+{
+    /// Of the last answer.
+    BodyFraming framing = BodyFraming::Length;
+    /// The last answer names its request, so that a late copy of it can be told from another
+    /// answer.
+    bool namesRequest = false;
+};
+
+/// Returns whether a connection may carry another request.
+constexpr bool mayReuse(const ConnectionHistory &history)
+{
+    return history.framing != BodyFraming::ConnectionEnd && history.namesRequest;
+}
+
+} // namespace lovagecourse
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,14 +1,20 @@
 #include "http/HttpClient.h"
 
+#include "core/Ascii.h"
+#include "http/ConnectionReuse.h"
+#include "http/SocketTable.h"
+
 #include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cassert>
-#include <cctype>
 #include <cerrno>
+#include <optional>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -31,23 +37,17 @@
     return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
 }
 
-std::string toLower(std::string_view text)
-{
-    std::string lower(text);
-    std::transform(lower.begin(), lower.end(), lower.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return lower;
-}
-
 /// State of a transfer and its libcurl easy handle.
 struct Transfer
 {
     HttpTransferId id;
     CURL *easy = nullptr;
     curl_slist *headerLines = nullptr;
-    std::string body;
+    SharedBody body;
     std::size_t bodyBytesRead = 0;
     int tcpUserTimeoutMs = 0;
+    SocketTable *sockets = nullptr;
+    curl_socket_t openedSocket = CURL_SOCKET_BAD;
     /// libcurl's own timeout would fail a transfer before its received bytes are read.
     std::unique_ptr<Timer> timeout;
     HttpClient::Handlers handlers;
@@ -58,11 +58,15 @@
     HeaderList headers;
     /// Of all heads so far, interim ones included.
     std::size_t headBytes = 0;
+    MemoryReservation memory;
     /// The blank line after the headers of the final answer has arrived.
     bool headIsWhole = false;
     bool headDelivered = false;
     bool paused = false;
     bool cancelled = false;
+    /// The kept connection had ended or carried bytes that no request has asked for, so nothing was
+    /// sent on it.
+    bool needsNewConnection = false;
 
     ~Transfer()
     {
@@ -71,6 +75,13 @@
     }
 };
 
+/// Returns a header as libcurl takes it: it drops "name:", and sends "name;" without a value.
+std::string headerLine(const std::string &name, const std::string &value)
+{
+    std::string line = name;
+    return value.empty() ? line.append(";") : line.append(": ").append(value);
+}
+
 BodyFraming bodyFraming(const std::string &method, int status, const HeaderList &headers)
 {
     constexpr int noContent = 204;
@@ -126,10 +137,15 @@
 void decideReuse(const Transfer &transfer)
 {
     constexpr long firstFinalStatus = 200;
-    const auto &mayReuse = transfer.handlers.mayReuseConnection;
+    const auto &namesRequest = transfer.handlers.mayReuseConnection;
     long status = 0;
     curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
-    if (status >= firstFinalStatus && mayReuse && !mayReuse(transfer.headers))
+    if (status < firstFinalStatus)
+        return;
+    ConnectionHistory history;
+    history.framing = bodyFraming(transfer.method, static_cast<int>(status), transfer.headers);
+    history.namesRequest = !namesRequest || namesRequest(transfer.headers);
+    if (!mayReuse(history))
         curl_easy_setopt(transfer.easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
@@ -141,6 +157,7 @@
     transfer.headBytes += line.size();
     if (transfer.headBytes > maxHeadBytes)
         return 0;
+    transfer.memory.resize(transfer.memory.bytes() + line.size());
     const bool isTrailer = transfer.headIsWhole && !line.starts_with("HTTP/");
     if (isTrailer)
         return size * count;
@@ -159,7 +176,8 @@
 std::size_t onReadBody(char *buffer, std::size_t size, std::size_t count, void *user)
 {
     auto &transfer = *static_cast<Transfer *>(user);
-    const std::size_t length = transfer.body.copy(buffer, size * count, transfer.bodyBytesRead);
+    const std::size_t length =
+            transfer.body.str().copy(buffer, size * count, transfer.bodyBytesRead);
     transfer.bodyBytesRead += length;
     return length;
 }
@@ -172,17 +190,55 @@
 
 int onSocketOpen(void *user, curl_socket_t socket, curlsocktype)
 {
-    const auto &transfer = *static_cast<Transfer *>(user);
-    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &transfer.tcpUserTimeoutMs,
-               sizeof(transfer.tcpUserTimeoutMs));
+    auto &transfer = *static_cast<Transfer *>(user);
+    transfer.openedSocket = socket;
+    if (transfer.tcpUserTimeoutMs > 0)
+        setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &transfer.tcpUserTimeoutMs,
+                   sizeof(transfer.tcpUserTimeoutMs));
     return CURL_SOCKOPT_OK;
 }
 
-int onBeforeRequest(void *user, char *, char *, int, int)
+int onSocketClose(void *user, curl_socket_t socket)
+{
+    static_cast<SocketTable *>(user)->remove(socket);
+    return close(socket);
+}
+
+/// Returns whether a connection that was idle has nothing to read, not even its end.
+bool isQuiet(const SocketTable &sockets, const ConnectionAddress &address)
+{
+    const auto socket = sockets.find(address);
+    if (!socket)
+        return false;
+    char byte = 0;
+    const ssize_t count = recv(*socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+/// Returns whether bytes of the request were sent on an earlier connection: libcurl sends a request
+/// again by itself if a kept connection ends before the first byte of the answer.
+bool wasSentBefore(const Transfer &transfer)
 {
-    const auto &transfer = *static_cast<Transfer *>(user);
+    long requestBytes = 0;
+    curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+    return requestBytes > 0;
+}
+
+int onBeforeRequest(void *user, char *remoteIp, char *, int remotePort, int localPort)
+{
+    auto &transfer = *static_cast<Transfer *>(user);
     if (transfer.cancelled)
         return CURL_PREREQFUNC_ABORT;
+    // libcurl would take bytes that have arrived since the last answer for the answer to this
+    // request.
+    const ConnectionAddress address{remoteIp, remotePort, localPort};
+    if (!isReused(transfer.easy)) {
+        transfer.sockets->add(address, transfer.openedSocket);
+    } else if (!isQuiet(*transfer.sockets, address)) {
+        // A request that may have run is not started again; see finish().
+        transfer.needsNewConnection = !wasSentBefore(transfer);
+        return CURL_PREREQFUNC_ABORT;
+    }
     const bool isWanted = !transfer.handlers.onConnected || transfer.handlers.onConnected();
     return isWanted ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
@@ -204,9 +260,10 @@
 
 struct HttpClient::Impl
 {
-    Impl(EventLoop &eventLoop, EventPriority ioPriority)
+    Impl(EventLoop &eventLoop, EventPriority ioPriority, MemoryAccount *memoryAccount)
         : loop(eventLoop)
         , priority(ioPriority)
+        , memory(memoryAccount)
         , timer(loop, [this] { runSocketAction(CURL_SOCKET_TIMEOUT, 0); })
         , destroyTimer(loop, [this] { destroyCancelled(); })
     {
@@ -247,13 +304,16 @@
     void runSocketAction(curl_socket_t socket, int action);
     void collectDone();
     void finish(Transfer &transfer, CURLcode code);
+    void restart(Transfer &transfer);
     void onTimeout(HttpTransferId id);
     void leaveIdleConnections(const Transfer &transfer);
     void destroyCancelled();
 
     EventLoop &loop;
     EventPriority priority;
+    MemoryAccount *memory;
     CURLM *multi = nullptr;
+    SocketTable sockets;
     Timer timer;
     /// Destroys cancelled transfers outside of libcurl's callbacks.
     Timer destroyTimer;
@@ -300,10 +360,24 @@
             continue;
         void *user = nullptr;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &user);
-        finish(*static_cast<Transfer *>(user), message->data.result);
+        auto &transfer = *static_cast<Transfer *>(user);
+        if (transfer.needsNewConnection && !transfer.cancelled)
+            restart(transfer);
+        else
+            finish(transfer, message->data.result);
     }
 }
 
+/// Starts a transfer again of which no byte was sent.
+void HttpClient::Impl::restart(Transfer &transfer)
+{
+    transfer.needsNewConnection = false;
+    transfer.bodyBytesRead = 0;
+    curl_multi_remove_handle(multi, transfer.easy);
+    curl_easy_setopt(transfer.easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_multi_add_handle(multi, transfer.easy);
+}
+
 void HttpClient::Impl::finish(Transfer &transfer, CURLcode code)
 {
     const auto found = transfers.find(transfer.id);
@@ -364,8 +438,8 @@
     }
 }
 
-HttpClient::HttpClient(EventLoop &loop, EventPriority priority)
-    : impl_(std::make_unique<Impl>(loop, priority))
+HttpClient::HttpClient(EventLoop &loop, EventPriority priority, MemoryAccount *memory)
+    : impl_(std::make_unique<Impl>(loop, priority, memory))
 {}
 
 HttpClient::~HttpClient() = default;
@@ -380,9 +454,10 @@
     transfer->maxIdleAge = request.maxIdleAge;
     transfer->body = std::move(request.body);
     transfer->handlers = std::move(handlers);
+    transfer->memory = MemoryReservation(impl_->memory, MemoryHolder::ServerConnections);
     for (const auto &[name, value] : request.headers)
-        transfer->headerLines = curl_slist_append(
-                transfer->headerLines, std::string(name).append(": ").append(value).c_str());
+        transfer->headerLines =
+                curl_slist_append(transfer->headerLines, headerLine(name, value).c_str());
     // Without this, libcurl waits for "100 Continue" before it sends larger bodies.
     transfer->headerLines = curl_slist_append(transfer->headerLines, "Expect:");
     if (request.onlyGivenHeaders) {
@@ -425,16 +500,17 @@
             curl_easy_setopt(easy, CURLOPT_READDATA, transfer.get());
             curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, &rejectRewind);
         } else {
-            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.str().c_str());
         }
     }
     if (!request.target.empty())
         curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request.target.c_str());
-    if (request.tcpUserTimeout.count() > 0) {
-        transfer->tcpUserTimeoutMs = static_cast<int>(request.tcpUserTimeout.count());
-        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &onSocketOpen);
-        curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, transfer.get());
-    }
+    transfer->tcpUserTimeoutMs = static_cast<int>(request.tcpUserTimeout.count());
+    transfer->sockets = &impl_->sockets;
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &onSocketOpen);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &onSocketClose);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, &impl_->sockets);
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(request.maxIdleAge.count()));
     if (request.method != "HEAD")
         curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -2,6 +2,7 @@
 
 #include "core/Clock.h"
 #include "core/EventLoop.h"
+#include "core/SharedBody.h"
 #include "wire/Messages.h"
 
 #include <cstdint>
@@ -19,7 +20,8 @@
     std::string method = "GET";
     std::string url;
     HeaderList headers;
-    std::string body;
+    /// Shared with the caller; the transfer keeps no copy.
+    SharedBody body;
     milliseconds connectTimeout{1000};
     /// Timeout of the whole transfer; 0 means none. Bytes that arrived in time are read first, also
     /// when this process is late.
@@ -80,9 +82,10 @@
 using HttpTransferId = StrongId<struct HttpTransferTag, std::uint64_t>;
 
 /// Asynchronous HTTP client based on libcurl's multi interface; runs in the event loop.
-/// Connections are kept for further requests. When a request on a kept connection gets no answer in
-/// time, the others to the same address may have gone silent with it, so all of them are left
-/// unused.
+/// Connections are kept for further requests. One that has bytes to read before a request is sent
+/// on it is closed, and the request uses a new one. When a request on a kept connection gets no
+/// answer in time, the others to the same address may have gone silent with it, so all of them are
+/// left unused.
 class HttpClient
 {
 public:
@@ -102,8 +105,10 @@
         std::function<void(const std::optional<HttpFailure> &failure)> onDone;
     };
 
-    /// priority: of reading answers and writing requests.
-    explicit HttpClient(EventLoop &loop, EventPriority priority = EventPriority::Normal);
+    /// priority: of reading answers and writing requests. memory: counts buffers and heads of
+    /// transfers, without a limit; null means that they are not counted.
+    explicit HttpClient(EventLoop &loop, EventPriority priority = EventPriority::Normal,
+                        MemoryAccount *memory = nullptr);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
--- a/src/placing/Admission.cpp
+++ b/src/placing/Admission.cpp
@@ -16,6 +16,9 @@
 constexpr double fairWaitAllowance = 0.5;
 constexpr double fairShareExponent = 2.5;
 constexpr double maxWaitAllowance = 0.6;
+// Part by which the most urgent requests may wait longer and the least urgent ones shorter. Less
+// than the effect of the fair share, which is counted first.
+constexpr double urgencyWeight = 0.3;
 // Lower bound: with a shorter wait the server is almost idle, so no request is refused for its
 // account's share.
 constexpr double minWaitAllowance = 0.04;
@@ -27,15 +30,19 @@
 constexpr double longPromptAllowance = 0.26;
 constexpr double minRetryAfterMs = 50;
 constexpr double maxRetryAfterMs = 2000;
+// Clients wait up to a third of the time that they have left. The rest is for the way to the client
+// and for the slack that the router adds to the client's timeout.
+constexpr double maxPartOfRemaining = 0.3;
 
 } // namespace
 
 AdmissionDecision decideAdmission(const AdmissionInput &input)
 {
     const double fairShareRatio = std::max(input.fairShareRatio, 1e-3);
-    const double waitAllowance =
-            std::clamp(fairWaitAllowance * std::pow(fairShareRatio, -fairShareExponent),
-                       minWaitAllowance, maxWaitAllowance);
+    const double urgencyFactor = 1 + urgencyWeight * std::clamp(input.urgency, -1., 1.);
+    const double waitAllowance = std::clamp(
+            fairWaitAllowance * std::pow(fairShareRatio, -fairShareExponent) * urgencyFactor,
+            minWaitAllowance, maxWaitAllowance);
     const double allowedFirstByteMs = firstByteAllowance * input.objectiveMs;
     const double allowedWaitMs = waitAllowance * input.objectiveMs;
     const double longPromptWaitMs =
@@ -50,7 +57,9 @@
     const double excessMs = std::min(
             std::max(input.firstByteMs - allowedFirstByteMs, countedWaitMs - allowedWaitMs),
             countedWaitMs - longPromptWaitMs);
-    const double retryAfterMs = std::clamp(excessMs, minRetryAfterMs, maxRetryAfterMs);
+    const double longestMs =
+            std::clamp(input.remainingMs * maxPartOfRemaining, minRetryAfterMs, maxRetryAfterMs);
+    const double retryAfterMs = std::clamp(excessMs, minRetryAfterMs, longestMs);
     return AdmissionRefused{milliseconds(static_cast<std::int64_t>(retryAfterMs))};
 }
 
--- a/src/placing/Admission.h
+++ b/src/placing/Admission.h
@@ -22,12 +22,18 @@
     double remainingMs = 0;
     /// Tokens admitted for the account within FairShares::window, divided by its fair share.
     double fairShareRatio = 0;
+    /// Rank among the service's requests by priority, from -1 (least urgent) to 1; 0 if all are
+    /// equal. From UrgencyRanks.
+    double urgency = 0;
 };
 
 struct Admitted
 {};
 
-/// The request is refused; a retry is expected to be admitted after retryAfter.
+/// The request is refused. While no further request is admitted, the queue needs this time to drain
+/// to the wait that is allowed. The client is told this time, which is the same instant for all
+/// that are refused during one drain: see docs/design/returning-clients.md for why it is not
+/// spread.
 struct AdmissionRefused
 {
     milliseconds retryAfter{0};
@@ -38,6 +44,10 @@
 /// Admission control. Under a load above the servers' prefill capacity it refuses requests,
 /// accounts above their fair share first, so that admitted ones meet the objective; otherwise every
 /// answer would be late. While the wait is short, no request is refused for its account's share.
+///
+/// Order under shortage: the account's fair share, then urgency, then the value of the time left.
+/// Urgency decides between accounts whose shares differ by less than about 28 %; a request whose
+/// answer would be late is refused whatever its urgency.
 AdmissionDecision decideAdmission(const AdmissionInput &input);
 
 } // namespace lovagecourse
--- a/src/placing/IntakeLimit.cpp
+++ b/src/placing/IntakeLimit.cpp
@@ -22,6 +22,12 @@
 // once, is not.
 constexpr double minOverloadBusyShare = 0.6;
 constexpr double minLearningBusyShare = 0.4;
+// A suspended process is late when it resumes, and once more with the work that has waited. An
+// overload lasts for more intervals, because the open requests end only after about a second.
+constexpr unsigned maxUnconfirmedIntervals = 2;
+constexpr seconds confirmationTime{1};
+// Overloads that follow each other within this time are one.
+constexpr seconds overloadGap{10};
 constexpr double measurementMs = 1000;
 constexpr std::size_t minMeasuredRequests = 20;
 // Processor time of a request with a streamed answer.
@@ -66,20 +72,42 @@
     measuredRequests_ = 0;
 }
 
+void IntakeLimit::lower(double open, TimePoint now)
+{
+    if (now - lastOverloaded_ > overloadGap)
+        overloadedIntervals_ = 0;
+    lastOverloaded_ = now;
+    ++overloadedIntervals_;
+    if (now < cooldownUntil_)
+        return;
+    maxOpen_ = std::max(minOpen, decreaseFactor * std::min(maxOpen_, open));
+    cooldownUntil_ = now + decreaseCooldown;
+}
+
+void IntakeLimit::grow(double open)
+{
+    const bool isInUse = open >= minUtilisationToGrow * maxOpen_;
+    maxOpen_ = std::min(unlimitedOpen, maxOpen_ * (isInUse ? growthFactor : idleGrowthFactor));
+}
+
+/// Returns whether the limit has too little evidence: few late intervals, and none since.
+bool IntakeLimit::isUnconfirmed(TimePoint now) const
+{
+    return isLimited() && overloadedIntervals_ <= maxUnconfirmedIntervals
+           && now - lastOverloaded_ >= confirmationTime;
+}
+
 std::size_t IntakeLimit::onInterval(const ProcessLoad &load, TimePoint now)
 {
     learnRequestCost(load);
     loopDelayMs_ = load.loopDelayMs;
     const auto count = static_cast<double>(load.open);
-    if (isOverloaded(load)) {
-        if (now >= cooldownUntil_) {
-            maxOpen_ = std::max(minOpen, decreaseFactor * std::min(maxOpen_, count));
-            cooldownUntil_ = now + decreaseCooldown;
-        }
-    } else if (isLimited()) {
-        const bool isInUse = count >= minUtilisationToGrow * maxOpen_;
-        maxOpen_ = std::min(unlimitedOpen, maxOpen_ * (isInUse ? growthFactor : idleGrowthFactor));
-    }
+    if (isOverloaded(load))
+        lower(count, now);
+    else if (isUnconfirmed(now))
+        maxOpen_ = unlimitedOpen;
+    else if (isLimited())
+        grow(count);
     // The platform expects a process that reports itself as ready to accept some connections.
     return static_cast<std::size_t>(std::max(1., maxOpen_ - count));
 }
--- a/src/placing/IntakeLimit.h
+++ b/src/placing/IntakeLimit.h
@@ -28,7 +28,8 @@
 /// Limits the open requests of a process whose event loop is overloaded, such as one on a small
 /// host that the load balancer sends as many callers as a large one. Without the limit every caller
 /// waits for seconds and leaves before its answer; with it, excess callers are rejected at once and
-/// can use another router.
+/// can use another router. A process that was suspended within a callback, and is late once or
+/// twice because of that, looks overloaded as well; such a limit is lifted soon.
 class IntakeLimit
 {
 public:
@@ -53,10 +54,16 @@
     static constexpr double unlimitedOpen = 10000;
 
     void learnRequestCost(const ProcessLoad &load);
+    void lower(double open, TimePoint now);
+    void grow(double open);
+    bool isUnconfirmed(TimePoint now) const;
 
     double maxOpen_ = unlimitedOpen;
     /// Until then the limit does not fall again, because the last decrease has not taken effect.
     TimePoint cooldownUntil_;
+    /// Overloaded intervals of the current overload, or of the last one.
+    unsigned overloadedIntervals_ = 0;
+    TimePoint lastOverloaded_;
     double requestCostMs_;
     /// Of the last interval.
     double loopDelayMs_ = 0;
--- a/src/placing/PlacementChoice.cpp
+++ b/src/placing/PlacementChoice.cpp
@@ -15,8 +15,8 @@
 // server time that a burst may need.
 constexpr double idlePrefillWeight = 1;
 // At this mean wait, a repeated prefill delays other callers as much as this one.
-constexpr double busyWaitMs = 100;
-constexpr double maxPrefillWeight = 3;
+constexpr double busyWaitMs = 40;
+constexpr double maxPrefillWeight = 5;
 // Range of the affinity cost, which makes all routers prefer the same one of equal servers.
 constexpr double affinityCostMs = 20;
 // A failed request costs its caller about twice the objective: the failed attempt and the retry.
@@ -66,7 +66,10 @@
         cost += excessFailureRate * failureCostFactor * objectiveMs;
         cost += affinityCostMs * affinityWeight(candidate.server, promptHash);
         cost += candidate.isLocal ? 0 : remoteCostMs;
+        cost += candidate.spreadCostMs;
         cost += candidate.isInBackoff ? backoffCostMs : 0;
+        // The preempted request waits for memory and is prefilled again, and misses its objective.
+        cost += candidate.exceedsMemory ? objectiveMs : 0;
         // Penalises servers that would miss the objective.
         cost += std::max(0., candidate.firstByteMs() - objectiveMs);
         if (!best || cost < bestCost) {
--- a/src/placing/PlacementChoice.h
+++ b/src/placing/PlacementChoice.h
@@ -18,12 +18,16 @@
     double prefillMs = 0;
     /// Time to first byte without wait and prefill, in ms.
     double baseMs = 0;
+    /// Cost of load that makes no wait, in ms.
+    double spreadCostMs = 0;
     /// Moving average of failed requests, from 0 to 1.
     double failureRate = 0;
     /// The server is in this router's data centre.
     bool isLocal = true;
     /// A connection broke or could not be opened a short time ago.
     bool isInBackoff = false;
+    /// The request would fill the engine's memory, so that a running request is preempted.
+    bool exceedsMemory = false;
 
     double firstByteMs() const { return waitMs + prefillMs + baseMs; }
 };
--- a/src/placing/ServerModel.cpp
+++ b/src/placing/ServerModel.cpp
@@ -1,5 +1,7 @@
 #include "placing/ServerModel.h"
 
+#include "placing/SlotServers.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -85,11 +87,8 @@
     const double factor = slowness(now);
     const double backlog = (backlogMs(now) + peers.backlogMs) * factor;
     const double overdue = std::max(overdueMs(now), peers.overdueMs);
-    double queueing = 0;
-    const unsigned running = this->running() + peers.running;
-    if (slots > 0 && running >= slots)
-        queueing = speed.baseMs() * factor * (running - slots + 1) / slots;
-    return backlog + overdue + queueing;
+    const SlotLoad load{speed.baseMs() * factor, running() + peers.running, slots};
+    return backlog + overdue + slotWaitMs(load);
 }
 
 SendNumber ServerModel::onSent(const PrefillSpeed &speed, const PrefillWork &work,
@@ -109,14 +108,18 @@
 void ServerModel::onFirstByte(PrefillSpeed &speed, SendNumber number, TimePoint now, bool isExact)
 {
     const auto found = sends_.find(number);
-    if (found == sends_.end() || found->second.isPrefillDone)
+    if (found == sends_.end() || found->second.isAnswered)
         return;
     Send &send = found->second;
+    const bool isOvertaken = send.isPrefillDone;
+    send.isAnswered = true;
     send.isPrefillDone = true;
     // The prefill of earlier requests is done too, or will never be.
     for (auto earlier = sends_.begin(); earlier != found; ++earlier)
         earlier->second.isPrefillDone = true;
-    if (!isExact || send.waitMs > maxTrainingWaitMs)
+    // Work without prefill runs in parallel, so a longer request is overtaken and yet a sample of
+    // the speed: without it, only the shortest work would count.
+    if (!isExact || (isOvertaken && send.prefillMs > 0) || send.waitMs > maxTrainingWaitMs)
         return;
     const double serviceMs = std::max(0., toMs(now - send.sentAt) - send.waitMs);
     const double reported = send.slowness / residualSlowness_;
--- a/src/placing/ServerModel.h
+++ b/src/placing/ServerModel.h
@@ -82,6 +82,7 @@
         double slowness = 1;
         /// The first byte of this or of a later request has arrived.
         bool isPrefillDone = false;
+        bool isAnswered = false;
     };
 
     const Send *oldestInPrefill() const;
--- a/src/placing/ServerWords.h
+++ b/src/placing/ServerWords.h
@@ -20,7 +20,11 @@
     /// Its pause is over, but no answer has shown yet that it takes requests again.
     Probing,
     /// This router has used its part of the requests that the server takes.
-    Limited
+    Limited,
+    /// Its data centre is evacuated.
+    Evacuated,
+    /// It is warming up, and this router has used its share of the requests that it takes.
+    Warming
 };
 
 /// What one run of a server has said in its answers.
--- a/src/platform/LogClient.cpp
+++ b/src/platform/LogClient.cpp
@@ -173,22 +173,24 @@
 void LogClient::read(const std::string &stream, LogOffset from, milliseconds wait,
                      std::function<void(const ReadResult &)> onDone)
 {
-    const auto get = [this, stream, from, wait](int maxRecords) {
+    const auto get = [baseUrl = baseUrl_, stream, from, wait](int maxRecords) {
         HttpRequest request;
-        request.url =
-                baseUrl_ + "/streams/" + stream + "/records?from=" + std::to_string(from.value)
-                + "&wait_ms=" + std::to_string(wait.count()) + "&max=" + std::to_string(maxRecords);
+        request.url = baseUrl + "/streams/" + stream + "/records?from=" + std::to_string(from.value)
+                      + "&wait_ms=" + std::to_string(wait.count())
+                      + "&max=" + std::to_string(maxRecords);
         request.totalTimeout = wait + answerTimeout;
         return request;
     };
     const auto onAnswer = makeAnswerHandler(&parseBatch, std::move(onDone));
-    sendRequest(http_, get(maxRecordsPerRead), [this, get, onAnswer](const Answer &answer) {
-        // Several snapshots in one batch may exceed maxAnswerBytes; a single record always fits.
-        if (std::holds_alternative<AnswerTooLong>(answer))
-            sendRequest(http_, get(1), onAnswer);
-        else
-            onAnswer(answer);
-    });
+    sendRequest(http_, get(maxRecordsPerRead),
+                [&http = http_, get, onAnswer](const Answer &answer) {
+                    // Several snapshots in one batch may exceed maxAnswerBytes; a single record
+                    // always fits.
+                    if (std::holds_alternative<AnswerTooLong>(answer))
+                        sendRequest(http, get(1), onAnswer);
+                    else
+                        onAnswer(answer);
+                });
 }
 
 void LogClient::listHosts(std::function<void(const HostListResult &)> onDone)
--- a/src/settings/DaemonSettings.cpp
+++ b/src/settings/DaemonSettings.cpp
@@ -22,6 +22,9 @@
 constexpr std::int64_t maxBodyBytesLimit =
         static_cast<std::int64_t>(maxFrameBytes) - 2 * maxHeaderBytesLimit;
 constexpr std::int64_t maxConnectionsLimit = 1000000;
+constexpr std::int64_t minMemoryMb = 64;
+constexpr std::int64_t maxMemoryMbLimit = 1 << 20;
+constexpr std::int64_t maxPercent = 100;
 constexpr std::int64_t hourInSeconds = 3600;
 constexpr std::int64_t dayInSeconds = 24 * hourInSeconds;
 constexpr std::int64_t maxKeyWindowSeconds = 30 * dayInSeconds;
@@ -132,6 +135,8 @@
         readNumber(reader, "max_body_bytes", limits.maxBodyBytes, 1, maxBodyBytesLimit);
         readNumber(reader, "max_header_bytes", limits.maxHeaderBytes, 1024, maxHeaderBytesLimit);
         readNumber(reader, "max_connections", limits.maxConnections, 1, maxConnectionsLimit);
+        readNumber(reader, "max_memory_mb", settings_.maxMemoryMb, minMemoryMb, maxMemoryMbLimit);
+        readNumber(reader, "address_memory_percent", limits.addressMemoryPercent, 1, maxPercent);
         readNumber(reader, "idle_timeout_s", limits.idleTimeout, 1, hourInSeconds);
         readNumber(reader, "key_window_s", settings_.keyWindow, 1, maxKeyWindowSeconds);
         readNumber(reader, "drain_timeout_s", settings_.drainTimeout, 1, dayInSeconds);
@@ -145,6 +150,7 @@
         reader.readEnum<FairnessPolicy>("fairness", settings_.fairness, fairnessPolicyNames);
         reader.readBool("cost_classes", settings_.costClasses);
         reader.readBool("hedging", settings_.hedging);
+        reader.readBool("watch_restarts", settings_.watchRestarts);
         readNumber(reader, "fixed_limit", settings_.fixedLimit, 0, maxFixedLimit);
         reader.reportUnknownKeys();
     }
--- a/src/settings/DaemonSettings.h
+++ b/src/settings/DaemonSettings.h
@@ -48,6 +48,8 @@
     LogLevel logLevel = LogLevel::Info;
     LogFormat logFormat = LogFormat::Text;
     GatewayLimits limits;
+    /// Memory that the process may use; 0 means no limit.
+    unsigned maxMemoryMb = 0;
     /// How long an idempotency key is accepted after its creation. Log retention must exceed this
     /// by 120 s.
     seconds keyWindow{86400};
@@ -59,6 +61,8 @@
     bool costClasses = true;
     /// False for the benchmark baseline without hedged requests.
     bool hedging = true;
+    /// Agents keep an idle connection to their server, which shows a restart that a probe misses.
+    bool watchRestarts = true;
     /// Above 0: fixed concurrency limit of the server, for the benchmark baseline. 0: adaptive.
     int fixedLimit = 0;
 };
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -9,11 +9,13 @@
 constexpr std::size_t minFleetKeyBytes = 16;
 constexpr double maxRetryRatio = 10;
 constexpr double maxRetrySlack = 1e6;
+constexpr double maxHedgeShare = 1;
 constexpr std::int64_t maxRetryWindowSeconds = 3600;
 constexpr std::int64_t minSockets = 256;
 constexpr std::int64_t maxSocketsLimit = 1 << 20;
 constexpr std::int64_t minMemoryMb = 64;
 constexpr std::int64_t maxMemoryMbLimit = 1 << 20;
+constexpr std::int64_t maxPercent = 100;
 constexpr std::int64_t minDelayBoundMs = 200;
 constexpr std::int64_t maxDelayBoundMs = 60000;
 constexpr double maxShutdownSeconds = 3600;
@@ -64,6 +66,10 @@
     if (root.readInteger("max_memory_mb", maxMemoryMb, minMemoryMb, maxMemoryMbLimit))
         settings.maxMemoryMb = static_cast<unsigned>(maxMemoryMb);
 
+    std::int64_t addressPercent = settings.addressMemoryPercent;
+    if (root.readInteger("address_memory_percent", addressPercent, 1, maxPercent))
+        settings.addressMemoryPercent = static_cast<unsigned>(addressPercent);
+
     double processorShare = settings.processorPermille / permille;
     root.readNumber("processor_share", processorShare, 0, maxProcessorShare);
     settings.processorPermille = static_cast<std::uint16_t>(processorShare * permille);
@@ -80,6 +86,10 @@
         settings.retryWindow = seconds(window);
     retries.reportUnknownKeys();
 
+    SettingsReader hedging(root.readTable("hedging"), "hedging", file, faults);
+    hedging.readNumber("share", settings.hedgeShare, 0, maxHedgeShare);
+    hedging.reportUnknownKeys();
+
     SettingsReader bounds(root.readTable("bounds"), "bounds", file, faults);
     readMilliseconds(bounds, "configuration_ms", settings.maxConfigurationDelay);
     readMilliseconds(bounds, "leaving_ms", settings.maxLeavingDelay);
--- a/src/settings/RouterSettings.h
+++ b/src/settings/RouterSettings.h
@@ -35,6 +35,9 @@
     unsigned maxSockets = 8192;
     /// Memory limit of the process in MB.
     unsigned maxMemoryMb = 512;
+    /// Part of the memory for bodies and answers that one client address may take while another one
+    /// is refused memory.
+    unsigned addressMemoryPercent = 50;
     /// Processor share of the host in per mille of a core. Of the routers of a data centre, the one
     /// with the largest share relays their load to the other data centres.
     std::uint16_t processorPermille = 1000;
@@ -44,6 +47,9 @@
     double retryRatio = 0.1;
     double retrySlack = 10;
     seconds retryWindow{10};
+    /// Hedged requests of a service as a share of its requests, 0 to 1; 0 turns them off. They
+    /// count as retries, too.
+    double hedgeShare = 0;
     /// Longest time from the write of a configuration change until it is in force.
     milliseconds maxConfigurationDelay{2000};
     /// Longest time from the write of a server's leaving mark until it gets no more requests.
--- a/src/settings/SettingsReader.cpp
+++ b/src/settings/SettingsReader.cpp
@@ -128,7 +128,9 @@
     if (!node)
         return;
     const std::optional<double> number = node->value<double>();
-    if (!number || !node->is_number() || *number < low || *number > high)
+    // The comparison is false for NaN, which TOML allows.
+    const bool isInRange = number && *number >= low && *number <= high;
+    if (!isInRange || !node->is_number())
         return report(number ? SettingsFaultKind::OutOfRange : SettingsFaultKind::WrongType, name,
                       &node->source(),
                       "a number from " + std::to_string(low) + " to " + std::to_string(high));
