--- a/src/wire/Codec.cpp
+++ b/src/wire/Codec.cpp
@@ -23,6 +23,8 @@
 // Consumed bytes are erased from the buffer above this size; below it, they stay to avoid moving
 // the rest for each frame.
 constexpr std::size_t compactThreshold = 64U << 10;
+// A buffer above this size is freed as soon as its frame is consumed.
+constexpr std::size_t largeFrameBytes = 4 * compactThreshold;
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(WireFault::Count)> faultNames{
         "truncated", "oversized", "wrong-version", "wrong-key",
@@ -202,8 +204,18 @@
     if (consumed_ == buffer_.size() || consumed_ > compactThreshold) {
         buffer_.erase(0, consumed_);
         consumed_ = 0;
+        // A large frame must not keep its memory for as long as its link is open.
+        if (buffer_.empty() && buffer_.capacity() > largeFrameBytes)
+            std::string().swap(buffer_);
     }
     buffer_.append(bytes);
+    if (buffer_.size() - consumed_ < lengthBytes)
+        return;
+    // Growth by doubling would take up to twice the memory of a large frame.
+    const std::size_t length =
+            fromBytes<std::uint32_t>(std::string_view(buffer_).substr(consumed_));
+    if (length > compactThreshold && length <= maxFrameBytes)
+        buffer_.reserve(consumed_ + lengthBytes + sizeof(HmacTag) + length);
 }
 
 std::variant<std::optional<std::string>, WireFault> FrameDecoder::nextPayload()
@@ -222,8 +234,14 @@
     if (!authenticator_.verify(header, payload, tagFrom(remaining.substr(lengthBytes))))
         return WireFault::WrongKey;
     ++sequence_;
+    std::optional<std::string> result(payload);
     consumed_ += overhead + length;
-    return std::optional<std::string>(payload);
+    // The receiver is about to copy a large payload again and may keep it.
+    if (consumed_ > largeFrameBytes) {
+        std::string(buffer_, consumed_).swap(buffer_);
+        consumed_ = 0;
+    }
+    return result;
 }
 
 std::string encodeDatagram(const Authenticator &fleetKey, const Datagram &datagram)
--- a/src/wire/Codec.h
+++ b/src/wire/Codec.h
@@ -98,6 +98,8 @@
 
     /// Adds received bytes.
     void append(std::string_view bytes);
+    /// Received bytes that are no whole frame yet.
+    std::size_t pendingBytes() const { return buffer_.size() - consumed_; }
     /// Payload of the next frame; nullopt if more bytes are needed.
     std::variant<std::optional<std::string>, WireFault> nextPayload();
 
--- a/src/wire/Link.h
+++ b/src/wire/Link.h
@@ -2,6 +2,7 @@
 
 #include "core/Clock.h"
 #include "core/EventLoop.h"
+#include "core/MemoryAccount.h"
 #include "core/Metrics.h"
 #include "wire/Codec.h"
 
@@ -20,6 +21,9 @@
     const Authenticator &fleetKey;
     /// First message on every link.
     Hello hello;
+    /// Counts the bytes that links keep; null means that they are not counted. Must outlive the
+    /// links.
+    MemoryAccount *memory = nullptr;
 };
 
 /// Error of a socket; an errno value.
@@ -53,9 +57,10 @@
         std::function<void(const LinkFailure &)> onClosed;
     };
 
-    /// Starts connecting; the result is reported to the handlers.
-    static std::unique_ptr<Link> connect(const WireContext &context, const Endpoint &endpoint,
-                                         Handlers handlers);
+    /// Starts connecting; the result is reported to the handlers. Returns the error if there is no
+    /// socket, for example because no descriptor is left; then no handler is called.
+    static std::variant<std::unique_ptr<Link>, SocketFailure>
+    connect(const WireContext &context, const Endpoint &endpoint, Handlers handlers);
     /// Takes ownership of an accepted socket.
     static std::unique_ptr<Link> accept(const WireContext &context, int descriptor,
                                         Handlers handlers);
@@ -63,8 +68,8 @@
     Link(const Link &) = delete;
     Link &operator=(const Link &) = delete;
 
-    /// Queues a message; those of one event loop iteration are sent as one frame. Ignored after the
-    /// link was closed.
+    /// Queues a message; those of one event loop iteration are sent in as few frames as their size
+    /// allows. Ignored after the link was closed.
     void send(Message message);
     /// Returns whether the handshake is complete and the link is not closed.
     bool isReady() const;
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -733,6 +733,25 @@
     }
 };
 
+/// Datagram, router to router: the data centres that are evacuated as of the newest read of the
+/// store that the sender knows of, for routers that can't reach the store. Distributed as
+/// ConfigurationRead, and repeated with each RouterPresence.
+struct EvacuatedDataCentres
+{
+    /// How often the store has lost its records, after which its offsets start again; see
+    /// EvacuationReads.
+    std::uint64_t history = 0;
+    /// Offset after the last record of that read.
+    LogOffset next;
+    std::vector<DataCentreId> dataCentres;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(history, next, dataCentres);
+    }
+};
+
 /// Any message between daemons. The index identifies the type in the protocol, so new types must be
 /// appended.
 using Message =
@@ -741,6 +760,7 @@
                      CrashSuspectNotice, ConfigurationStateRequest, ConfigurationStateReply, Gossip,
                      ServiceReport, FairTotals, LeaveNotice, RouterReport, RouterAccountReport,
                      ServersUnchanged, RouterPresence, DataCentreReport, DataCentreAccountReport,
-                     ServersChanged, CrashTraitReport, ConfigurationRead, RouterLimitReport>;
+                     ServersChanged, CrashTraitReport, ConfigurationRead, RouterLimitReport,
+                     EvacuatedDataCentres>;
 
 } // namespace lovagecourse
--- a/tests/claims/ClaimCoordinatorTest.cpp
+++ b/tests/claims/ClaimCoordinatorTest.cpp
@@ -1,7 +1,9 @@
 #include "claims/ClaimCoordinator.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <set>
 
 using namespace lovagecourse;
@@ -171,3 +173,34 @@
     CHECK(first.claims.isFenced());
     CHECK_FALSE(first.claims.mayRun(claim, now));
 }
+
+// Guards against a record that no agent can read (16 MiB at once, as a JSON string), which stops
+// the claims of the whole fleet.
+TEST_CASE_METHOD(ClaimCoordinatorFixture, "claim coordinator, answer too large, is not recorded")
+{
+    const auto run = begin(first);
+    runUntilIdle();
+    const ClaimId claim = std::get<ClaimWon>(**run).claim;
+    // A control character takes seven bytes as a JSON string in a JSON string.
+    const bool isControl = GENERATE(false, true);
+    const std::size_t bytes = (isControl ? 3U : 16U) << 20;
+    first.claims.recordOutcome(claim, {200, {}, std::string(bytes, isControl ? '\1' : 'x')});
+    runUntilIdle();
+    CHECK(std::all_of(log.begin(), log.end(), [](const LogRecord &record) {
+        return nlohmann::json(record.body).dump().size() < (16U << 20);
+    }));
+    checkRefused(*begin(second), RefusalReason::IdempotencyKeyUnsettled, Ran::Unknown);
+}
+
+// Guards against refusing what fits: the largest body of the deployments.
+TEST_CASE_METHOD(ClaimCoordinatorFixture, "claim coordinator, answer of 4 MiB, is recorded")
+{
+    const auto run = begin(first);
+    runUntilIdle();
+    const std::string body(4U << 20, 'x');
+    first.claims.recordOutcome(std::get<ClaimWon>(**run).claim, {200, {}, body});
+    runUntilIdle();
+    const auto repeat = begin(second);
+    REQUIRE(*repeat);
+    CHECK(std::get<ClaimReplay>(**repeat).answer.body == body);
+}
--- a/tests/direct/DirectRouterFixture.h
+++ b/tests/direct/DirectRouterFixture.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace lovagecourse::test {
@@ -46,6 +47,8 @@
     std::vector<std::unique_ptr<ScriptedServer>> servers;
     /// Registrations of the servers above.
     std::vector<ServerEntry> entries;
+    /// Delay of the event loop at the arrival of each request.
+    milliseconds loopDelay{0};
     std::shared_ptr<DirectConfiguration> configuration = std::make_shared<DirectConfiguration>();
 
     DirectRouterFixture()
@@ -57,6 +60,7 @@
                 [this](TraitHash trait) { reportedClears.push_back(trait); }});
         HttpGateway::Handlers handlers;
         handlers.onRequest = [this](CallerRequest &&request) {
+            std::this_thread::sleep_for(loopDelay);
             router->onRequest(std::move(request));
         };
         handlers.onCallerLeft = [this](CallerId caller) { router->onCallerLeft(caller); };
--- a/tests/direct/DirectRouterTest.cpp
+++ b/tests/direct/DirectRouterTest.cpp
@@ -120,6 +120,75 @@
     CHECK(server.requests().size() == 1);
 }
 
+// Guards against a caller that is told that its request has not run, and repeats it, although the
+// server has not stated so: it may have run the request before it answered.
+TEST_CASE_METHOD(DirectRouterFixture,
+                 "direct router, server refuses without saying that it has not run, answers 502")
+{
+    const int status = GENERATE(408, 429, 503);
+    const std::string path = GENERATE("/unsafe/x", "/safe/x", "/stream/x");
+    CAPTURE(status, path);
+    addServer([status](auto &connection, const std::string &request) {
+        connection.send(answer(request, status, "busy",
+                               "X-Lovagecourse-Server-Stamp: st\r\nRetry-After: 1\r\n"));
+    });
+    const CallerAnswer got = call("POST", path, {}, "b");
+    CHECK(got.status == 502);
+    CHECK(got.isComplete);
+    CHECK(findHeader(got.headers, "x-lovagecourse-server-stamp").empty());
+    CHECK(findHeader(got.headers, "retry-after").empty());
+}
+
+// Guards against a server's true statement that is lost, so that the caller does not return.
+TEST_CASE_METHOD(DirectRouterFixture, "direct router, server is not the expected one, answers 503")
+{
+    addServer([](auto &connection, const std::string &request) {
+        connection.send(answer(request, 421, ""));
+    });
+    CHECK(call("POST", "/unsafe/x", {}, "b").status == 503);
+}
+
+// Guards against a caller whose connection is closed without an answer, and that can't tell it from
+// a router that has ended.
+TEST_CASE_METHOD(DirectRouterFixture,
+                 "direct router, head of an answer is too large for the caller, answers 502")
+{
+    const int status = GENERATE(200, 500);
+    const std::string path = GENERATE("/unsafe/x", "/safe/x", "/stream/x", "/resume/x");
+    const std::size_t headBytes = GENERATE(50U << 10, 120U << 10, 200U << 10);
+    CAPTURE(status, path, headBytes);
+    addServer([status, headBytes](auto &connection, const std::string &request) {
+        std::string extra = "X-Lovagecourse-Server-Stamp: st\r\n";
+        while (extra.size() < headBytes)
+            extra += "X-Part: " + std::string(1000, 'h') + "\r\n";
+        connection.send(answer(request, status, "body", extra));
+    });
+    const CallerAnswer got = call("POST", path, {}, "b");
+    CHECK(got.isComplete);
+    CHECK(got.status == 502);
+    CHECK(findHeader(got.headers, "x-lovagecourse-server-stamp").empty());
+    CHECK(findHeader(got.headers, "content-type") == "application/problem+json");
+}
+
+// Guards against the stamp of a server on a status that the router has sent instead of the
+// server's.
+TEST_CASE_METHOD(DirectRouterFixture,
+                 "direct router, status beyond 599, is a 502 without the server's headers")
+{
+    const int status = GENERATE(600, 700, 999);
+    const std::string path = GENERATE("/unsafe/x", "/safe/x", "/stream/x", "/resume/x");
+    CAPTURE(status, path);
+    addServer([status](auto &connection, const std::string &request) {
+        connection.send(answer(request, status, "odd",
+                               "X-Lovagecourse-Server-Stamp: st\r\nX-Other: a\r\n"));
+    });
+    const CallerAnswer got = call("POST", path, {}, "b");
+    CHECK(got.status == 502);
+    CHECK(findHeader(got.headers, "x-lovagecourse-server-stamp").empty());
+    CHECK(findHeader(got.headers, "x-lovagecourse-attempt-id").empty());
+    CHECK(findHeader(got.headers, "x-other").empty());
+}
+
 // Guards against requests that fail because one server has just crashed.
 TEST_CASE_METHOD(DirectRouterFixture, "direct router, connection refused, sends to another server")
 {
@@ -455,6 +524,50 @@
     CHECK(resumed.body == event(1) + event(2));
 }
 
+// Guards against a stream that is broken off before its caller's deadline because the time that the
+// request waited unread in a busy process is only known as an upper bound.
+TEST_CASE_METHOD(
+        DirectRouterFixture,
+        "direct router, stream of a request that arrived in a busy process, is not cut off")
+{
+    std::unique_ptr<Timer> rest;
+    addServer([&](auto &connection, const std::string &request) {
+        connection.send(streamHead(request) + chunk(event(1)));
+        rest = std::make_unique<Timer>(
+                loop, [&connection] { connection.send(chunk(event(2)) + chunk("")); });
+        rest->startOnce(milliseconds(450));
+    });
+    // The route has a timeout of 600 ms.
+    loopDelay = milliseconds(300);
+    const CallerAnswer got = call("POST", "/stream/x", {}, "b");
+    CHECK(got.isComplete);
+    CHECK(got.body == event(1) + event(2));
+}
+
+// Guards against a server that abandons a stream that its caller still waits for, because it is
+// told an earlier deadline than the one at which the router ends the stream.
+TEST_CASE_METHOD(
+        DirectRouterFixture,
+        "direct router, request that arrived in a busy process, server is told the time of "
+        "its stream")
+{
+    int left = 0;
+    addServer([&](auto &connection, const std::string &request) {
+        left = std::stoi(headerValue(request, "x-lovagecourse-deadline-ms"));
+        connection.send(answer(request, 200, "whole"));
+    });
+    loopDelay = milliseconds(300);
+    // The router ends a stream 600 ms after it has read the request, and others 300 ms earlier.
+    call("POST", "/stream/x", {}, "b");
+    CHECK(left > 500);
+    CHECK(left <= 600);
+    call("POST", "/stream/x", {{"x-lovagecourse-deadline-ms", "550"}}, "b");
+    CHECK(left > 450);
+    CHECK(left <= 550);
+    call("POST", "/unsafe/x", {}, "b");
+    CHECK(left <= 300);
+}
+
 // Guards against requests that are accepted late in a planned stop and cut off at its end, among
 // them requests that must not be retried.
 TEST_CASE_METHOD(DirectRouterFixture,
@@ -501,3 +614,22 @@
     REQUIRE(stream->isDone);
     CHECK_FALSE(stream->isComplete);
 }
+
+// Guards against a prediction error that is not exported, or that counts answers of failed
+// requests, whose time says nothing of the prediction.
+TEST_CASE_METHOD(DirectRouterFixture,
+                 "direct router, successful answers, prediction ratio is exported per service")
+{
+    int status = 500;
+    addServer([&](auto &connection, const std::string &request) {
+        connection.send(answer(request, status, "whole"));
+    });
+    const std::string sample = "lovagecourse_first_byte_prediction_ratio_count{service=\"desk\"}";
+    call("POST", "/unsafe/x", {}, "body");
+    CHECK(metrics.renderPrometheus().find(sample) == std::string::npos);
+    status = 200;
+    // On a loaded machine the process receives some of them late, and those do not count.
+    for (int i = 0; i < 5; ++i)
+        call("POST", "/unsafe/x", {}, "body");
+    CHECK(metrics.renderPrometheus().find(sample) != std::string::npos);
+}
--- a/tests/direct/WithheldServerTest.cpp
+++ b/tests/direct/WithheldServerTest.cpp
@@ -1,4 +1,5 @@
 #include "direct/DirectRouterFixture.h"
+#include "wire/ReportHash.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/http/HttpClientTest.cpp
+++ b/tests/http/HttpClientTest.cpp
@@ -19,12 +19,14 @@
     HttpClient client{loop};
     bool isDone = false;
     std::optional<HttpFailure> failure;
+    HeaderList headers;
 
     void call(const ScriptedServer &server)
     {
         HttpRequest request;
         request.url = "http://" + toString(server.address()) + "/";
         request.totalTimeout = timeout;
+        request.headers = headers;
         HttpClient::Handlers handlers;
         handlers.onDone = [this](const std::optional<HttpFailure> &result) {
             isDone = true;
@@ -134,3 +136,44 @@
         CHECK_FALSE(failure);
     }
 }
+
+// Guards against a request on a connection that carries bytes of nobody's answer, and that are
+// taken for its answer.
+TEST_CASE_METHOD(HttpClientFixture,
+                 "http client, bytes arrive on an idle connection, uses another one")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const std::string unasked = GENERATE("x", "\r\n", "HTTP/1.1 200 OK\r\nContent-Le",
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno");
+    CAPTURE(unasked);
+    std::vector<int> usedConnections;
+    std::function<void()> sendUnasked;
+    ScriptedServer server(loop, [&](auto &connection, const std::string &) {
+        usedConnections.push_back(connection.number());
+        connection.send(ok);
+        if (usedConnections.size() == 1)
+            sendUnasked = [&connection, unasked] { connection.send(unasked); };
+    });
+    call(server);
+    REQUIRE_FALSE(failure);
+    REQUIRE(sendUnasked);
+    sendUnasked();
+    call(server);
+    REQUIRE(isDone);
+    CHECK_FALSE(failure);
+    CHECK(usedConnections == std::vector{1, 2});
+    CHECK(server.closedByPeer() == 1);
+}
+
+// Guards against a header without a value that does not reach the server.
+TEST_CASE_METHOD(HttpClientFixture, "http client, header without a value, is sent")
+{
+    ScriptedServer server(loop, [](auto &connection, const std::string &) {
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+    headers = {{"x-empty", ""}, {"x-full", "a"}};
+    call(server);
+    REQUIRE(server.requests().size() == 1);
+    CHECK(server.requests()[0].find("\r\nx-empty:\r\n") != std::string::npos);
+    CHECK(server.requests()[0].find("\r\nx-full: a\r\n") != std::string::npos);
+}
--- a/tests/integration/Fleet.cpp
+++ b/tests/integration/Fleet.cpp
@@ -63,6 +63,10 @@
         addServer("engine-" + std::to_string(i), "engine", options_.engineOptions);
     for (int i = 1; i <= options_.desks; ++i)
         addServer("desk-" + std::to_string(i), "desk", options_.deskOptions);
+    for (const auto &[name, address] : options_.scriptedServers) {
+        servers_.push_back(name);
+        endpoints_[name] = address;
+    }
     for (int i = 1; i <= options_.entries; ++i)
         entries_.push_back("entry-" + std::to_string(i));
     for (const std::string &entry : entries_)
--- a/tests/integration/Fleet.h
+++ b/tests/integration/Fleet.h
@@ -29,6 +29,8 @@
     std::vector<std::string> engineOptions;
     std::vector<std::string> deskOptions;
     std::vector<std::string> platformOptions;
+    /// Endpoints of servers that the test itself runs, by name; they serve bookings and trials.
+    std::map<std::string, std::string> scriptedServers;
     /// TOML lines that are added to the settings of all daemons.
     std::string settings;
     int maxLimit = 64;
--- a/tests/integration/Process.cpp
+++ b/tests/integration/Process.cpp
@@ -6,6 +6,7 @@
 
 #include <cassert>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <thread>
@@ -102,6 +103,24 @@
     return exitCode_;
 }
 
+double Process::peakMemoryMb() const
+{
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    constexpr double kilobytesPerMb = 1024;
+    for (std::string name; status >> name;) {
+        double kilobytes = 0;
+        if (name == "VmHWM:" && status >> kilobytes)
+            return kilobytes / kilobytesPerMb;
+    }
+    return 0;
+}
+
+std::size_t Process::descriptors() const
+{
+    const std::filesystem::directory_iterator entries("/proc/" + std::to_string(pid_) + "/fd");
+    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 CommandResult runCommand(const std::vector<std::string> &command, const std::string &outputFile)
 {
     unlink(outputFile.c_str());
--- a/tests/integration/Process.h
+++ b/tests/integration/Process.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -28,6 +29,11 @@
     /// Sends SIGCONT.
     void resume() const;
     bool isRunning();
+    pid_t id() const { return pid_; }
+    /// Largest resident memory so far.
+    double peakMemoryMb() const;
+    /// Number of open file descriptors.
+    std::size_t descriptors() const;
     /// Exit code, or 128 + signal number if a signal ended the process; empty if it still runs
     /// after the limit.
     std::optional<int> waitForExit(std::chrono::milliseconds limit);
--- a/tests/placing/IntakeLimitTest.cpp
+++ b/tests/placing/IntakeLimitTest.cpp
@@ -102,6 +102,38 @@
     CHECK_FALSE(limit.isLimited());
 }
 
+// Guards against a limit that stays for tens of seconds after a pause of the process: the pause
+// fell into a callback, so that it counts as busy, and the work that has waited makes the loop late
+// again.
+TEST_CASE("intake limit, process was suspended while busy, is lifted soon")
+{
+    IntakeLimit limit{0.09};
+    TimePoint now{std::chrono::hours(1)};
+    for (int pause = 0; pause < 2; ++pause) {
+        limit.onInterval(ProcessLoad{4000, 1, 4050, 3, 20}, now);
+        now += milliseconds(350);
+        limit.onInterval(ProcessLoad{300, 1, 350, 60, 60}, now);
+        REQUIRE(limit.isLimited());
+        for (const TimePoint end = now + milliseconds(1500); now < end; now += interval)
+            limit.onInterval(ProcessLoad{5, 0.6, 55, 8, 12}, now);
+        CHECK_FALSE(limit.isLimited());
+        now += seconds(20);
+    }
+}
+
+// Guards against a limit that is lifted again and again while the process is overloaded.
+TEST_CASE("intake limit, late again after the limit was lifted, stays limited")
+{
+    IntakeLimit limit{0.09};
+    TimePoint now{std::chrono::hours(1)};
+    for (int burst = 0; burst < 3; ++burst) {
+        limit.onInterval(ProcessLoad{300, 1, 350, 60, 60}, now);
+        for (const TimePoint end = now + seconds(2); now < end; now += interval)
+            limit.onInterval(ProcessLoad{5, 0.6, 55, 8, 12}, now);
+    }
+    CHECK(limit.isLimited());
+}
+
 // Guards against a burst of callers on a slow host that is accepted at once, so that the event loop
 // is late by seconds before the limit can react.
 TEST_CASE("intake limit, hosts of different speed, accept what they can handle at once")
--- a/tests/platform/ConfigurationDecoderTest.cpp
+++ b/tests/platform/ConfigurationDecoderTest.cpp
@@ -45,6 +45,8 @@
     const auto &configuration = std::get<DirectConfiguration>(decoded);
     CHECK(configuration.version == 7);
     CHECK(configuration.accounts.at("k2") == AccountId("museum"));
+    CHECK(accountPriority(configuration, AccountId("museum")) == 1);
+    CHECK(accountPriority(configuration, AccountId("unknown")) == 1);
     CHECK(configuration.services.at(ServiceId("s")).cacheTokens == 789097);
     CHECK(configuration.idleTimeout == seconds(15));
     const Route *route = selectRoute(configuration, "h.example", "/a/x");
@@ -67,6 +69,9 @@
                  {"\xff{", "document"},
                  {replaced(validConfiguration, "\"version\":7", "\"version\":\"7\""), "version"},
                  {replaced(validConfiguration, "\"safe\"", "\"odd\""), "route_kind"},
+                 {replaced(validConfiguration, "[\"k1\",\"k2\"],\"priority\":1",
+                           "[],\"priority\":-1"),
+                  "priority"},
                  {replaced(validConfiguration, "[\"k1\",\"k2\"]", "[1]"), "api_keys"}}) {
         const auto decoded = platform::decodeConfiguration(bytes);
         REQUIRE(std::holds_alternative<DecodeFault>(decoded));
@@ -74,6 +79,30 @@
     }
 }
 
+// Guards against an operator who has to search the field, and against faults without bound.
+TEST_CASE("configuration decoder, several damaged fields, lists them with their paths")
+{
+    const auto pathsOf = [](const std::string &bytes) {
+        std::string paths;
+        const auto decoded = platform::decodeListedConfiguration(bytes);
+        for (const DecodeFault &fault : std::get<std::vector<DecodeFault>>(decoded))
+            paths += fault.path + ' ';
+        return paths;
+    };
+    const std::string damaged = replaced(validConfiguration, "\"weight\":10", "\"weight\":-1");
+    CHECK(pathsOf(replaced(damaged, "[\"k1\",\"k2\"]", "[\"k1\",2]"))
+          == "routes[0].split[1].weight tenants[0].api_keys[1] ");
+    CHECK(pathsOf(replaced(validConfiguration, "789097", "\"789097\""))
+          == "services[0].engine.kv_capacity ");
+    CHECK(pathsOf(replaced(validConfiguration, "4194304", "null")) == "limits.max_body_bytes ");
+    CHECK(pathsOf("{") == " ");
+    std::string many = "{\"version\":1,\"services\":[0";
+    for (int i = 0; i < 1000; ++i)
+        many += ",0";
+    const auto decoded = platform::decodeListedConfiguration(many + "]}");
+    CHECK(std::get<std::vector<DecodeFault>>(decoded).size() == 100);
+}
+
 // Guards against an odd entry that ends the process, or that is taken for a server with other
 // properties than it has.
 TEST_CASE("server entry, odd values of another writer, names no server to use")
@@ -130,3 +159,59 @@
     CHECK(faultOfEntry(replaced(validEntry, "\"s\"", "5")) == "service");
     CHECK(faultOfEntry("not json") == "document");
 }
+
+// Guards against a record of another kind that evacuates a data centre, and against an evacuation
+// of a name that no server has.
+TEST_CASE("evacuation record, keys of all kinds, only evacuations name a data centre")
+{
+    CHECK(platform::evacuatedDataCentre("evacuate/z1") == DataCentreId("z1"));
+    CHECK(platform::evacuatedDataCentre("evacuate/z/1") == DataCentreId("z/1"));
+    for (const std::string key :
+         {"config", "evacuate", "evacuate/", "evacuate/z\n1", "EVACUATE/z1", "x/evacuate/z1", ""}) {
+        CAPTURE(key);
+        CHECK_FALSE(platform::evacuatedDataCentre(key).has_value());
+    }
+}
+
+// Guards against a server that counts as warm, or as warming for ever, because of an odd time.
+TEST_CASE("server entry, time to warm up, is optional and bounded")
+{
+    const auto left = [](const std::string &value) {
+        const auto decoded = platform::decodeServerEntry(
+                "i-1", replaced(validEntry, "\"cold_left_ms\":0", "\"cold_left_ms\":" + value));
+        const auto *entry = std::get_if<ServerEntry>(&decoded);
+        return entry ? entry->warmingLeft : milliseconds(-1);
+    };
+    const auto absent =
+            platform::decodeServerEntry("i-1", replaced(validEntry, "\"cold_left_ms\":0,", ""));
+    CHECK(std::get<ServerEntry>(absent).warmingLeft == milliseconds(0));
+    CHECK(left("2500.5") == milliseconds(2500));
+    CHECK(left("0") == milliseconds(0));
+    CHECK(left("1e300") == milliseconds(1000000000000));
+    for (const char *odd : {"-1", "\"2500\"", "null", "1e999"}) {
+        CAPTURE(odd);
+        CHECK(left(odd) == milliseconds(-1));
+    }
+}
+
+// Guards against limits of warming servers that are taken from absent or odd fields.
+TEST_CASE("configuration, limits of warming servers, are optional and checked")
+{
+    const auto decode = [](const std::string &fields) {
+        return platform::decodeConfiguration("{\"version\":1,\"services\":[{\"name\":\"s\"" + fields
+                                             + "}]}");
+    };
+    const auto limits = [&](const std::string &fields) {
+        return std::get<DirectConfiguration>(decode(fields)).services.at(ServiceId("s"));
+    };
+    CHECK(limits("").warmingTime == milliseconds(0));
+    CHECK(limits("").warmingRate == 0);
+    CHECK(limits(",\"cold_s\":3.0,\"cold_per_s\":5.9").warmingTime == milliseconds(3000));
+    CHECK(limits(",\"cold_s\":3.0,\"cold_per_s\":5.9").warmingRate == 5.9);
+    CHECK(limits(",\"cold_s\":1e300").warmingTime == milliseconds(1000000000000));
+    for (const char *odd :
+         {",\"cold_s\":-1", ",\"cold_per_s\":-0.5", ",\"cold_s\":\"3\"", ",\"cold_per_s\":null"}) {
+        CAPTURE(odd);
+        CHECK(std::holds_alternative<DecodeFault>(decode(odd)));
+    }
+}
--- a/tests/platform/HeaderCodecTest.cpp
+++ b/tests/platform/HeaderCodecTest.cpp
@@ -24,12 +24,14 @@
     const ClientRequest request = codec.decodeRequest(
             {{"x-lovagecourse-model", "m"},
              {"x-lovagecourse-token-usage", "1460,80"},
+             {"x-lovagecourse-length-hint", "60"},
              {"x-lovagecourse-prompt-prefix", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250"},
              {"x-lovagecourse-deadline-ms", "8000"},
              {"authorization", "Token secret"}});
     CHECK(request.model == "m");
     CHECK(request.promptTokens == 1460);
     CHECK(request.maxOutputTokens == 80);
+    CHECK(request.expectedOutputTokens == 60);
     REQUIRE(request.prompt.size() == 3);
     CHECK(request.prompt[1].id == 0x91bd3f06);
     CHECK(request.prompt[1].tokens == 410);
@@ -42,10 +44,12 @@
 {
     const ClientRequest request =
             codec.decodeRequest({{"x-lovagecourse-token-usage", "x,,"},
+                                 {"x-lovagecourse-length-hint", "-7"},
                                  {"x-lovagecourse-prompt-prefix", "12:30,zz:5,13:10"},
                                  {"x-lovagecourse-deadline-ms", "-4"},
                                  {"authorization", "Basic secret"}});
     CHECK(request.promptTokens == 0);
+    CHECK(request.expectedOutputTokens == 0);
     CHECK(request.prompt.size() == 1);
     CHECK_FALSE(request.callerTimeout);
     CHECK(request.key.empty());
--- a/tests/platform/KeyedRecordsTest.cpp
+++ b/tests/platform/KeyedRecordsTest.cpp
@@ -107,3 +107,15 @@
     CHECK(std::get<KeyedBatch>(result).records.size() == 1);
     CHECK(std::get<KeyedBatch>(result).next == LogOffset(2));
 }
+
+// Guards against a store that has lost its records and is taken for one with damaged answers.
+TEST_CASE("keyed records, store ends before the offset, has lost its history")
+{
+    const auto result = platform::decodeKeyedRecords(number(3, 8) + number(0, 8), LogOffset(7));
+    REQUIRE(std::holds_alternative<StoreFault>(result));
+    CHECK(std::get<StoreFault>(result) == StoreFault::HistoryLost);
+    const auto damaged = platform::decodeKeyedRecords(
+            number(3, 8) + number(0, 8) + record("a", "x"), LogOffset(7));
+    REQUIRE(std::holds_alternative<StoreFault>(damaged));
+    CHECK(std::get<StoreFault>(damaged) == StoreFault::Malformed);
+}
--- /dev/null
+++ b/tests/platform/StoreClientTest.cpp
@@ -0,0 +1,104 @@
+#include "platform/StoreClient.h"
+
+#include "direct/ScriptedServer.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lovagecourse;
+using test::ScriptedServer;
+
+namespace {
+
+/// A store that returns its newest records in pages of one record.
+struct StoreClientFixture
+{
+    EventLoop loop;
+    HttpClient http{loop};
+    std::optional<platform::StoreClient> client;
+    std::optional<KeyedResult> result;
+
+    static std::string answer(const std::string &body)
+    {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+               + body;
+    }
+
+    static std::string page(const std::string &key, bool hasMore)
+    {
+        return R"({"items":[{"key":")" + key + R"(","value":"dg=="}],"end_offset":7,"has_more":)"
+               + (hasMore ? "true" : "false") + "}";
+    }
+
+    static ScriptedServer::Handler pagesOf(const std::string &name)
+    {
+        return [name](auto &connection, const std::string &request) {
+            const bool isFirst = request.find("&after=") == std::string::npos;
+            connection.send(answer(page(name + (isFirst ? "-1" : "-2"), isFirst)));
+        };
+    }
+
+    static std::string urlOf(const ScriptedServer &server)
+    {
+        return "http://" + toString(server.address());
+    }
+
+    void runUntilDone()
+    {
+        Timer limit(loop, [this] { loop.stop(); });
+        limit.startOnce(seconds(2));
+        loop.run();
+    }
+
+    std::function<void(const KeyedResult &)> keepResult()
+    {
+        return [this](const KeyedResult &read) {
+            result = read;
+            loop.stop();
+        };
+    }
+};
+
+} // namespace
+
+// Guards against a read that goes on with a client that was replaced, or with freed memory, when
+// the settings change between two of its pages.
+TEST_CASE_METHOD(StoreClientFixture,
+                 "store client, replaced between two pages, read goes on at its own store")
+{
+    const bool isReplaced = GENERATE(true, false);
+    ScriptedServer other(loop, pagesOf("other"));
+    ScriptedServer store(loop, [&](auto &connection, const std::string &request) {
+        if (isReplaced)
+            client.emplace(http, urlOf(other));
+        else
+            client.reset();
+        pagesOf("own")(connection, request);
+    });
+    client.emplace(http, urlOf(store));
+    client->readNewest(KeyedTopic::Servers, seconds(1), keepResult());
+    runUntilDone();
+    REQUIRE(result);
+    const auto *batch = std::get_if<KeyedBatch>(&*result);
+    REQUIRE(batch);
+    REQUIRE(batch->records.size() == 2);
+    CHECK(batch->records[0].key == "own-1");
+    CHECK(batch->records[1].key == "own-2");
+    CHECK(batch->next == LogOffset(7));
+    CHECK(other.requests().empty());
+}
+
+// Guards against calls of a destroyed client that keep the process from ending, or report to a
+// receiver that is gone.
+TEST_CASE_METHOD(StoreClientFixture, "store client, HTTP client ends first, reports nothing")
+{
+    ScriptedServer store(loop, [](auto &, const std::string &) {});
+    {
+        HttpClient shortLived(loop);
+        platform::StoreClient(shortLived, urlOf(store))
+                .readNewest(KeyedTopic::Servers, milliseconds(50), keepResult());
+    }
+    Timer limit(loop, [this] { loop.stop(); });
+    limit.startOnce(milliseconds(100));
+    loop.run();
+    CHECK_FALSE(result);
+}
--- a/tests/settings/RouterSettingsTest.cpp
+++ b/tests/settings/RouterSettingsTest.cpp
@@ -5,6 +5,7 @@
 
 #include <cstdio>
 #include <fstream>
+#include <optional>
 
 using namespace lovagecourse;
 
@@ -20,6 +21,7 @@
 datagrams = "127.0.0.1:9003"
 max_sockets = 4100
 max_memory_mb = 260
+address_memory_percent = 40
 
 [repeats]
 ratio = 0.2
@@ -60,6 +62,7 @@
     CHECK(settings.retryRatio == 0.2);
     CHECK(settings.retrySlack == 58);
     CHECK(settings.maxMemoryMb == 260);
+    CHECK(settings.addressMemoryPercent == 40);
     CHECK(settings.maxLeavingDelay == seconds(3));
     CHECK(settings.renewalInterval == milliseconds(900));
     CHECK(settings.maxPause == seconds(20));
@@ -76,3 +79,23 @@
     CHECK(std::holds_alternative<std::vector<SettingsFault>>(read("name = ")));
     CHECK(std::holds_alternative<std::vector<SettingsFault>>(readRouterSettings("/nowhere")));
 }
+
+// Guards against hedged requests without a setting that asks for them, and against shares that are
+// negative, huge, misspelt or no number.
+TEST_CASE_METHOD(RouterSettingsFixture,
+                 "router settings, hedge share, is off by default and checked")
+{
+    const auto shareOf = [this](const std::string &text) -> std::optional<double> {
+        const auto result = read(validSettings + text);
+        if (const auto *settings = std::get_if<RouterSettings>(&result))
+            return settings->hedgeShare;
+        return std::nullopt;
+    };
+    CHECK(shareOf("") == 0.);
+    CHECK(shareOf("[hedging]\n") == 0.);
+    CHECK(shareOf("[hedging]\nshare = 0.02\n") == 0.02);
+    CHECK(shareOf("[hedging]\nshare = 1\n") == 1.);
+    for (const char *bad : {"share = -0.1", "share = 1.5", "share = 1e300", "share = nan",
+                            "share = inf", "share = \"0.1\"", "shares = 0.1"})
+        CHECK_FALSE(shareOf(std::string("[hedging]\n") + bad + "\n"));
+}
