Give each integration test program its own block of ports

Cause suspected, not shown: all fleets had one key and chose their ports from one range without a reservation, so two test programs that run at the same time could use the port of a process that the other one was restarting.

Change: each test program binds the first port of a block and takes its ports from there.

--- a/tests/integration/Fleet.cpp
+++ b/tests/integration/Fleet.cpp
@@ -19,28 +19,56 @@
 // Below the ephemeral port range of the system.
 constexpr int firstPort = 10000;
 constexpr int lastPort = 17900;
+// Test programs run side by side, and a fleet that is shared out of the same ports could take the
+// port of a process that another test is restarting. Each program therefore takes its own block,
+// which has room for more fleets than a test has at a time.
+constexpr int portsPerBlock = 395;
 constexpr std::chrono::seconds startLimit{20};
 
-bool isFree(int port, int type)
+/// Binds a loopback port; returns the socket, or -1 if the port is in use.
+int bindPort(int port, int type)
 {
-    const int descriptor = socket(AF_INET, type, 0);
+    const int descriptor = socket(AF_INET, type | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     address.sin_port = htons(static_cast<std::uint16_t>(port));
     const int on = 1;
-    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    const bool free =
-            bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
+    if (type == SOCK_STREAM)
+        setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0)
+        return descriptor;
     close(descriptor);
-    return free;
+    return -1;
+}
+
+bool isFree(int port, int type)
+{
+    const int descriptor = bindPort(port, type);
+    if (descriptor >= 0)
+        close(descriptor);
+    return descriptor >= 0;
+}
+
+/// Takes a block of ports for this program and returns its first port. The datagram socket there
+/// stays bound until the program ends, so no other program takes the block.
+int takePortBlock()
+{
+    constexpr int blocks = (lastPort - firstPort) / portsPerBlock;
+    for (int i = 0; i < blocks; ++i) {
+        const int port = firstPort + (getpid() + i) % blocks * portsPerBlock;
+        if (bindPort(port, SOCK_DGRAM) >= 0)
+            return port;
+    }
+    throw std::runtime_error("all blocks of ports are taken by other test programs");
 }
 
 std::string findFreeEndpoint()
 {
-    static int next = firstPort + (getpid() * 131) % (lastPort - firstPort);
+    static const int block = takePortBlock();
+    static int next = block;
     while (true) {
-        next = next + 1 < lastPort ? next + 1 : firstPort;
+        next = next + 1 < block + portsPerBlock ? next + 1 : block + 1;
         if (isFree(next, SOCK_STREAM) && isFree(next, SOCK_DGRAM))
             return "127.0.0.1:" + std::to_string(next);
     }
