Check the bytes of request heads before libmicrohttpd parses them

libmicrohttpd overwrites delimiters in its buffer, so a line NUL LF or ":" LF looked like CR LF when the head was checked, and a POST with such a line was delivered with a wrong body. It has no callback between reading and parsing. RequestStream now follows the bytes of each connection as recv() returns them and finds the ends of heads and bodies itself; a request whose head or body libmicrohttpd ends elsewhere gets 400 and its connection is closed.

--- a/src/gateway/CallerExchange.cpp
+++ b/src/gateway/CallerExchange.cpp
@@ -100,15 +100,15 @@
     }
     if (exchange.headerBytes > limits.maxHeaderBytes) {
         // Its framing was not checked.
-        exchange.isMalformed = true;
-        prepareRefusal(exchange, Refusal{RefusalReason::MalformedRequest, Ran::No});
-        return queueAnswer(exchange);
+        return rejectMalformed(exchange);
     }
-    if (const auto fault = findFault(head)) {
-        exchange.isMalformed = true;
+    auto fault = findFault(head);
+    RequestStream *stream = streamOf(exchange.connection);
+    if (!fault && (!stream || stream->takeHead() != head.bytes.size()))
+        fault = HeadFault::Layout;
+    if (fault) {
         metrics.count("lovagecourse_malformed_heads_total", toString(*fault));
-        prepareRefusal(exchange, Refusal{RefusalReason::MalformedRequest, Ran::No});
-        return queueAnswer(exchange);
+        return rejectMalformed(exchange);
     }
     std::size_t declaredLength = 0;
     bool expectsContinue = false;
@@ -120,6 +120,23 @@
     return beginBody(exchange, declaredLength, expectsContinue);
 }
 
+/// Rejects a request of which it is uncertain where it ends.
+MHD_Result HttpGateway::Impl::rejectMalformed(Exchange &exchange)
+{
+    exchange.isMalformed = true;
+    prepareRefusal(exchange, Refusal{RefusalReason::MalformedRequest, Ran::No});
+    return queueAnswer(exchange);
+}
+
+/// Returns what was received on the connection; null if that is unknown.
+RequestStream *HttpGateway::Impl::streamOf(MHD_Connection *connection)
+{
+    const MHD_ConnectionInfo *info =
+            MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    const auto found = info ? streams.find(info->connect_fd) : streams.end();
+    return found == streams.end() ? nullptr : &found->second;
+}
+
 MHD_Result HttpGateway::Impl::finishRequest(Exchange &exchange)
 {
     if (exchange.isBodyRejected || exchange.callerLeft
@@ -128,6 +145,11 @@
     if (exchange.response)
         return queueAnswer(exchange);
     if (!exchange.requestDelivered) {
+        const RequestStream *stream = streamOf(exchange.connection);
+        if (!stream || !stream->isBodyComplete()) {
+            metrics.count("lovagecourse_malformed_heads_total", toString(HeadFault::Framing));
+            return rejectMalformed(exchange);
+        }
         exchange.requestDelivered = true;
         metrics.count("lovagecourse_caller_requests_total");
         const MHD_ConnectionInfo *info =
--- a/src/gateway/CallerListener.cpp
+++ b/src/gateway/CallerListener.cpp
@@ -105,11 +105,18 @@
 void HttpGateway::Impl::onConnection(void *self, MHD_Connection *connection, void **,
                                      MHD_ConnectionNotificationCode code)
 {
-    auto &quiet = static_cast<Impl *>(self)->quietConnections;
-    if (code == MHD_CONNECTION_NOTIFY_STARTED)
-        quiet.addUnused(connection, std::chrono::steady_clock::now());
-    else
-        quiet.remove(connection);
+    auto &impl = *static_cast<Impl *>(self);
+    const MHD_ConnectionInfo *info =
+            MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        impl.quietConnections.addUnused(connection, std::chrono::steady_clock::now());
+        if (info)
+            impl.streams.insert_or_assign(info->connect_fd, RequestStream());
+        return;
+    }
+    impl.quietConnections.remove(connection);
+    if (info)
+        impl.streams.erase(info->connect_fd);
 }
 
 /// Closes connections on which no request is being served, see QuietConnections. Most clients of
--- a/src/gateway/GatewayImpl.h
+++ b/src/gateway/GatewayImpl.h
@@ -4,6 +4,7 @@
 #include "gateway/HttpGateway.h"
 #include "gateway/PeerCloseWatcher.h"
 #include "gateway/QuietConnections.h"
+#include "gateway/RequestStream.h"
 
 #include <microhttpd.h>
 
@@ -135,6 +136,7 @@
     void closeQuietConnections(std::size_t count);
     const char *dropReason(int descriptor, std::size_t acceptedAtOnce) const;
     void run();
+    void runLibraries();
     void dispatch();
     void armTimer();
 
@@ -151,6 +153,8 @@
                             MHD_RequestTerminationCode code);
 
     MHD_Result receiveHeaders(Exchange &exchange, const char *method, const char *version);
+    MHD_Result rejectMalformed(Exchange &exchange);
+    RequestStream *streamOf(MHD_Connection *connection);
     static ssize_t onReadWhole(void *exchange, std::uint64_t position, char *buffer,
                                std::size_t size);
 
@@ -207,6 +211,8 @@
     /// never re-enter it.
     std::vector<Event> events;
     QuietConnections quietConnections;
+    /// What was received on each open connection, by descriptor.
+    std::unordered_map<int, RequestStream> streams;
     std::uint64_t lastCaller = 0;
     bool stopping = false;
     bool closesAfterAnswers = false;
--- a/src/gateway/HttpGateway.cpp
+++ b/src/gateway/HttpGateway.cpp
@@ -3,6 +3,7 @@
 #include "core/Log.h"
 #include "gateway/GatewayImpl.h"
 #include "gateway/Problem.h"
+#include "gateway/ReadObserver.h"
 
 #include <strings.h>
 #include <sys/socket.h>
@@ -123,8 +124,7 @@
 void HttpGateway::Impl::run()
 {
     const auto stillAlive = alive;
-    for (const Library &library : libraries)
-        MHD_run(library.daemon);
+    runLibraries();
     closeUnusedLibraries();
     // Armed before the handlers are called, so that a handler that resumes a connection can
     // schedule an earlier run.
@@ -134,6 +134,19 @@
         scheduleRun();
 }
 
+/// Reads what has arrived. Each connection's RequestStream sees the bytes before libmicrohttpd
+/// parses them in place.
+void HttpGateway::Impl::runLibraries()
+{
+    const ReadObserver observer([this](int descriptor, std::string_view bytes) {
+        const auto stream = streams.find(descriptor);
+        if (stream != streams.end())
+            stream->second.receive(bytes);
+    });
+    for (const Library &library : libraries)
+        MHD_run(library.daemon);
+}
+
 void HttpGateway::Impl::dispatch()
 {
     const auto stillAlive = alive;
