Test request heads in pieces, pipelined and with disputed ends

Extends the class of lines that look like overwritten delimiters to later requests, pieces, lines before a request line and trailers.

--- a/tests/gateway/RequestHeadTest.cpp
+++ b/tests/gateway/RequestHeadTest.cpp
@@ -60,7 +60,8 @@
 
     /// Sends the parts one after the other. Returns what came back until the gateway closed the
     /// connection or had nothing to send for a while.
-    std::string exchange(const std::vector<std::string> &parts)
+    std::string exchange(const std::vector<std::string> &parts,
+                         milliseconds time = milliseconds(20))
     {
         requests.clear();
         isClosed = false;
@@ -72,7 +73,7 @@
             static_cast<void>(send(descriptor, part.data(), part.size(), MSG_NOSIGNAL));
             runFor(milliseconds(2));
         }
-        std::string answer = receive(descriptor, milliseconds(20));
+        std::string answer = receive(descriptor, time);
         close(descriptor);
         return answer;
     }
@@ -105,7 +106,8 @@
             if (count > 0)
                 answer.append(buffer.data(), static_cast<std::size_t>(count));
             isClosed = isClosed || count == 0 || (count < 0 && errno != EAGAIN);
-            if (isClosed || isEverythingRead())
+            if (isClosed || isEverythingRead()
+                || (awaitedRequests > 0 && requests.size() == awaitedRequests))
                 loop.stop();
         });
         watcher.watch(EV_READ);
@@ -114,6 +116,8 @@
     }
 
     bool isClosed = false;
+    /// Number of requests after which receive() need not wait for more; 0 means unknown.
+    std::size_t awaitedRequests = 0;
 };
 
 /// Returns a number from the environment, so that long runs need no other program.
@@ -212,6 +216,70 @@
     CHECK(isClosed);
 }
 
+// Guards against lines of this class in other places: in a later request, pipelined or not, in
+// pieces, before a request line and in place of the only blank line.
+TEST_CASE_METHOD(RequestHeadFixture,
+                 "request head, line like an overwritten delimiter elsewhere, is rejected")
+{
+    const std::string line = GENERATE(as<std::string>(), ":\n", std::string("\0\n", 2),
+                                      std::string("X-A:\0\n", 6), std::string("X-A: b\0\n", 8),
+                                      std::string("X-A: b\0\r", 8), std::string("X-A: b\r\0", 8),
+                                      std::string("X-A: b\n\0\n", 9), std::string("\0\r", 2),
+                                      std::string("\0\0\n", 3), std::string("\0X-A: b\n", 8));
+    const std::string get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string post = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n:\n";
+    const std::string bad = postWith(lengthLine() + line);
+    const std::size_t lineBegin = bad.find(lengthLine()) + lengthLine().size();
+    std::vector<std::vector<std::string>> sent{{bad}, {get + bad}, {get, bad}, {post + bad}};
+    for (std::size_t k = 0; k <= line.size() + 2; ++k)
+        sent.push_back({get + bad.substr(0, lineBegin + k), bad.substr(lineBegin + k)});
+    for (const std::vector<std::string> &parts : sent) {
+        CAPTURE(line, parts);
+        const std::string answer = exchange(parts, seconds(5));
+        CHECK(requests.size() == (parts[0] == bad ? 0 : 1));
+        CHECK(answer.find("HTTP/1.1 400") != std::string::npos);
+        CHECK(isClosed);
+    }
+    for (const std::string &head : {line + get, "GET /a HTTP/1.0" + std::string("\r\0\r\n", 4),
+                                    "GET /a HTTP/1.0" + std::string("\n\0\r\n", 4)}) {
+        CAPTURE(head);
+        exchange({head}, seconds(5));
+        CHECK(requests.empty());
+        CHECK(isClosed);
+    }
+}
+
+// Guards against a request that is delivered although the end of its chunked body is disputed, and
+// against one that is hidden behind that end.
+TEST_CASE_METHOD(RequestHeadFixture, "request head, trailer with a NUL or bare LF, is rejected")
+{
+    const std::string end =
+            GENERATE(as<std::string>(), "0\n\r\n", "0\r\n\n", std::string("0\r\n\0\n", 5),
+                     std::string("0\r\nX:\0\n\r\n", 9));
+    CAPTURE(end);
+    const std::string answer = exchange(
+            {"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + end + hidden},
+            seconds(5));
+    CHECK(requests.empty());
+    CHECK(answer.find("HTTP/1.1 400") != std::string::npos);
+    CHECK(isClosed);
+}
+
+// Guards against sound requests that are rejected because of where their bytes are divided.
+TEST_CASE_METHOD(RequestHeadFixture, "request head, sound and in pieces, is delivered")
+{
+    const std::string post = postWith(lengthLine());
+    const std::string bytes = "\r\n" + post + "\r\n" + post;
+    awaitedRequests = 2;
+    for (std::size_t middle = 1; middle < bytes.size(); middle += 3) {
+        CAPTURE(middle);
+        exchange({bytes.substr(0, middle), bytes.substr(middle)}, seconds(5));
+        REQUIRE(requests.size() == 2);
+        CHECK(requests[0].body == hidden);
+        CHECK(requests[1].body == hidden);
+    }
+}
+
 // Guards against request lines that a server reads in another way.
 TEST_CASE_METHOD(RequestHeadFixture, "request head, malformed request line, is rejected")
 {
