--- a/src/gateway/RequestStream.cpp
+++ b/src/gateway/RequestStream.cpp
@@ -11,6 +11,8 @@
 
 // Longer than any valid line of Content-Length or Transfer-Encoding with usual white space.
 constexpr std::size_t keptLineBytes = 64;
+// Memory for more pipelined heads is released, because many connections stay idle after them.
+constexpr std::size_t keptHeads = 8;
 constexpr std::string_view whiteSpace = " \t";
 
 bool equalsIgnoringCase(std::string_view text, std::string_view expected)
@@ -62,6 +64,8 @@
         return std::nullopt;
     const std::size_t size = heads_.front();
     heads_.erase(heads_.begin());
+    if (heads_.empty() && heads_.capacity() > keptHeads)
+        std::vector<std::uint32_t>().swap(heads_);
     ++takenHeads_;
     return size;
 }
