Wait for the close of a rejected connection in the tests of heads

Change: the wait ends with the close, after 5 s at most; what is checked is as before. A rest of the hidden request from within its method counts as a request that may be delivered.

--- a/tests/gateway/RequestHeadTest.cpp
+++ b/tests/gateway/RequestHeadTest.cpp
@@ -93,6 +93,9 @@
         REQUIRE(send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL)
                 == static_cast<ssize_t>(bytes.size()));
         std::string answer = receive(descriptor, milliseconds(22));
+        // On a busy machine the connection is closed only after a while.
+        if (requests.empty() && !answer.empty() && !isClosed)
+            answer += receive(descriptor, seconds(5));
         close(descriptor);
         return answer;
     }
@@ -193,7 +196,8 @@
         CAPTURE(lines, isSplit);
         const std::string bytes = postWith(lines);
         const std::size_t middle = isSplit ? bytes.size() / 3 : 0;
-        const std::string answer = exchange({bytes.substr(0, middle), bytes.substr(middle)});
+        const std::string answer =
+                exchange({bytes.substr(0, middle), bytes.substr(middle)}, seconds(5));
         CAPTURE(lines, isSplit, answer);
         CHECK(requests.empty());
         // libmicrohttpd itself answers 413 to a length that overflows.
@@ -210,7 +214,7 @@
     const std::string lines =
             GENERATE(as<std::string>(), ":\n", std::string("\0\n", 2), std::string("X-A:\0\n", 6));
     CAPTURE(lines);
-    const std::string answer = exchange({postWith(lengthLine() + lines)});
+    const std::string answer = exchange({postWith(lengthLine() + lines)}, seconds(5));
     CHECK(requests.empty());
     CHECK(answer.starts_with("HTTP/1.1 400"));
     CHECK(isClosed);
@@ -366,10 +370,14 @@
         const std::size_t bodyBegin = bytes.find("\r\n\r\n") + 4;
         const bool hasBody = bytes.find("Content-Length: ") < bodyBegin;
         const std::string body = hasBody ? bytes.substr(bodyBegin, hidden.size()) : "";
-        // A body that ends just before the hidden request makes that a request of its own.
+        // A body that ends before the request line's path makes the rest of the hidden request,
+        // with a shorter method, a request of its own.
         const std::string rest = bytes.substr(bodyBegin + body.size());
         const std::size_t restBegin = rest.find_first_not_of("\r\n");
-        const bool isFollowed = restBegin != std::string::npos && rest.substr(restBegin) == hidden;
+        const std::string next = rest.substr(std::min(restBegin, rest.size()));
+        const std::size_t methodEnd = next.find(' ');
+        const bool isFollowed = methodEnd > 0 && hidden.ends_with(next)
+                                && next.substr(std::min(methodEnd, next.size())).starts_with(" /");
         CHECK(requests.size() <= (isFollowed ? 2 : 1));
         if (!requests.empty()) {
             CHECK(requests[0].path == "/x");
