Test routers and entries with mixed misbehaving clients

Cause: the memory tests exercise one form of misbehaving client each, so a limit that holds for each form but not for their sum was not noticed.

Change: MixedClients runs ten forms at the same time (large bodies, bodies that stop, bodies over the limit with and without their length, large and very small chunks, heads without end, unread answers, slowly read streams, silent connections), each a third of its existing crowd, against a router and against an entry with its agent. The bounds are those of the existing tests: 96 MB and 600 descriptors.

--- a/tests/integration/CallerCrowd.cpp
+++ b/tests/integration/CallerCrowd.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-// The largest crowd, its connections to the server, and those of an idle router.
-constexpr std::size_t maxDescriptors = 600;
 constexpr std::size_t largeBodyBytes = 4U << 20;
 constexpr std::size_t excessiveBodyBytes = 60U << 20;
 constexpr int largeBodyClients = 40;
@@ -27,6 +25,7 @@
 constexpr int unreadAnswerClients = 60;
 constexpr std::size_t unreadAnswerBytes = 3U << 20;
 constexpr int slowStreamClients = 200;
+constexpr int silentClients = 300;
 constexpr int endlessAnswerClients = 30;
 constexpr int slowServerClients = 40;
 const std::string block(64U << 10, 'x');
@@ -35,7 +34,7 @@
                const std::function<void(LoopbackConnection &)> &client)
 {
     Crowd crowd;
-    for (int i = 0; i < count; ++i)
+    for (int i = 0; i < count / target.crowdDivisor; ++i)
         crowd.emplace_back(target.endpoint, target.source);
     std::vector<std::thread> threads;
     for (LoopbackConnection &connection : crowd)
@@ -211,6 +210,11 @@
     return crowd;
 }
 
+Crowd staySilent(const CrowdTarget &target)
+{
+    return runCrowd(target, silentClients, [](LoopbackConnection &) {});
+}
+
 Crowd requestEndlessAnswers(const CrowdTarget &target)
 {
     Crowd crowd = runSmallCrowd(target, endlessAnswerClients, "/plain/endless");
--- a/tests/integration/CallerCrowd.h
+++ b/tests/integration/CallerCrowd.h
@@ -3,6 +3,7 @@
 #include "integration/LoopbackConnection.h"
 #include "integration/Process.h"
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <vector>
@@ -12,6 +13,9 @@
 /// max_memory_mb of the processes under test, and the bound on their resident memory. The crowds
 /// below offer 1.5 to 5 times this memory, and an idle router uses about a fifth of it.
 constexpr unsigned maxMemoryMb = 96;
+/// Bound on the open descriptors: the largest crowd, its connections to the server, and those of an
+/// idle router.
+constexpr std::size_t maxDescriptors = 600;
 
 /// Answers one request of which the head and the body bytes that came with it were read; returns
 /// false to close the connection.
@@ -25,6 +29,8 @@
     std::function<std::string(const std::string &path)> requestHead;
     /// Loopback address of the clients; empty for the system's choice.
     std::string source;
+    /// The number of clients of each crowd is divided by this.
+    int crowdDivisor = 1;
 };
 
 /// Clients that all send at the same time and stay connected.
@@ -49,6 +55,8 @@
 Crowd leaveAnswersUnread(const CrowdTarget &target);
 /// Requests streams and reads a byte of each per second, for 4 s.
 Crowd readStreamsSlowly(const CrowdTarget &target);
+/// Connects and sends nothing.
+Crowd staySilent(const CrowdTarget &target);
 Crowd requestEndlessAnswers(const CrowdTarget &target);
 /// Sends whole bodies to a server that reads them slowly.
 Crowd sendToSlowServer(const CrowdTarget &target);
--- a/tests/integration/EntryHost.cpp
+++ b/tests/integration/EntryHost.cpp
@@ -47,11 +47,14 @@
     return {fleet_->address("entry-1"), trialHead, {}};
 }
 
+std::vector<Process *> EntryHost::processes() const
+{
+    return {&fleet_->process("entry-1"), &fleet_->process(std::string("agent-") + serverName)};
+}
+
 void EntryHost::requireBounded()
 {
-    test::requireBounded(
-            {&fleet_->process("entry-1"), &fleet_->process(std::string("agent-") + serverName)},
-            [this] { return servesRequest(); });
+    test::requireBounded(processes(), [this] { return servesRequest(); });
 }
 
 void EntryHost::answerRequests(LoopbackConnection &connection)
--- a/tests/integration/EntryHost.h
+++ b/tests/integration/EntryHost.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace lovagecourse::test {
 
@@ -20,6 +21,8 @@
     EntryHost &operator=(const EntryHost &) = delete;
 
     CrowdTarget target() const;
+    /// The entry and the agent.
+    std::vector<Process *> processes() const;
     /// See CallerCrowd.h; for the entry and the agent.
     void requireBounded();
     bool isStopping() const { return isStopping_; }
--- /dev/null
+++ b/tests/integration/EntryMixedClientsTest.cpp
@@ -0,0 +1,16 @@
+#include "integration/EntryHost.h"
+#include "integration/MixedClients.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lovagecourse::test;
+
+// Guards against limits of an entry and its agent that hold for each form of misbehaving client,
+// but not for their sum.
+TEST_CASE("entry mixed clients, all forms at the same time, stays within the limit")
+{
+    EntryHost host(mixedAnswer());
+    MixedClients clients(host.target());
+    clients.run(host.processes());
+    host.requireBounded();
+}
