--- a/tests/integration/EntryHost.cpp
+++ b/tests/integration/EntryHost.cpp
@@ -2,6 +2,8 @@
 
 #include "integration/RouterHost.h"
 
+#include <catch2/catch.hpp>
+
 namespace lovagecourse::test {
 
 namespace {
@@ -73,14 +75,21 @@
 
 bool EntryHost::servesRequest() const
 {
-    return waitUntil(serveLimit, [this] {
+    std::string lastHead;
+    const bool isServed = waitUntil(serveLimit, [&] {
         LoopbackConnection connection(target().endpoint);
         RawMessage answer;
-        return connection.isOpen()
-               && connection.send(trialHead("/ordinary") + "Content-Length: 5\r\n\r\nhello")
-               && readMessage(connection, answer, std::chrono::seconds(5)) && answer.status() == 200
-               && answer.body == "ok";
+        const bool isAnswered =
+                connection.isOpen()
+                && connection.send(trialHead("/ordinary") + "Content-Length: 5\r\n\r\nhello")
+                && readMessage(connection, answer, std::chrono::seconds(5))
+                && answer.status() == 200 && answer.body == "ok";
+        lastHead = answer.head;
+        return isAnswered;
     });
+    if (!isServed)
+        UNSCOPED_INFO("last answer to the ordinary request: " << lastHead);
+    return isServed;
 }
 
 } // namespace lovagecourse::test
