Limit the differences in the text output of the check

Cause: a document of 200,000 changed entries gave as many lines. Change: at most 100 differences of each kind of entry, and the number of those omitted; JSON stays complete.

--- a/src/app/CheckReport.cpp
+++ b/src/app/CheckReport.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <map>
 #include <sstream>
 
 namespace lovagecourse {
@@ -44,6 +45,22 @@
                 << " -> " << quoted(change.after) << '\n';
 }
 
+/// Prints the first differences of each kind of entry, so that many changes of one kind don't hide
+/// those of another.
+void printDifferences(std::ostream &out, const std::vector<Difference> &differences)
+{
+    std::map<EntryKind, std::size_t> counts;
+    for (const Difference &difference : differences) {
+        if (++counts[difference.entry] <= maxShownDifferences)
+            printDifference(out, difference);
+    }
+    for (const auto &[entry, count] : counts) {
+        if (count > maxShownDifferences)
+            out << count - maxShownDifferences << " further " << toName(entry)
+                << " differences omitted; --json lists all\n";
+    }
+}
+
 json toJson(const CheckMessage &message)
 {
     json object{{"kind", message.kind}, {"file", message.file}, {"text", message.text}};
@@ -96,8 +113,7 @@
         printMessage(out, "error", message);
     for (const CheckMessage &message : report.warnings)
         printMessage(out, "warning", message);
-    for (const Difference &difference : report.differences)
-        printDifference(out, difference);
+    printDifferences(out, report.differences);
     out << report.errors.size() << " errors, " << report.warnings.size() << " warnings";
     if (report.isCompared)
         out << ", " << report.differences.size() << " differences";
--- a/src/app/CheckReport.h
+++ b/src/app/CheckReport.h
@@ -2,6 +2,7 @@
 
 #include "checking/ConfigurationDifference.h"
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -42,7 +43,11 @@
 
 /// Returns the exit code of the process.
 int exitCodeOf(const CheckReport &report);
+/// Differences that the text lists of each kind of entry.
+constexpr std::size_t maxShownDifferences = 100;
+
 /// Formats the report as text: one line for each error, warning and changed field, then the counts.
+/// Of the differences of one kind of entry, it lists the first ones and the number of the others.
 std::string formatText(const CheckReport &report);
 /// Formats the report as one JSON object.
 std::string formatJson(const CheckReport &report);
