--- a/src/agent/AgentNode.cpp
+++ b/src/agent/AgentNode.cpp
@@ -20,8 +20,6 @@
 // agents of a small site within 50 ms anyway.
 constexpr milliseconds minIdleNoticeInterval{100};
 constexpr milliseconds grantTimeout{250};
-// Bytes of an answer in transit to its entry, while memory is short.
-constexpr std::uint32_t shortAnswerCreditBytes = 32U << 10;
 
 } // namespace
 
--- a/src/agent/RequestRuns.cpp
+++ b/src/agent/RequestRuns.cpp
@@ -189,11 +189,8 @@
 
 RequestRun &AgentNode::Impl::answerToDrop(RequestRun &growing, std::size_t wanted)
 {
-    const MemoryAccount &memory = *daemon->memory();
-    const bool isSmall = wanted <= maxSmallReservation;
-    const std::size_t limit =
-            memory.limits().totalBytes - (isSmall ? 0 : memory.limits().smallReserveBytes);
-    const std::size_t total = memory.used() + wanted - growing.answerMemory.bytes();
+    const std::size_t missing =
+            daemon->memory()->missingBytes(wanted, wanted - growing.answerMemory.bytes());
     std::vector<CollectedAnswer> answers{{wanted, growing.claim.has_value()}};
     std::vector<RequestRun *> holders{&growing};
     for (const auto &[grant, run] : runs) {
@@ -202,7 +199,7 @@
         answers.push_back({run->answerMemory.bytes(), run->claim.has_value()});
         holders.push_back(run.get());
     }
-    return *holders[chooseAnswerToDrop(answers, 0, total - std::min(total, limit))];
+    return *holders[chooseAnswerToDrop(answers, 0, missing)];
 }
 
 /// Frees a collected answer for which there is no memory. A claimed request ends with it, because
--- a/src/core/MemoryAccount.cpp
+++ b/src/core/MemoryAccount.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
 #include <string>
 #include <utility>
 
@@ -53,11 +54,21 @@
     return usedBy_[static_cast<std::size_t>(holder)];
 }
 
-bool MemoryAccount::fits(std::size_t reservationBytes, std::size_t additionalBytes) const
+std::size_t MemoryAccount::missingBytes(std::size_t reservationBytes,
+                                        std::size_t additionalBytes) const
 {
     const bool isSmall = reservationBytes <= maxSmallReservation;
     const std::size_t limit = limits_.totalBytes - (isSmall ? 0 : limits_.smallReserveBytes);
-    return used_ <= limit && additionalBytes <= limit - used_;
+    if (used_ <= limit)
+        return additionalBytes - std::min(additionalBytes, limit - used_);
+    // A client may announce any length, so the sum must not overflow.
+    const std::size_t excess = used_ - limit;
+    return excess + std::min(additionalBytes, std::numeric_limits<std::size_t>::max() - excess);
+}
+
+bool MemoryAccount::fits(std::size_t reservationBytes, std::size_t additionalBytes) const
+{
+    return missingBytes(reservationBytes, additionalBytes) == 0;
 }
 
 bool MemoryAccount::isUnderPressure() const
--- a/src/core/MemoryAccount.h
+++ b/src/core/MemoryAccount.h
@@ -57,6 +57,9 @@
     std::size_t used() const { return used_; }
     std::size_t used(MemoryHolder holder) const;
     std::size_t highWaterMark() const { return highWaterMark_; }
+    /// Returns the bytes that must be released before a reservation of this size fits; 0 if it
+    /// fits.
+    std::size_t missingBytes(std::size_t reservationBytes, std::size_t additionalBytes) const;
     /// Returns whether a reservation of this size fits.
     bool fits(std::size_t reservationBytes, std::size_t additionalBytes) const;
     /// Returns whether most of the memory is in use.
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -268,10 +268,7 @@
                 peers.running, meanRequestTokens(service), server->entry.slots);
         server->cache.insert(prompt, prefixCacheRoom(capacity, running),
                              maxPrefixCacheRoom(capacity));
-        prefixHolders_.add(prompt.front().hash, server);
-        prefixHolders_.removeExpired([](const Server &holder, std::uint64_t prefix) {
-            return holder.cache.contains(prefix);
-        });
+        addPrefixHolder(prompt.front().hash, *server);
     }
     const PrefillWork work{placement.uncachedTokens, placement.cachedTokens};
     if (speed(service).prefillMs(work) >= minReportedPrefillMs) {
--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -254,6 +254,8 @@
                     const std::vector<RouterServerLoad> &loads, bool isMember, TimePoint now);
     void applyPrefixes(const std::vector<RouterSentPrefix> &prefixes, bool isMember);
     void insertReportedPrefix(Server &server, std::uint64_t prefix);
+    /// Remembers that the server's cache holds the prefix, and forgets expired ones.
+    void addPrefixHolder(std::uint64_t prefix, Server &server);
     RouterServerLoad ownLoad(Server &server, TimePoint now);
     RouterServerLoad dataCentreLoad(Server &server, TimePoint now);
     void markUnreported(Server &server);
--- a/src/direct/ServerPoolReports.cpp
+++ b/src/direct/ServerPoolReports.cpp
@@ -111,6 +111,11 @@
 {
     server.cache.insertReported(prefix);
     // Only first parts are looked up; the report does not tell which of them this is.
+    addPrefixHolder(prefix, server);
+}
+
+void ServerPool::addPrefixHolder(std::uint64_t prefix, Server &server)
+{
     prefixHolders_.add(prefix, &server);
     prefixHolders_.removeExpired(
             [](const Server &holder, std::uint64_t hash) { return holder.cache.contains(hash); });
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -23,8 +23,6 @@
 constexpr std::size_t maxRequestsPerOfferRound = 24;
 // Bytes of one answer that may be in transit between its server and its caller.
 constexpr std::uint32_t answerCreditBytes = 256U << 10;
-// The same while memory is short.
-constexpr std::uint32_t shortAnswerCreditBytes = 32U << 10;
 // The agent decides on a claimed request at its deadline; the entry waits this much longer for it.
 constexpr milliseconds claimDecisionGrace{2000};
 constexpr milliseconds timerGranularity{5};
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -119,6 +119,9 @@
     }
 };
 
+/// Flow-control credit of one answer while the memory of its agent or its entry is short.
+constexpr std::uint32_t shortAnswerCreditBytes = 32U << 10;
+
 /// Entry to agent: accepts a grant and sends the request to execute.
 struct GrantAccept
 {
--- a/tests/core/MemoryAccountTest.cpp
+++ b/tests/core/MemoryAccountTest.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 using namespace lovagecourse;
 
 namespace {
@@ -66,3 +68,21 @@
         CHECK(account.fits(4U << 20, 4U << 20));
     }
 }
+
+// Guards against an agent that drops an answer that does not make enough room, or more than one
+// that does, and against an overflow by an announced length.
+TEST_CASE("memory account, reservation does not fit, tells the missing bytes")
+{
+    MemoryAccount account(MemoryLimits{1U << 20, 256U << 10});
+    MemoryReservation memory(&account, MemoryHolder::RequestBodies);
+    memory.resize(700U << 10);
+    CHECK(account.missingBytes(maxSmallReservation, maxSmallReservation) == 0);
+    CHECK(account.missingBytes(100U << 10, 68U << 10) == 0);
+    CHECK(account.missingBytes(100U << 10, 100U << 10) == 32U << 10);
+    memory.resize(800U << 10);
+    CHECK(account.missingBytes(100U << 10, 0) == 32U << 10);
+    CHECK(account.missingBytes(100U << 10, 100U << 10) == 132U << 10);
+    constexpr std::size_t huge = std::numeric_limits<std::size_t>::max();
+    CHECK(account.missingBytes(huge, huge) == huge);
+    CHECK_FALSE(account.fits(huge, huge));
+}
