--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -256,6 +256,8 @@
             " accepted=", metrics.counterValue("lovagecourse_connections_accepted_total"),
             " left=", metrics.counterValue("lovagecourse_connections_dropped_total", "left"),
             " full=", metrics.counterValue("lovagecourse_connections_dropped_total", "full"),
+            " late=", metrics.counterValue("lovagecourse_connections_dropped_total", "late"),
+            " listening_paused=", metrics.counterValue("lovagecourse_listening_paused_total"),
             " accept_failures=", metrics.counterValue("lovagecourse_accept_failures_total"),
             " left_unread=", metrics.counterValue("lovagecourse_callers_left_unread_total"),
             " requests=", metrics.counterValue("lovagecourse_caller_requests_total"),
--- a/src/placing/Admission.cpp
+++ b/src/placing/Admission.cpp
@@ -11,7 +11,7 @@
 // its fair share. One prediction in ten is too low by half of its value, because other routers'
 // latest requests are not reported yet.
 constexpr double firstByteAllowance = 0.7;
-// The same for an account at half of its share or less; linear between. On a day of Hedegaard, 59
+// The same for an account at half of its share or less; linear between. On one measured day, 59
 // of 60 rejected requests of an account at 0.16 of its share were predicted to exceed 0.7 of the
 // objective, but only 18 to exceed the objective.
 constexpr double lowShareFirstByteAllowance = 1;
