--- a/tests/integration/MixedClientsTest.cpp
+++ b/tests/integration/MixedClientsTest.cpp
@@ -1,5 +1,5 @@
-#include "integration/EntryHost.h"
 #include "integration/MixedClients.h"
+#include "integration/EntryHost.h"
 #include "integration/RouterHost.h"
 
 #include <catch2/catch.hpp>
