Balance the kinds of requests whose tight objective crowds them out

Cause: the wait that a request is admitted at is a part of its own objective, so kinds with a longer objective keep the engines' queues at a wait at which kinds with a shorter one are refused. Change: KindShares counts each kind's requests and refusals at this router and returns a factor from 0.5 to 1.2 on the allowed wait. It compares kinds of equal priority of which the one with the shorter objective has the longer prompts. It is 1 otherwise. Tests of this change and of the admission pass; the whole of the unit tests has not been run yet.

--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -251,10 +251,15 @@
     const RequestPriority priority{accountPriority(*exchange.configuration, exchange.account),
                                    exchange.route->priority};
     input.urgency = urgencyRanks[exchange.service].onRequest(priority, now());
+    KindShares &kinds = kindShares[exchange.service];
+    const KindRequest kindRequest{priority, exchange.route->name, input.objectiveMs,
+                                  exchange.client.promptTokens};
+    input.kindFactor = kinds.factor(kindRequest, now());
     exchange.candidateCount = placement.candidateCount;
     exchange.admissionInput = input;
     const AdmissionDecision decision = decideAdmission(input);
     const auto *refused = std::get_if<AdmissionRefused>(&decision);
+    kinds.onDecision(kindRequest, !refused, now());
     ReturnPromises &promises = returns[exchange.service];
     if (promises.takeReturn(exchange.accountHash, now()))
         context.metrics.count("lovagecourse_returns_total", refused ? "refused" : "admitted");
@@ -426,7 +431,8 @@
             " route=", exchange.route->name, " account=", exchange.account,
             " configuration=", exchange.configuration->version,
             " standing=", admissionInput.fairShareRatio, " urgency=", admissionInput.urgency,
-            " wait_ms=", admissionInput.waitMs, " mean_wait_ms=", admissionInput.meanWaitMs,
+            " kind_factor=", admissionInput.kindFactor, " wait_ms=", admissionInput.waitMs,
+            " mean_wait_ms=", admissionInput.meanWaitMs,
             " objective_ms=", admissionInput.objectiveMs, " servers=", exchange.candidateCount,
             " retry_after_ms=", exchange.retryAfter.count(), " predicted_ms=", exchange.predictedMs,
             " first_byte_ms=", exchange.firstByteMs, " list_age_ms=", exchange.listAgeMs,
--- a/src/direct/DirectRouterImpl.h
+++ b/src/direct/DirectRouterImpl.h
@@ -4,6 +4,7 @@
 #include "direct/DirectRouter.h"
 #include "placing/HedgeBudget.h"
 #include "placing/HedgeDecision.h"
+#include "placing/KindShares.h"
 #include "placing/LatencyDistribution.h"
 #include "placing/ReturnPromises.h"
 #include "placing/UrgencyRanks.h"
@@ -137,6 +138,7 @@
     std::unordered_map<ServiceId, ServiceHedges> hedges;
     std::unordered_map<ServerRunHash, ServerLateness> lateness;
     std::unordered_map<ServiceId, UrgencyRanks> urgencyRanks;
+    std::unordered_map<ServiceId, KindShares> kindShares;
     std::unordered_map<ServiceId, ReturnPromises> returns;
     bool isDraining = false;
     /// Set while the process shuts down.
--- a/src/placing/Admission.cpp
+++ b/src/placing/Admission.cpp
@@ -1,5 +1,7 @@
 #include "placing/Admission.h"
 
+#include "placing/KindShares.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -40,6 +42,14 @@
 // and for the slack that the router adds to the client's timeout.
 constexpr double maxPartOfRemaining = 0.3;
 
+/// Factor for the balance among kinds, within the bounds of KindShares; 1 if it is no number.
+double boundedKindFactor(double kindFactor)
+{
+    if (!std::isfinite(kindFactor))
+        return 1;
+    return std::clamp(kindFactor, KindShares::minFactor, KindShares::maxFactor);
+}
+
 /// Part of the objective added to the allowances of an account below its fair share.
 double lowShareAllowance(double fairShareRatio, double objectiveMs)
 {
@@ -56,10 +66,12 @@
     const double fairShareRatio =
             std::isfinite(input.fairShareRatio) ? std::max(input.fairShareRatio, 1e-3) : 1;
     const double urgencyFactor = 1 + urgencyWeight * std::clamp(input.urgency, -1., 1.);
+    const double kindFactor = boundedKindFactor(input.kindFactor);
     const double addedAllowance = lowShareAllowance(fairShareRatio, input.objectiveMs);
-    const double waitAllowance = std::clamp(
-            fairWaitAllowance * std::pow(fairShareRatio, -fairShareExponent) * urgencyFactor,
-            minWaitAllowance, maxWaitAllowance + addedAllowance);
+    const double waitAllowance =
+            std::clamp(fairWaitAllowance * std::pow(fairShareRatio, -fairShareExponent)
+                               * urgencyFactor * kindFactor,
+                       minWaitAllowance, maxWaitAllowance + addedAllowance);
     const double allowedFirstByteMs = (firstByteAllowance + addedAllowance) * input.objectiveMs;
     const double allowedWaitMs = waitAllowance * input.objectiveMs;
     const double longPromptWaitMs =
--- a/src/placing/Admission.h
+++ b/src/placing/Admission.h
@@ -26,6 +26,9 @@
     /// Rank among the service's requests by priority, from -1 (least urgent) to 1; 0 if all are
     /// equal. From UrgencyRanks.
     double urgency = 0;
+    /// Factor on the allowed wait that balances the kinds of the service's requests; 1 if they are
+    /// balanced. From KindShares.
+    double kindFactor = 1;
 };
 
 struct Admitted
@@ -46,9 +49,10 @@
 /// accounts above their fair share first, so that admitted ones meet the objective; otherwise every
 /// answer would be late. While the wait is short, no request is refused for its account's share.
 ///
-/// Order under shortage: the account's fair share, then urgency, then the value of the time left.
-/// Urgency decides between accounts whose shares differ by less than about 28 %; a request whose
-/// answer would be late is refused whatever its urgency.
+/// Order under shortage: the account's fair share, then urgency, then the balance among kinds of
+/// requests, then the value of the time left. Urgency decides between accounts whose shares differ
+/// by less than about 28 %; a request whose answer would be late is refused whatever its urgency or
+/// kind.
 ///
 /// An account below its share may use a larger part of the objective, up to all of it: otherwise
 /// the margin for errors of the prediction refuses its long prompts while others keep the queues
--- a/tests/placing/AdmissionTest.cpp
+++ b/tests/placing/AdmissionTest.cpp
@@ -191,6 +191,36 @@
     CHECK(isAdmitted());
 }
 
+// Guards against a factor for the kind of request that outweighs the account's share, that makes a
+// late answer acceptable, or that is used although it is no number.
+TEST_CASE_METHOD(AdmissionFixture, "admission, kind factor, counts after the share and never late")
+{
+    const double nan = std::numeric_limits<double>::quiet_NaN();
+    const double infinity = std::numeric_limits<double>::infinity();
+    input.waitMs = 260;
+    input.firstByteMs = 320;
+    CHECK_FALSE(isAdmitted());
+    for (const double factor : {nan, infinity, -infinity, 0., -3., 0.5}) {
+        input.kindFactor = factor;
+        CHECK_FALSE(isAdmitted());
+    }
+    input.kindFactor = 1.2;
+    CHECK(isAdmitted());
+    input.fairShareRatio = 1.2;
+    CHECK_FALSE(isAdmitted());
+    input.fairShareRatio = 1;
+    input.firstByteMs = 360;
+    input.kindFactor = 1e300;
+    CHECK_FALSE(isAdmitted());
+    input.fairShareRatio = 0.5;
+    input.kindFactor = 0.5;
+    CHECK(isAdmitted());
+    input.fairShareRatio = 50;
+    input.waitMs = 15;
+    input.firstByteMs = 40;
+    CHECK(isAdmitted());
+}
+
 // Guards against less urgent requests that never get a server while more urgent ones exceed the
 // capacity, and against routes that outweigh accounts.
 TEST_CASE("urgency ranks, mixed priorities, account first and none starves")
