Decode the numbers of a report inline

Each number of a datagram was copied by a call with a size that is known when the code is compiled; a report of accounts has up to 288 numbers. The copy is now inlined, and the exception is thrown from a function of its own.

--- a/src/direct/RouterNodePeers.cpp
+++ b/src/direct/RouterNodePeers.cpp
@@ -40,6 +40,7 @@
 std::vector<RouterAccountLoad> reportedAccounts(const AccountTotals &totals)
 {
     std::vector<RouterAccountLoad> accounts;
+    accounts.reserve(totals.size());
     for (const auto &[account, tokens] : totals)
         accounts.push_back({account, static_cast<std::uint32_t>(tokens.requested),
                             static_cast<std::uint32_t>(tokens.admitted)});
@@ -53,6 +54,7 @@
 AccountTotals totalsOf(const std::vector<RouterAccountLoad> &accounts)
 {
     AccountTotals totals;
+    totals.reserve(accounts.size());
     for (const RouterAccountLoad &load : accounts)
         totals.emplace_back(load.account, AccountTokens{static_cast<double>(load.requested),
                                                         static_cast<double>(load.admitted)});
--- a/src/wire/MessageArchive.h
+++ b/src/wire/MessageArchive.h
@@ -52,10 +52,11 @@
         , remaining_(bytes)
     {}
 
-    void loadBinary(void *data, std::size_t size)
+    /// Inlined, so that the size of a number is known: a report has up to 300 of them.
+    [[gnu::always_inline]] void loadBinary(void *data, std::size_t size)
     {
-        if (size > remaining_.size())
-            throw ArchiveUnderflow();
+        if (size > remaining_.size()) [[unlikely]]
+            throwUnderflow();
         std::memcpy(data, remaining_.data(), size);
         remaining_.remove_prefix(size);
     }
@@ -68,6 +69,9 @@
     bool isAtEnd() const { return remaining_.empty(); }
 
 private:
+    /// Not inlined, because the construction of the exception is larger than the copy.
+    [[noreturn, gnu::noinline]] static void throwUnderflow() { throw ArchiveUnderflow(); }
+
     std::string_view remaining_;
 };
 
