Read back every announcement before an order is sent

An agent that was suspended between the append of an order's announcement and its reading announced the order again when it resumed, since the first announcement was older than 2 s. It then read the first record, whose answer had arrived during the suspension, and took it for the second one. It sent the order although it had not read the start of the agent that replaced it, which had sent a newer order by then.

The coordinator counts its unread announcements and allows an order only when all of them have been read. The new unit test replays the sequence: with the former code 1 of 82 assertions of the "claim coordinator" tests fails (the order is allowed), now all 82 pass.

--- a/src/claims/ClaimCoordinator.cpp
+++ b/src/claims/ClaimCoordinator.cpp
@@ -44,7 +44,6 @@
 {
     FencingNumber order;
     TimePoint at;
-    bool readBack = false;
 };
 
 /// Progress of a claim of this incarnation, from queueing to its last record.
@@ -101,6 +100,9 @@
     std::uint64_t claimCount = 0;
     std::optional<FencingNumber> fencing;
     std::optional<AnnouncedOrder> announced;
+    /// Announcements of this incarnation that were not read back. Each one counts, since one from
+    /// before a suspension says nothing about the records that followed it.
+    std::size_t unreadAnnouncements = 0;
     /// When this incarnation's start was read, if there was an earlier incarnation whose orders may
     /// still have been in flight.
     std::optional<TimePoint> tookOverAt;
@@ -332,11 +334,10 @@
                                         const LogRecord & /*record*/)
 {}
 
-void ClaimCoordinator::Impl::onOwnEntry(const OrderAnnouncement &announcement,
+void ClaimCoordinator::Impl::onOwnEntry(const OrderAnnouncement & /*announcement*/,
                                         const LogRecord & /*record*/)
 {
-    if (announced && announced->order == announcement.order)
-        announced->readBack = true;
+    --unreadAnnouncements;
 }
 
 void ClaimCoordinator::Impl::apply(const LogRecord &record)
@@ -427,13 +428,14 @@
 void ClaimCoordinator::announceOrder(FencingNumber order, TimePoint now)
 {
     impl_->announced = AnnouncedOrder{order, now};
+    ++impl_->unreadAnnouncements;
     impl_->queue.push(OrderAnnouncement{impl_->owner.server, impl_->owner.incarnation, order});
 }
 
 bool ClaimCoordinator::maySendOrder(FencingNumber order, TimePoint now) const
 {
     const bool tookOver = impl_->tookOverAt && now - *impl_->tookOverAt < takeoverDelay;
-    return isAnnounced(order, now) && impl_->announced->readBack && impl_->caughtUp
+    return isAnnounced(order, now) && impl_->unreadAnnouncements == 0 && impl_->caughtUp
            && impl_->fencing && !impl_->isFenced() && !tookOver
            && impl_->claimState.newestOrder(impl_->owner.server) <= order;
 }
--- a/src/claims/ClaimCoordinator.h
+++ b/src/claims/ClaimCoordinator.h
@@ -88,9 +88,10 @@
     /// Queues an announcement that the orders of a release note are about to be sent to the server.
     void announceOrder(FencingNumber order, TimePoint now);
     /// Check directly before sending the order. True if the order was announced at most 2 s ago,
-    /// the announcement and the rest of the log were read, the agent is not fenced, and no agent of
-    /// the server announced a newer order. If an earlier incarnation exists, it stays false for the
-    /// first 3 s, until that incarnation's last announcement has expired.
+    /// all announcements of this incarnation and the rest of the log were read, the agent is not
+    /// fenced, and no agent of the server announced a newer order. If an earlier incarnation
+    /// exists, it stays false for the first 3 s, until that incarnation's last announcement has
+    /// expired.
     bool maySendOrder(FencingNumber order, TimePoint now) const;
     /// True if the last announcement is of this order and at most 2 s old.
     bool isAnnounced(FencingNumber order, TimePoint now) const;
--- a/tests/claims/ClaimCoordinatorTest.cpp
+++ b/tests/claims/ClaimCoordinatorTest.cpp
@@ -204,3 +204,37 @@
     REQUIRE(*repeat);
     CHECK(std::get<ClaimReplay>(**repeat).answer.body == body);
 }
+
+// Guards against an agent that was suspended between an announcement and its reading, announces the
+// order again when it resumes, and takes the first record for the second one: it has not read the
+// start of the agent that replaced it, which has sent a newer order.
+TEST_CASE_METHOD(ClaimCoordinatorFixture,
+                 "claim coordinator, suspended before it reads its announcement, sends no order")
+{
+    const FencingNumber older(5);
+    const FencingNumber newer(6);
+    first.claims.announceOrder(older, now);
+    const auto announcement = first.claims.appendDue(now);
+    REQUIRE(announcement);
+    append(announcement->recordId, announcement->body);
+    // The answer to this read arrives while the agent is suspended.
+    const LogBatch arrived{LogOffset(1), LogOffset(log.size() + 1), {log.back()}};
+    first.nextRecord = log.size();
+
+    Agent successor{ClaimCoordinator({DaemonId("a3"), ServerId("s1"), Incarnation(2)})};
+    for (int i = 0; i < 3; ++i)
+        pollLog(successor);
+    now += seconds(4);
+    successor.claims.announceOrder(newer, now);
+    CHECK_FALSE(successor.claims.maySendOrder(newer, now));
+    pollLog(successor);
+    CHECK(successor.claims.maySendOrder(newer, now));
+
+    first.claims.announceOrder(older, now);
+    first.claims.onAppendResult(announcement->recordId, LogOffset(log.size()), now);
+    first.claims.onBatch(arrived, true, now);
+    CHECK_FALSE(first.claims.maySendOrder(older, now));
+    pollLog(first);
+    CHECK_FALSE(first.claims.maySendOrder(older, now));
+    CHECK(first.claims.isFenced());
+}
