Wait for orders of an agent whose start has expired from the log

A new incarnation of an agent waited 3 s before its first order only if the claims log held the start of an earlier one. Starts are not repeated, so an agent that runs for longer than the log's retention has none there, and its successor could send an order beside it.

--- a/src/claims/ClaimCoordinator.cpp
+++ b/src/claims/ClaimCoordinator.cpp
@@ -420,7 +420,12 @@
     for (const LogRecord &record : batch.records)
         impl_->apply(record);
     const bool hasStarted = !wasStarted && impl_->fencing;
-    if (hasStarted && impl_->claimState.startCount(impl_->owner.server) > 1)
+    // The start of an earlier incarnation may have expired from the log; its orders are announced
+    // again before their announcements expire.
+    const ServerId &server = impl_->owner.server;
+    const bool hasPredecessor = impl_->claimState.startCount(server) > 1
+                                || impl_->claimState.newestOrder(server) > FencingNumber(0);
+    if (hasStarted && hasPredecessor)
         impl_->tookOverAt = now;
     impl_->decideWaitingRequests(now);
 }
--- a/tests/claims/ClaimCoordinatorTest.cpp
+++ b/tests/claims/ClaimCoordinatorTest.cpp
@@ -238,3 +238,21 @@
     CHECK_FALSE(first.claims.maySendOrder(older, now));
     CHECK(first.claims.isFenced());
 }
+
+// Guards against a new agent that does not wait for orders of an earlier one that has run for
+// longer than the log keeps its start.
+TEST_CASE_METHOD(ClaimCoordinatorFixture,
+                 "claim coordinator, earlier start expired from the log, waits before its orders")
+{
+    first.claims.announceOrder(FencingNumber(5), now);
+    pollLog(first);
+    Agent successor{ClaimCoordinator({DaemonId("a3"), ServerId("s1"), Incarnation(2)})};
+    successor.nextRecord = log.size() - 1;
+    pollLog(successor);
+    for (const bool mayBeSent : {false, true}) {
+        successor.claims.announceOrder(FencingNumber(6), now);
+        pollLog(successor);
+        CHECK(successor.claims.maySendOrder(FencingNumber(6), now) == mayBeSent);
+        now += seconds(3);
+    }
+}
