Check an order again before it is written, and send it once

Cause: an order was checked before its transfer started, so an agent that was suspended between the two wrote it on resuming, after the orders of the agent that replaced it. libcurl could also send it a second time when a kept connection ended without an answer, and a retransmission could arrive after the 3 s that a new incarnation waits.

Measured: the new integration test holds the announcement of an order back for 200 ms and suspends the agent meanwhile.

--- a/src/agent/OrderSender.cpp
+++ b/src/agent/OrderSender.cpp
@@ -1,20 +1,17 @@
 #include "agent/OrderSender.h"
 
+#include "agent/OrderTransfer.h"
 #include "core/Log.h"
 
-#include <nlohmann/json.hpp>
-
 namespace lovagecourse {
 
 namespace {
 
 constexpr milliseconds retryInterval{300};
-constexpr milliseconds orderTimeout{5000};
 // How often to check whether an announcement was read back from the log.
 constexpr milliseconds announcementPollInterval{20};
 // Must be shorter than the log's retention.
 constexpr milliseconds reannounceInterval{3600000};
-constexpr int statusConflict = 409;
 
 } // namespace
 
@@ -88,34 +85,19 @@
     if (!maySend(order))
         return;
     sending_ = true;
-    HttpRequest request;
-    request.method = "POST";
-    request.url = "http://" + toString(address) + "/orders";
-    request.headers = {{"content-type", "application/json"}};
-    request.body = nlohmann::json{{"fencing", order.fencing.value},
-                                  {"action", order.action},
-                                  {"argument", order.argument}}
-                           .dump();
-    request.totalTimeout = orderTimeout;
-    auto status = std::make_shared<int>(0);
-    HttpClient::Handlers handlers;
-    handlers.onHead = [status](const HttpHead &head) { *status = head.status; };
-    handlers.onDone = [this, order, status](const std::optional<HttpFailure> &failure) {
+    const auto mayStillSend = [this, order] {
+        return claimLog_.coordinator().maySendOrder(order.fencing, daemon_.now());
+    };
+    startOrder(daemon_.http(), order, address, mayStillSend, [this, order](OrderResult result) {
         sending_ = false;
-        const bool accepted = !failure && *status < 300;
-        const bool outdated = !failure && *status == statusConflict;
-        if (accepted || outdated)
+        const bool isHandled = result == OrderResult::Accepted || result == OrderResult::Outdated;
+        if (isHandled)
             newestHandled_[order.action] = order.fencing;
-        daemon_.metrics().count("lovagecourse_orders_total", accepted   ? "taken"
-                                                             : outdated ? "outdated"
-                                                                        : "failed");
-        logInfo(LogPart::Agent, "order ", order.action, " with fencing number ", order.fencing,
-                accepted   ? " was accepted"
-                : outdated ? " was rejected as outdated"
-                           : " failed");
+        daemon_.metrics().count("lovagecourse_orders_total", metricLabel(result));
+        logInfo(LogPart::Agent, "event=order action=", order.action, " fencing=", order.fencing,
+                " result=", metricLabel(result));
         retryTimer_.startOnce(retryInterval);
-    };
-    daemon_.http().start(request, std::move(handlers));
+    });
 }
 
 } // namespace lovagecourse
--- a/tests/integration/OrderTest.cpp
+++ b/tests/integration/OrderTest.cpp
@@ -53,6 +53,13 @@
         return waitUntil(deliveryLimit, [&] { return isAccepted(argument); });
     }
 
+    /// Number of records in the claims log; here these are agents' starts and announced orders.
+    std::size_t claimRecords() const
+    {
+        return getJson(fleet->platformUrl() + "/streams/claims/records?from=0&max=256")["records"]
+                .size();
+    }
+
     /// Starts a second agent for the engine at other addresses, as a failover does.
     void startAgent(const std::string &name) const
     {
@@ -136,3 +143,32 @@
     CHECK(fleet->acceptedOrders("engine-1").size() >= before + 1);
     checkFencingNeverDecreases();
 }
+
+// Guards against an agent that is suspended while the announcement of its order is on its way back,
+// and on resuming takes that announcement as evidence that it has read the whole log.
+TEST_CASE_METHOD(OrderFixture,
+                 "orders, agent suspended before it reads its announcement, server accepts none "
+                 "older")
+{
+    // Longer than the agent takes to try the order again.
+    const nlohmann::json delay{{"delay_ms", 200}};
+    FleetOptions options = orderFleet(false);
+    options.proxied = true;
+    fleet = std::make_unique<Fleet>(options);
+    order("set-role", "first");
+    REQUIRE(waitAccepted("first"));
+    REQUIRE(fleet->setFault("agent-engine-1>platform", delay));
+    const std::size_t before = claimRecords();
+    order("load-adapter", "adapter");
+    REQUIRE(waitUntil(deliveryLimit, [&] { return claimRecords() > before; }));
+    fleet->process("agent-engine-1").suspend();
+    REQUIRE(fleet->setFault("agent-engine-1>platform", nlohmann::json::object()));
+    order("load-model", "model");
+    startAgent("successor");
+    REQUIRE(waitAccepted("model"));
+    REQUIRE(fleet->setFault("agent-engine-1>platform", delay));
+    fleet->process("agent-engine-1").resume();
+    order("set-role", "last");
+    REQUIRE(waitAccepted("last"));
+    checkFencingNeverDecreases();
+}
