Reject heads of servers that two parsers could read differently

Heads that libcurl rejected itself (NUL, no colon) counted as broken connections, so that the request could be suspected of crashing its server.

Change: http/ResponseHead reads the heads line by line and names a fault; the transfer then fails and its connection is closed. The router answers 502 without a stamp and counts event=garbled-answer with head_fault. Heads that have one reading but that stricter parsers reject (all lines end in a bare LF, equal lengths) are delivered, and their connection is not reused. The store's answers with such heads are calls without an answer.

--- a/src/direct/DirectRouterAnswers.cpp
+++ b/src/direct/DirectRouterAnswers.cpp
@@ -288,6 +288,13 @@
     context.pool.onEnded(server, attempt.number);
     if (attempt.isWithdrawn)
         return onNotSent(*exchange);
+    if (failure && failure->headFault) {
+        const std::string_view fault = toString(*failure->headFault);
+        logWarning(LogPart::Routing, "event=garbled-answer request=", exchange->client.attemptId,
+                   " server=", server, " head_fault=", fault);
+        context.metrics.count("lovagecourse_garbled_heads_total", fault);
+        return onAnswerRejected(*exchange, "garbled-answer");
+    }
     if (failure) {
         logInfo(LogPart::Backend, "event=send-failed request=", exchange->client.attemptId,
                 " server=", server, " curl=", failure->curlCode, " sent=", failure->maybeSent,
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -26,8 +26,6 @@
 // Per transfer. libcurl's defaults of 16 KB and 64 KB need much memory with hundreds of transfers.
 constexpr long receiveBufferBytes = 8L << 10;
 constexpr long sendBufferBytes = 16L << 10;
-// A longer head fails the transfer.
-constexpr std::size_t maxHeadBytes = 128U << 10;
 
 std::string_view trim(std::string_view text)
 {
@@ -55,12 +53,9 @@
     /// Address and port as in the url.
     std::string authority;
     seconds maxIdleAge{0};
-    HeaderList headers;
-    /// Of all heads so far, interim ones included.
-    std::size_t headBytes = 0;
+    ResponseHead head;
+    std::optional<ResponseHeadFault> headFault;
     MemoryReservation memory;
-    /// The blank line after the headers of the final answer has arrived.
-    bool headIsWhole = false;
     bool headDelivered = false;
     bool paused = false;
     bool cancelled = false;
@@ -107,7 +102,16 @@
     long systemError = 0;
     curl_easy_getinfo(transfer.easy, CURLINFO_OS_ERRNO, &systemError);
     const bool isTimeout = code == CURLE_OPERATION_TIMEDOUT || systemError == ETIMEDOUT;
-    return isTimeout && transfer.headBytes == 0 && isReused(transfer.easy);
+    return isTimeout && transfer.head.bytes() == 0 && isReused(transfer.easy);
+}
+
+/// Returns whether libcurl failed because it does not accept a line of the head.
+bool rejectsHead(CURLcode code)
+{
+    // The second code is that of a first line that is no status line, the third that of a line of
+    // more than 100 KB.
+    return code == CURLE_WEIRD_SERVER_REPLY || code == CURLE_UNSUPPORTED_PROTOCOL
+           || code == CURLE_OUT_OF_MEMORY;
 }
 
 std::string authorityOf(const std::string &url)
@@ -123,11 +127,9 @@
     if (transfer.headDelivered || transfer.cancelled)
         return;
     transfer.headDelivered = true;
-    long status = 0;
-    curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
     HttpHead head;
-    head.status = static_cast<int>(status);
-    head.headers = transfer.headers;
+    head.status = transfer.head.status();
+    head.headers = transfer.head.headers();
     head.framing = bodyFraming(transfer.method, head.status, head.headers);
     head.isConnectionReused = isReused(transfer.easy);
     if (transfer.handlers.onHead)
@@ -136,15 +138,12 @@
 
 void decideReuse(const Transfer &transfer)
 {
-    constexpr long firstFinalStatus = 200;
     const auto &namesRequest = transfer.handlers.mayReuseConnection;
-    long status = 0;
-    curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
-    if (status < firstFinalStatus)
-        return;
+    const HeaderList &headers = transfer.head.headers();
     ConnectionHistory history;
-    history.framing = bodyFraming(transfer.method, static_cast<int>(status), transfer.headers);
-    history.namesRequest = !namesRequest || namesRequest(transfer.headers);
+    history.framing = bodyFraming(transfer.method, transfer.head.status(), headers);
+    history.namesRequest = !namesRequest || namesRequest(headers);
+    history.isHeadLenient = transfer.head.isLenient();
     if (!mayReuse(history))
         curl_easy_setopt(transfer.easy, CURLOPT_FORBID_REUSE, 1L);
 }
@@ -153,23 +152,14 @@
 {
     auto &transfer = *static_cast<Transfer *>(user);
     const std::string_view line(data, size * count);
-    // Counts the heads of interim answers too, which may follow each other without end.
-    transfer.headBytes += line.size();
-    if (transfer.headBytes > maxHeadBytes)
-        return 0;
     transfer.memory.resize(transfer.memory.bytes() + line.size());
-    const bool isTrailer = transfer.headIsWhole && !line.starts_with("HTTP/");
-    if (isTrailer)
-        return size * count;
-    if (line.starts_with("HTTP/"))
-        transfer.headers.clear();
-    transfer.headIsWhole = line == "\r\n" || line == "\n";
-    if (transfer.headIsWhole)
+    const bool wasWhole = transfer.head.isWhole();
+    transfer.headFault = transfer.head.addLine(line);
+    // Fails the transfer and closes its connection.
+    if (transfer.headFault)
+        return 0;
+    if (!wasWhole && transfer.head.isWhole())
         decideReuse(transfer);
-    const std::size_t colon = line.find(':');
-    if (colon != std::string_view::npos)
-        transfer.headers.emplace_back(toLower(trim(line.substr(0, colon))),
-                                      std::string(trim(line.substr(colon + 1))));
     return size * count;
 }
 
@@ -386,7 +376,8 @@
     transfers.erase(found);
     std::optional<HttpFailure> failure;
     // libcurl takes a connection that ends inside the head for the end of an answer without a body.
-    if (code == CURLE_OK && !owned->headIsWhole)
+    const bool isHeadRejected = rejectsHead(code) && !owned->head.isWhole();
+    if (code == CURLE_OK && !owned->head.isWhole())
         code = CURLE_WEIRD_SERVER_REPLY;
     if (code == CURLE_OK) {
         deliverHead(*owned);
@@ -398,8 +389,10 @@
         if (provesSilence(*owned, code))
             leaveIdleConnections(*owned);
         const bool maybeSent = sentBytes > 0 || requestBytes > 0;
-        failure =
-                HttpFailure{static_cast<int>(code), maybeSent, maybeSent && isReused(owned->easy)};
+        if (maybeSent && isHeadRejected && !owned->headFault)
+            owned->headFault = ResponseHeadFault::Unreadable;
+        failure = HttpFailure{static_cast<int>(code), maybeSent, maybeSent && isReused(owned->easy),
+                              owned->headFault};
     }
     curl_multi_remove_handle(multi, owned->easy);
     if (!owned->cancelled && owned->handlers.onDone)
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -3,6 +3,7 @@
 #include "core/Clock.h"
 #include "core/EventLoop.h"
 #include "core/SharedBody.h"
+#include "http/ResponseHead.h"
 #include "wire/Messages.h"
 
 #include <cstdint>
@@ -54,6 +55,8 @@
     bool maybeSent = true;
     /// An earlier transfer has used the connection.
     bool isConnectionReused = false;
+    /// Set if the server sent a head that is not used; its connection is closed.
+    std::optional<ResponseHeadFault> headFault;
 };
 
 /// How the end of an answer's body is marked.
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -102,3 +102,30 @@
     loop.run();
     CHECK_FALSE(result);
 }
+
+// Guards against a topic that counts as empty, or read to its end, because of an answer whose head
+// another parser reads differently.
+TEST_CASE_METHOD(StoreClientFixture, "store client, answer with a faulty head, call fails")
+{
+    const std::string status = GENERATE("200 OK", "404 Not Found", "410 Gone");
+    const std::string line =
+            GENERATE("X-A: b\nX-B: c\r\n", "X-A: b\r\n c\r\n", "X-A b\r\n", "Content-Length: 3\r\n",
+                     "Transfer-Encoding: chunked\r\n", std::string("X-A: b") + '\0' + "\r\n");
+    CAPTURE(status, line);
+    ScriptedServer store(loop, [&](auto &connection, const std::string &) {
+        std::string bytes = answer(page("own", false));
+        bytes.replace(bytes.find("200 OK\r\n"), 8, status + "\r\n" + line);
+        connection.send(bytes);
+    });
+    client.emplace(http, urlOf(store));
+    client->readNewest(KeyedTopic::Servers, seconds(1), keepResult());
+    runUntilDone();
+    REQUIRE(result);
+    CHECK(std::get<StoreFault>(*result) == StoreFault::NoAnswer);
+    result.reset();
+    client->readFrom(KeyedTopic::Servers, LogOffset(3), {}, keepResult());
+    runUntilDone();
+    REQUIRE(result);
+    CHECK(std::get<StoreFault>(*result) == StoreFault::NoAnswer);
+    CHECK(store.closedByPeer() > 0);
+}
