Decide in one function whether a break proves a crash

Cause: the agent took a probe that timed out, and one idle connection that ended within 100 ms of a broken request, for a crash of its server. A slow server or an idle timeout gave the same picture, and every request that was running became a crash suspect, which runs alone.

Change: judgeBreak() returns crashed, runs or unknown. A refused probe proves a crash. So do two idle connections that ended together; the agent keeps two that are started at least 300 ms apart. A single end proves it only if the connection was less than 1 s old, too young for an idle timeout. A connection from before the break that is still open proves that the process runs. Probes that are reset are repeated. An answer that ends with its connection is complete only if the process is known to run.

--- a/src/agent/AgentNodeImpl.h
+++ b/src/agent/AgentNodeImpl.h
@@ -60,10 +60,10 @@
     void dropAnswer(RequestRun &run);
     void onBackendEnd(GrantId grant, BackendOutcome outcome);
     void onComplete(RequestRun &run, std::chrono::nanoseconds elapsed);
-    void onProbedAfterUnprovenEnd(GrantId grant, bool serverAnswered,
+    void onProbedAfterUnprovenEnd(GrantId grant, ProbeResult probe,
                                   std::chrono::nanoseconds elapsed);
-    void onProbedAfterFailure(GrantId grant, bool serverAnswered);
-    std::optional<TimePoint> findServerCrash(const RequestRun &run, bool serverAnswered) const;
+    void onProbedAfterFailure(GrantId grant, ProbeResult probe);
+    BreakVerdict judgeEnd(const RequestRun &run, ProbeResult probe) const;
     void recordCrash(const RequestRun &broken, TimePoint crashedAt);
     void finish(GrantId grant, bool complete, const Refusal &refusal);
     void recordAnswer(const RequestRun &run);
--- a/src/agent/RequestRuns.cpp
+++ b/src/agent/RequestRuns.cpp
@@ -256,8 +256,8 @@
     run.brokenAt = now();
     if (outcome == BackendOutcome::Unproven) {
         run.phase = RunPhase::Probing;
-        return monitor->probe([this, grant, elapsed = now() - run.sentAt](bool answered) {
-            onProbedAfterUnprovenEnd(grant, answered, elapsed);
+        return monitor->probe([this, grant, elapsed = now() - run.sentAt](ProbeResult probe) {
+            onProbedAfterUnprovenEnd(grant, probe, elapsed);
         });
     }
     if (outcome == BackendOutcome::NotSent && run.claim)
@@ -269,7 +269,7 @@
     // The request becomes a crash suspect if the server crashed. The entry must be notified before
     // it sends the request to another server.
     run.phase = outcome == BackendOutcome::NotSent ? RunPhase::NotSent : RunPhase::Probing;
-    monitor->probe([this, grant](bool answered) { onProbedAfterFailure(grant, answered); });
+    monitor->probe([this, grant](ProbeResult probe) { onProbedAfterFailure(grant, probe); });
 }
 
 void AgentNode::Impl::onComplete(RequestRun &run, std::chrono::nanoseconds elapsed)
@@ -300,46 +300,50 @@
                "event=answer-unrecorded reason=too-large bytes=", run.answer.body.size());
 }
 
-void AgentNode::Impl::onProbedAfterUnprovenEnd(GrantId grant, bool serverAnswered,
+void AgentNode::Impl::onProbedAfterUnprovenEnd(GrantId grant, ProbeResult probe,
                                                std::chrono::nanoseconds elapsed)
 {
     const auto found = runs.find(grant);
     if (found == runs.end())
         return;
     RequestRun &run = *found->second;
-    const bool crashed = findServerCrash(run, serverAnswered).has_value();
+    const bool isServerRunning = std::holds_alternative<ServerRuns>(judgeEnd(run, probe));
     logInfo(LogPart::Backend, "answer ended with its connection, server ",
-            crashed ? "crashed" : "answers");
-    if (!crashed)
+            isServerRunning ? "runs" : "is not known to run");
+    if (isServerRunning)
         return onComplete(run, elapsed);
     if (run.claim)
         claimLog->coordinator().recordUnknownOutcome(*run.claim);
-    onProbedAfterFailure(grant, serverAnswered);
+    onProbedAfterFailure(grant, probe);
 }
 
-void AgentNode::Impl::onProbedAfterFailure(GrantId grant, bool serverAnswered)
+void AgentNode::Impl::onProbedAfterFailure(GrantId grant, ProbeResult probe)
 {
     const auto found = runs.find(grant);
     if (found == runs.end())
         return;
     const RequestRun &run = *found->second;
-    if (const auto crashedAt = findServerCrash(run, serverAnswered))
-        recordCrash(run, *crashedAt);
+    const BreakVerdict verdict = judgeEnd(run, probe);
+    if (const auto *crash = std::get_if<ServerCrashed>(&verdict))
+        recordCrash(run, crash->at);
+    else if (std::holds_alternative<ServerStateUnknown>(verdict))
+        daemon->metrics().count("lovagecourse_breaks_undecided_total");
     const bool notSent = run.phase == RunPhase::NotSent;
     const Ran ran = notSent ? Ran::No : Ran::Unknown;
     finish(grant, false, Refusal{RefusalReason::ServerLost, ran});
 }
 
-std::optional<TimePoint> AgentNode::Impl::findServerCrash(const RequestRun &run,
-                                                          bool serverAnswered) const
+BreakVerdict AgentNode::Impl::judgeEnd(const RequestRun &run, ProbeResult probe) const
 {
     BreakEvidence evidence;
     evidence.connectedAt = run.connectedAt;
     evidence.brokenAt = run.brokenAt;
-    evidence.answersProbe = serverAnswered;
-    if (run.phase != RunPhase::NotSent)
+    evidence.probe = probe;
+    if (run.phase != RunPhase::NotSent) {
         evidence.idleEnds = monitor->idleEnds();
-    return findCrash(evidence);
+        evidence.oldestOpenIdle = monitor->oldestOpenIdle();
+    }
+    return judgeBreak(evidence);
 }
 
 /// Records the requests that were running when the server crashed. All connections
--- a/src/agent/RestartWatch.cpp
+++ b/src/agent/RestartWatch.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <utility>
 
 namespace lovagecourse {
 
@@ -37,10 +38,12 @@
 
 } // namespace
 
-RestartWatch::RestartWatch(EventLoop &loop, const Clock &clock)
+RestartWatch::RestartWatch(EventLoop &loop, const Clock &clock,
+                           std::function<milliseconds()> connectDelay)
     : loop_(loop)
     , clock_(clock)
-    , retryTimer_(loop, [this] { connect(); })
+    , connectDelay_(std::move(connectDelay))
+    , retryTimer_(loop, [this] { startAttempt(); })
 {}
 
 RestartWatch::~RestartWatch()
@@ -54,12 +57,36 @@
         return;
     address_ = address;
     disconnect();
+    startAttempt();
+}
+
+std::optional<TimePoint> RestartWatch::openSince() const
+{
+    if (!isConnected_)
+        return std::nullopt;
+    char byte = 0;
+    const ssize_t count = recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool isOpen = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return isOpen ? std::optional(establishedAt_) : std::nullopt;
+}
+
+std::optional<TimePoint> RestartWatch::startedAt() const
+{
+    return descriptor_ >= 0 ? std::optional(startedAt_) : std::nullopt;
+}
+
+void RestartWatch::startAttempt()
+{
+    const milliseconds delay = connectDelay_();
+    if (delay > milliseconds(0))
+        return retryTimer_.startOnce(delay);
     connect();
 }
 
 void RestartWatch::connect()
 {
     retryTimer_.startOnce(maxRetryDelay);
+    startedAt_ = clock_.now();
     descriptor_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor_ < 0)
         return;
--- a/src/agent/RestartWatch.h
+++ b/src/agent/RestartWatch.h
@@ -5,6 +5,7 @@
 #include "routing/BreakEvidence.h"
 #include "wire/Endpoint.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -16,7 +17,10 @@
 class RestartWatch
 {
 public:
-    RestartWatch(EventLoop &loop, const Clock &clock);
+    /// connectDelay is asked before each attempt to connect; the attempt is made that much later.
+    RestartWatch(
+            EventLoop &loop, const Clock &clock,
+            std::function<milliseconds()> connectDelay = [] { return milliseconds(0); });
     ~RestartWatch();
     RestartWatch(const RestartWatch &) = delete;
     RestartWatch &operator=(const RestartWatch &) = delete;
@@ -26,8 +30,14 @@
     void watch(const Endpoint &address);
     /// Latest ends of connections that the server had accepted, the newest last.
     const std::vector<IdleEnd> &ends() const { return ends_; }
+    /// When the open connection was established; empty if there is none or it has ended, also if
+    /// that end was not handled yet.
+    std::optional<TimePoint> openSince() const;
+    /// When the current connection was started; empty if there is none.
+    std::optional<TimePoint> startedAt() const;
 
 private:
+    void startAttempt();
     void connect();
     void disconnect();
     void retryLater();
@@ -35,12 +45,14 @@
 
     EventLoop &loop_;
     const Clock &clock_;
+    std::function<milliseconds()> connectDelay_;
     std::optional<Endpoint> address_;
     int descriptor_ = -1;
     bool isConnected_ = false;
     std::unique_ptr<IoWatcher> watcher_;
     Timer retryTimer_;
     milliseconds retryDelay_{0};
+    TimePoint startedAt_;
     TimePoint establishedAt_;
     std::vector<IdleEnd> ends_;
 };
--- a/src/agent/ServerMonitor.cpp
+++ b/src/agent/ServerMonitor.cpp
@@ -2,6 +2,8 @@
 
 #include "core/Log.h"
 
+#include <curl/curl.h>
+
 #include <iterator>
 #include <utility>
 
@@ -11,13 +13,15 @@
 
 constexpr milliseconds retryInterval{500};
 constexpr milliseconds probeTimeout{1000};
+// A server that is ending may still accept a connection and reset it. The next attempt is refused.
+constexpr int maxProbeAttempts = 3;
 
 } // namespace
 
 ServerMonitor::ServerMonitor(Daemon &daemon, ChangeHandler onChange)
     : daemon_(daemon)
     , onChange_(std::move(onChange))
-    , restartWatch_(daemon.loop(), daemon.clock())
+    , restartWatches_(daemon.loop(), daemon.clock())
     , retryTimer_(daemon.loop(), [this] { startProbe(); })
 {}
 
@@ -49,15 +53,27 @@
     request.freshConnection = true;
     HttpClient::Handlers handlers;
     // Any HTTP status shows that the server is up; plain services do not implement /load.
-    handlers.onDone = [this](const std::optional<HttpFailure> &failure) {
-        onProbed(!failure.has_value());
-    };
+    handlers.onDone = [this](const std::optional<HttpFailure> &failure) { onProbeEnded(failure); };
     daemon_.http().start(request, std::move(handlers));
 }
 
-void ServerMonitor::onProbed(bool answered)
+void ServerMonitor::onProbeEnded(const std::optional<HttpFailure> &failure)
 {
     probing_ = false;
+    const int code = failure ? failure->curlCode : CURLE_OK;
+    const bool isBroken =
+            failure && code != CURLE_COULDNT_CONNECT && code != CURLE_OPERATION_TIMEDOUT;
+    if (isBroken && ++brokenAttempts_ < maxProbeAttempts)
+        return startProbe();
+    brokenAttempts_ = 0;
+    onProbed(!failure                        ? ProbeResult::Answered
+             : code == CURLE_COULDNT_CONNECT ? ProbeResult::Refused
+                                             : ProbeResult::Silent);
+}
+
+void ServerMonitor::onProbed(ProbeResult result)
+{
+    const bool answered = result == ProbeResult::Answered;
     const bool changed = answered != up_;
     up_ = answered;
     if (!answered)
@@ -66,13 +82,13 @@
     auto later = std::exchange(laterHandlers_, {});
     if (answered) {
         if (daemon_.settings().watchRestarts)
-            restartWatch_.watch(*address_);
+            restartWatches_.watch(*address_);
         probeHandlers_ = std::move(later);
     } else {
         std::move(later.begin(), later.end(), std::back_inserter(handlers));
     }
     for (const ProbeHandler &handler : handlers)
-        handler(answered);
+        handler(result);
     if (!probeHandlers_.empty())
         startProbe();
     if (!changed)
--- a/src/agent/ServerMonitor.h
+++ b/src/agent/ServerMonitor.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "agent/RestartWatch.h"
+#include "agent/RestartWatchPair.h"
 #include "daemon/Daemon.h"
 #include "wire/Endpoint.h"
 
@@ -16,7 +16,7 @@
 public:
     /// Called when the server goes up or down.
     using ChangeHandler = std::function<void(bool up)>;
-    using ProbeHandler = std::function<void(bool answered)>;
+    using ProbeHandler = std::function<void(ProbeResult result)>;
 
     ServerMonitor(Daemon &daemon, ChangeHandler onChange);
 
@@ -27,11 +27,14 @@
     /// was sent after the call, unless one that is already running fails.
     void probe(ProbeHandler onProbed);
     /// Latest ends of idle connections to the server.
-    const std::vector<IdleEnd> &idleEnds() const { return restartWatch_.ends(); }
+    std::vector<IdleEnd> idleEnds() const { return restartWatches_.ends(); }
+    /// When the oldest open idle connection was established; empty if there is none.
+    std::optional<TimePoint> oldestOpenIdle() const { return restartWatches_.oldestOpen(); }
 
 private:
     void startProbe();
-    void onProbed(bool answered);
+    void onProbeEnded(const std::optional<HttpFailure> &failure);
+    void onProbed(ProbeResult result);
 
     Daemon &daemon_;
     ChangeHandler onChange_;
@@ -40,8 +43,10 @@
     std::vector<ProbeHandler> probeHandlers_;
     /// Handlers that were added after the running probe was sent.
     std::vector<ProbeHandler> laterHandlers_;
-    RestartWatch restartWatch_;
+    RestartWatchPair restartWatches_;
     bool probing_ = false;
+    /// Attempts of the running probe that ended without an answer or a refusal.
+    int brokenAttempts_ = 0;
     bool up_ = false;
     Timer retryTimer_;
 };
--- a/src/routing/BreakEvidence.h
+++ b/src/routing/BreakEvidence.h
@@ -2,7 +2,9 @@
 
 #include "core/Clock.h"
 
+#include <cstdint>
 #include <optional>
+#include <variant>
 #include <vector>
 
 namespace lovagecourse {
@@ -17,6 +19,15 @@
     TimePoint noticedAt;
 };
 
+/// Result of a probe on a new connection, sent after a break.
+enum class ProbeResult : std::uint8_t {
+    Answered,
+    /// The server's host refused the connection: no process listens.
+    Refused,
+    /// Neither an answer nor a refusal within the time limit; the server may be slow or suspended.
+    Silent
+};
+
 /// What is known after the connection of a request to a backend server broke.
 struct BreakEvidence
 {
@@ -25,16 +36,36 @@
     std::optional<TimePoint> connectedAt;
     /// When this process noticed the break.
     TimePoint brokenAt;
-    /// The server answered a probe that was sent after the break.
-    bool answersProbe = false;
-    /// Latest ends of idle connections to the server.
+    ProbeResult probe = ProbeResult::Silent;
+    /// Latest ends of idle connections to the server, in order of the time at which they were
+    /// noticed.
     std::vector<IdleEnd> idleEnds;
+    /// When the oldest idle connection that is still open was established; empty if there is none.
+    std::optional<TimePoint> oldestOpenIdle;
+};
+
+/// The server's process crashed under the request, at the given time at the latest.
+struct ServerCrashed
+{
+    TimePoint at;
 };
 
-/// Returns the latest time at which the server may have crashed under the request; empty if it did
-/// not crash. A server that restarts within milliseconds answers the probe; then the crash shows in
-/// an idle connection that ended together with that of the request.
-std::optional<TimePoint> findCrash(const BreakEvidence &evidence);
+/// The process that got the request still runs.
+struct ServerRuns
+{};
+
+/// Neither is known.
+struct ServerStateUnknown
+{};
+
+using BreakVerdict = std::variant<ServerCrashed, ServerRuns, ServerStateUnknown>;
+
+/// Decides what happened to the server's process. A refused probe proves a crash. A server that
+/// restarts within milliseconds answers the probe; then the crash shows in two idle connections of
+/// different ages that ended together with that of the request, or in one that was too young for an
+/// idle timeout. A single older one may have ended by the server's idle timeout. An idle connection
+/// from before the break that is still open proves that the process runs.
+BreakVerdict judgeBreak(const BreakEvidence &evidence);
 
 /// Returns whether a request was sent to the process that crashed. A request whose connection was
 /// ready only after the crash went to the next process.
--- a/tests/agent/RestartWatchTest.cpp
+++ b/tests/agent/RestartWatchTest.cpp
@@ -1,4 +1,4 @@
-#include "agent/RestartWatch.h"
+#include "agent/RestartWatchPair.h"
 
 #include <catch2/catch.hpp>
 #include <netinet/in.h>
@@ -94,3 +94,25 @@
     shutdown(listener, SHUT_RDWR);
     server.join();
 }
+
+// Guards against two idle connections that a server's idle timeout ends together, and against one
+// that counts as open although its end has arrived.
+TEST_CASE_METHOD(RestartWatchFixture, "restart watch pair, started apart, a crash ends both")
+{
+    RestartWatchPair pair(loop, clock);
+    sockaddr_in address{};
+    socklen_t length = sizeof(address);
+    REQUIRE(getsockname(listener, reinterpret_cast<sockaddr *>(&address), &length) == 0);
+    pair.watch(toEndpoint(address));
+    run(milliseconds(700));
+    CHECK(pair.oldestOpen().has_value());
+    // The pair's and the fixture's.
+    for (int i = 0; i < 3; ++i)
+        endConnection();
+    std::this_thread::sleep_for(milliseconds(50));
+    CHECK_FALSE(pair.oldestOpen().has_value());
+    run(milliseconds(50));
+    const std::vector<IdleEnd> ends = pair.ends();
+    REQUIRE(ends.size() == 2);
+    CHECK(std::chrono::abs(ends[0].establishedAt - ends[1].establishedAt) >= milliseconds(250));
+}
