Place requests of accounts far below their share by first byte when refused

Cause: choosePlacement() takes the server with the lowest cost, in which the prefill counts up to five times, and only this server's prediction decides about admission. An account below its share was refused although another server would have answered in time.

Change: placing/FairPlacement. A streamed request that is refused and whose account has less than half of its share is placed again at the server with the shortest predicted time to first byte within the objective, in the own data centre first, and decided about again. lovagecourse_second_choices_total counts the outcomes; event=sent has second_choice.

--- a/src/direct/DirectExchange.h
+++ b/src/direct/DirectExchange.h
@@ -103,6 +103,8 @@
     /// Input of the admission decision, and the number of servers that were compared.
     AdmissionInput admissionInput;
     std::size_t candidateCount = 0;
+    /// The first attempt went to the fastest server instead of the one with the lowest cost.
+    bool isSecondChoice = false;
     /// When it was rejected because of overload: the time that its client was told.
     milliseconds retryAfter{0};
     /// Time from arrival to the first byte of an answer; 0 when none arrived.
--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -4,6 +4,7 @@
 #include "gateway/Problem.h"
 #include "placing/Admission.h"
 #include "placing/EngineMemory.h"
+#include "placing/FairPlacement.h"
 #include "placing/StopAcceptance.h"
 #include "wire/ReportHash.h"
 
@@ -239,7 +240,9 @@
     return static_cast<double>(random()) / range;
 }
 
-bool DirectRouter::Impl::admit(DirectExchange &exchange, const Placement &placement)
+/// Decides whether the request is sent to the server or, if its account is far below its share, to
+/// another one, which then replaces placement. Answers the request if it is refused.
+bool DirectRouter::Impl::admit(DirectExchange &exchange, Placement &placement)
 {
     AdmissionInput input;
     input.waitMs = placement.prediction.waitMs;
@@ -253,7 +256,9 @@
     input.urgency = urgencyRanks[exchange.service].onRequest(priority, now());
     exchange.candidateCount = placement.candidateCount;
     exchange.admissionInput = input;
-    const AdmissionDecision decision = decideAdmission(input);
+    AdmissionDecision decision = decideAdmission(input);
+    if (std::holds_alternative<AdmissionRefused>(decision) && placeAgain(exchange, placement))
+        decision = Admitted{};
     const auto *refused = std::get_if<AdmissionRefused>(&decision);
     ReturnPromises &promises = returns[exchange.service];
     if (promises.takeReturn(exchange.accountHash, now()))
@@ -270,6 +275,32 @@
     return true;
 }
 
+/// Replaces the placement of a refused request, whose account is far below its share, by the
+/// fastest one. Returns false if the request is not admitted there either.
+bool DirectRouter::Impl::placeAgain(DirectExchange &exchange, Placement &placement)
+{
+    // Shares count streamed requests only.
+    if (!isStreamKind(exchange.route->kind)
+        || !allowsSecondChoice(exchange.admissionInput.fairShareRatio))
+        return false;
+    PlacementRequest request = placementRequest(exchange);
+    request.isSecondChoice = true;
+    auto second = context.pool.choose(request, now());
+    AdmissionInput input = exchange.admissionInput;
+    if (second) {
+        input.waitMs = second->prediction.waitMs;
+        input.firstByteMs = second->prediction.firstByteMs();
+    }
+    const bool isAdmitted = second && std::holds_alternative<Admitted>(decideAdmission(input));
+    context.metrics.count("lovagecourse_second_choices_total", isAdmitted ? "admitted" : "refused");
+    if (!isAdmitted)
+        return false;
+    exchange.admissionInput = input;
+    exchange.isSecondChoice = true;
+    placement = std::move(*second);
+    return true;
+}
+
 void DirectRouter::Impl::send(DirectExchange &exchange, Placement placement)
 {
     const TimePoint current = now();
@@ -327,6 +358,7 @@
             " prompt_tokens=", exchange.client.promptTokens,
             " prompt=", exchange.prompt.empty() ? 0 : exchange.prompt.front().hash,
             " local=", attempt->placement.prediction.isLocal,
+            " second_choice=", exchange.isSecondChoice && exchange.sendCount == 1,
             " list_age_ms=", toMs(attempt->placement.listAge));
     const CallerId caller = exchange.caller;
     const AttemptKey key = attempt->key;
--- a/src/direct/DirectRouterImpl.h
+++ b/src/direct/DirectRouterImpl.h
@@ -67,7 +67,8 @@
     bool rejectsTraits(DirectExchange &exchange);
     double drawShare();
     milliseconds spreadRetryAfter(milliseconds pause);
-    bool admit(DirectExchange &exchange, const Placement &placement);
+    bool admit(DirectExchange &exchange, Placement &placement);
+    bool placeAgain(DirectExchange &exchange, Placement &placement);
     void send(DirectExchange &exchange, Placement placement);
     void armStallTimer(DirectExchange &exchange);
     bool tryTakeRetry(DirectExchange &exchange);
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -1,6 +1,7 @@
 #include "direct/ServerPool.h"
 
 #include "core/Log.h"
+#include "placing/FairPlacement.h"
 #include "placing/SlotServers.h"
 #include "wire/ReportHash.h"
 
@@ -225,7 +226,9 @@
         works.push_back(work);
     }
     const std::uint64_t promptHash = request.prompt.empty() ? 0 : request.prompt.front().hash;
-    const auto best = choosePlacement(candidates, promptHash, request.objectiveMs);
+    const auto best = request.isSecondChoice
+                              ? chooseFastest(candidates, request.objectiveMs)
+                              : choosePlacement(candidates, promptHash, request.objectiveMs);
     if (!best)
         return std::nullopt;
     double waitSum = 0;
--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -76,6 +76,8 @@
     double objectiveMs = 0;
     /// Servers that the request must not be sent to again.
     std::set<ServerId> excluded;
+    /// Choose by chooseFastest() instead of choosePlacement().
+    bool isSecondChoice = false;
 };
 
 /// Chosen server with the predictions that the choice was based on.
--- a/tests/placing/FairOverloadTest.cpp
+++ b/tests/placing/FairOverloadTest.cpp
@@ -1,5 +1,6 @@
 #include "direct/ServerPool.h"
 #include "placing/Admission.h"
+#include "placing/FairPlacement.h"
 #include "placing/FairShares.h"
 
 #include <catch2/catch.hpp>
@@ -206,7 +207,7 @@
     request.promptTokens = kind.tokens();
     request.outputTokens = 200;
     request.objectiveMs = kind.objectiveMs;
-    const auto placement = router.pool.choose(request, now);
+    auto placement = router.pool.choose(request, now);
     REQUIRE(placement);
     AdmissionInput input;
     input.waitMs = placement->prediction.waitMs;
@@ -215,7 +216,15 @@
     input.objectiveMs = kind.objectiveMs;
     input.remainingMs = 4000;
     input.fairShareRatio = router.shares.fairShareRatio(hash, now);
-    if (!std::holds_alternative<Admitted>(decideAdmission(input))) {
+    bool isAdmitted = std::holds_alternative<Admitted>(decideAdmission(input));
+    if (!isAdmitted && allowsSecondChoice(input.fairShareRatio)) {
+        request.isSecondChoice = true;
+        placement = router.pool.choose(request, now);
+        input.waitMs = placement ? placement->prediction.waitMs : 0;
+        input.firstByteMs = placement ? placement->prediction.firstByteMs() : 0;
+        isAdmitted = placement && std::holds_alternative<Admitted>(decideAdmission(input));
+    }
+    if (!isAdmitted) {
         ++second.disappointed;
         return;
     }
@@ -248,7 +257,7 @@
         router.pool.onLoad(id, load, at(time_));
         router.pool.onFirstByte(id, number, at(time_), true);
     });
-    events_.emplace(firstByteAt + outputMs, [this, &router, id = placement.server, number] {
+    events_.emplace(firstByteAt + outputMs, [&router, id = placement.server, number] {
         router.pool.onEnded(id, number);
     });
 }
