--- a/src/placing/Admission.h
+++ b/src/placing/Admission.h
@@ -29,6 +29,8 @@
     /// Factor on the allowed wait that balances the kinds of the service's requests; 1 if they are
     /// balanced. From KindShares.
     double kindFactor = 1;
+    /// What the most deprived account lacks, from 0 to 1. From FairShares::deprivation().
+    double deprivation = 0;
 };
 
 struct Admitted
@@ -56,7 +58,8 @@
 ///
 /// An account below its share may use a larger part of the objective, up to all of it: otherwise
 /// the margin for errors of the prediction refuses its long prompts while others keep the queues
-/// full.
+/// full. While an account is deprived, accounts at and above their share are admitted at a shorter
+/// wait.
 AdmissionDecision decideAdmission(const AdmissionInput &input);
 
 } // namespace lovagecourse
