Take fixed work out of the cost of a request

IntakeLimit divided the whole busy time of a second by its requests. On small hosts, the work that a router has without requests takes 0.15 of the time, so the learned cost was up to 2.6 times that of a further request, and connections were closed unread although there was time for them.

The fixed work is now learned in seconds with few requests and subtracted. Until three such seconds were seen, and for intervals whose figures are negative or not finite, the cost is computed as before or kept.

Replay of the fitted hosts (IntakeLimitTest, light load, usual load, ten times the load, light load, usual load): the learned cost is within 10% of 1.24, 3.16 and 8.85 ms after each part.

--- a/src/placing/IntakeLimit.cpp
+++ b/src/placing/IntakeLimit.cpp
@@ -1,6 +1,7 @@
 #include "placing/IntakeLimit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lovagecourse {
 
@@ -35,12 +36,28 @@
 constexpr double minProcessorShare = 0.01;
 // Weight of one second in the cost of a request.
 constexpr double requestCostWeight = 0.5;
+// A second in which requests take at most this part of the time shows the fixed work of the
+// process. An error of half of their cost then changes it by a twentieth of the time.
+constexpr double maxQuietRequestShare = 0.1;
+// A process that was suspended has measured a longer time.
+constexpr double maxQuietMs = 2 * measurementMs;
+constexpr double fixedShareWeight = 0.2;
+constexpr unsigned minQuietSeconds = 3;
+// The smallest hosts need 0.15 of their time. The bound keeps the cost of a request above three
+// eighths of what it is without fixed work, whatever was measured.
+constexpr double maxFixedShare = 0.25;
 // A few requests are always allowed, so that a limit that fell too far can grow again.
 constexpr double minOpen = 8;
 constexpr double minAcceptsAtOnce = 1;
 // Accepting may delay the event loop by this much, together with the other work.
 constexpr double maxAcceptDelayMs = 60;
 
+bool isMeasurable(const ProcessLoad &load)
+{
+    return std::isfinite(load.busyShare) && load.busyShare >= 0 && load.busyShare <= 1
+           && std::isfinite(load.intervalMs) && load.intervalMs > 0;
+}
+
 } // namespace
 
 IntakeLimit::IntakeLimit(double processorShare)
@@ -52,19 +69,44 @@
     return load.loopDelayMs > maxLoopDelayMs && load.busyShare >= minOverloadBusyShare;
 }
 
-/// Divides the busy time of a second by its requests. In light load most of the time goes into
-/// other work, and with few requests into the rejection of others; both give no measurement.
+/// Learns from a second whose busy time is that of the process itself, apart from a few requests of
+/// known cost.
+void IntakeLimit::learnFixedShare(double busyShare)
+{
+    const double requestShare =
+            requestCostMs_ * static_cast<double>(measuredRequests_) / measuredMs_;
+    if (busyShare >= minLearningBusyShare || requestShare > maxQuietRequestShare
+        || measuredMs_ > maxQuietMs)
+        return;
+    const double sample = std::clamp(busyShare - requestShare, 0., maxFixedShare);
+    // The first second contains the load of the configuration, so the second one replaces it.
+    const double weight = quietSeconds_ < 2 ? 1 : fixedShareWeight;
+    measuredFixedShare_ += weight * (sample - measuredFixedShare_);
+    ++quietSeconds_;
+}
+
+double IntakeLimit::fixedShare() const
+{
+    return quietSeconds_ < minQuietSeconds ? 0 : measuredFixedShare_;
+}
+
+/// Divides the busy time of a second by its requests, without the fixed work of the process. In
+/// light load most of the time goes into other work, and with few requests into the rejection of
+/// others; both give no measurement.
 void IntakeLimit::learnRequestCost(const ProcessLoad &load)
 {
+    if (!isMeasurable(load))
+        return;
     measuredMs_ += load.intervalMs;
     measuredBusyMs_ += load.busyShare * load.intervalMs;
     measuredRequests_ += load.received;
     if (measuredMs_ < measurementMs)
         return;
-    const bool isMeasured = measuredBusyMs_ >= minLearningBusyShare * measuredMs_
-                            && measuredRequests_ >= minMeasuredRequests;
-    if (isMeasured) {
-        const double costMs = measuredBusyMs_ / static_cast<double>(measuredRequests_);
+    const double busyShare = measuredBusyMs_ / measuredMs_;
+    learnFixedShare(busyShare);
+    if (busyShare >= minLearningBusyShare && measuredRequests_ >= minMeasuredRequests) {
+        const double costMs =
+                (busyShare - fixedShare()) * measuredMs_ / static_cast<double>(measuredRequests_);
         requestCostMs_ += requestCostWeight * (costMs - requestCostMs_);
     }
     measuredMs_ = 0;
--- a/src/placing/IntakeLimit.h
+++ b/src/placing/IntakeLimit.h
@@ -46,7 +46,10 @@
     /// another router at once. Follows from the measured cost of a request, so that it fits hosts
     /// of any speed, and falls with the event loop delay.
     std::size_t acceptsAtOnce() const;
-    /// Processing time of one request, with its answer, in ms of this host.
+    /// Processing time of one further request, with its answer, in ms of this host. It does not
+    /// contain the work that the process has without requests, such as reports of other routers,
+    /// once a few seconds with few requests have shown it: on a host of 0.068 cores, that work
+    /// takes 0.15 of the time, and a request would seem to cost up to 2.6 times its time.
     double requestCostMs() const { return requestCostMs_; }
 
 private:
@@ -54,6 +57,8 @@
     static constexpr double unlimitedOpen = 10000;
 
     void learnRequestCost(const ProcessLoad &load);
+    void learnFixedShare(double busyShare);
+    double fixedShare() const;
     void lower(double open, TimePoint now);
     void grow(double open);
     bool isUnconfirmed(TimePoint now) const;
@@ -65,6 +70,9 @@
     unsigned overloadedIntervals_ = 0;
     TimePoint lastOverloaded_;
     double requestCostMs_;
+    /// Part of the time that the process is busy without requests, from 0 to 1; see fixedShare().
+    double measuredFixedShare_ = 0;
+    unsigned quietSeconds_ = 0;
     /// Of the last interval.
     double loopDelayMs_ = 0;
     /// Sums of the current measurement of the cost.
--- a/tests/placing/IntakeLimitTest.cpp
+++ b/tests/placing/IntakeLimitTest.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 
 using namespace lovagecourse;
 
@@ -165,3 +166,64 @@
         limit.onInterval(ProcessLoad{0, 0.9, 50, i % 10 == 0 ? 1U : 0U, 20}, now);
     CHECK(limit.requestCostMs() == initial);
 }
+
+namespace {
+
+/// Host whose busy time is a fixed part of the time and a cost for each request, as fitted on a day
+/// of Hedegaard. More requests than fit are not received, and then the event loop is 40 ms late.
+struct FittedHost
+{
+    double fixedShare;
+    double costMs;
+    IntakeLimit limit;
+    TimePoint now{std::chrono::hours(1)};
+
+    void play(seconds time, double requestsPerSecond)
+    {
+        const double mostPerSecond = 1000 * (1 - fixedShare) / costMs;
+        const bool isFull = requestsPerSecond >= mostPerSecond;
+        const double perSecond = std::min(requestsPerSecond, mostPerSecond);
+        double due = 0;
+        for (const TimePoint end = now + time; now < end; now += interval) {
+            due += perSecond * 0.05;
+            const auto received = static_cast<std::size_t>(due);
+            due -= static_cast<double>(received);
+            const double busy = std::min(1., fixedShare + perSecond * costMs / 1000);
+            limit.onInterval(ProcessLoad{isFull ? 40. : 5., busy, 50, received, received}, now);
+        }
+    }
+};
+
+} // namespace
+
+// Guards against small hosts that take their own fixed work for a cost of requests: they then close
+// connections for which they have time.
+TEST_CASE("intake limit, fitted hosts, learn the cost of a further request")
+{
+    const auto [cores, fixedShare, costMs] = GENERATE(table<double, double, double>(
+            {{0.5, 0.043, 1.24}, {0.22, 0.05, 3.16}, {0.068, 0.15, 8.85}}));
+    FittedHost host{fixedShare, costMs, IntakeLimit(cores)};
+    const double moderate = 1000 * (0.45 - fixedShare) / costMs;
+    host.play(seconds(8), 0.02 * moderate);
+    // The usual load, then one account's clients at ten times it, light load and the usual load.
+    for (const double factor : {1., 10., 0.02, 1.}) {
+        host.play(seconds(8), factor * moderate);
+        CHECK(host.limit.requestCostMs() == Approx(costMs).epsilon(0.1));
+    }
+    CHECK(host.limit.acceptsAtOnce() >= static_cast<std::size_t>(0.85 * (60 - 5) / costMs));
+}
+
+// Guards against a cost that becomes absurd by intervals that are no measurement, and against a
+// fixed part that a router without a quiet second has guessed.
+TEST_CASE("intake limit, no valid quiet second, learns the cost without fixed work")
+{
+    FittedHost host{0.15, 8.85, IntakeLimit(0.068)};
+    const double nan = std::numeric_limits<double>::quiet_NaN();
+    const double infinity = std::numeric_limits<double>::infinity();
+    for (const double bad : {nan, infinity, -infinity, -1., 1e300}) {
+        host.limit.onInterval(ProcessLoad{0, bad, 50, 0, 0}, host.now);
+        host.limit.onInterval(ProcessLoad{0, 0.1, bad, 0, 0}, host.now);
+    }
+    host.play(seconds(8), 34);
+    CHECK(host.limit.requestCostMs() == Approx(1000 * (0.15 + 34 * 0.00885) / 34).epsilon(0.1));
+}
