--- a/tests/agent/OrderTransferTest.cpp
+++ b/tests/agent/OrderTransferTest.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <tuple>
+
 using namespace lovagecourse;
 using test::ScriptedServer;
 
@@ -62,9 +64,13 @@
     CHECK(server.requests().size() == 2);
 }
 
+// Guards against an order that is repeated although the server took it, or dropped although it did
+// not.
 TEST_CASE_METHOD(OrderTransferFixture, "order transfer, server answers, result follows the status")
 {
-    const auto [status, expected] = GENERATE(
+    std::string status;
+    OrderResult expected{};
+    std::tie(status, expected) = GENERATE(
             table<std::string, OrderResult>({{"200 OK", OrderResult::Accepted},
                                              {"409 Conflict", OrderResult::Outdated},
                                              {"503 Service Unavailable", OrderResult::Failed}}));
