Bring review case 7 within the limits of the site file

Two of three servers in trouble all the time is over the share of 0.6 and the 5 s of the site file's extra responses. Done: one of three servers is in trouble, for 5 s at a time.

--- a/review/standins-2/Fleet.cpp
+++ b/review/standins-2/Fleet.cpp
@@ -200,6 +200,13 @@
     kill(servers_.at(id).process, SIGUSR1);
 }
 
+void Fleet::calmServer(const std::string &id)
+{
+    const std::lock_guard lock(mutex_);
+    record_.write("trouble server=" + id + " ends");
+    kill(servers_.at(id).process, SIGUSR2);
+}
+
 void Fleet::restartServer(const std::string &id)
 {
     const std::lock_guard lock(mutex_);
--- a/review/standins-2/Fleet.h
+++ b/review/standins-2/Fleet.h
@@ -59,6 +59,7 @@
                      int slots);
     /// Puts a server of mode "endless" in trouble.
     void troubleServer(const std::string &id);
+    void calmServer(const std::string &id);
     /// Kills the process; its registration lapses after three heartbeats.
     void killServer(const std::string &id);
     /// Starts the process again, at the same address and under the same id.
--- a/review/standins-2/Server.cpp
+++ b/review/standins-2/Server.cpp
@@ -18,7 +18,8 @@
 constexpr int pieceCount = 20;
 constexpr std::size_t slowBytes = 25000;
 
-/// Set by SIGUSR1: from then on, a server of mode "endless" or "booking" is in trouble.
+/// Set by SIGUSR1, cleared by SIGUSR2: while it is set, a server of mode "endless" or "booking" is
+/// in trouble.
 std::atomic<bool> isInTrouble{false};
 
 constexpr milliseconds bookingWork{60};
@@ -182,6 +183,7 @@
 int runServer(const std::map<std::string, std::string> &options)
 {
     std::signal(SIGUSR1, [](int) { isInTrouble = true; });
+    std::signal(SIGUSR2, [](int) { isInTrouble = false; });
     const Record record(options.at("record"));
     const int listener = listenOn(std::atoi(options.at("port").c_str()));
     if (listener < 0)
