--- a/review/standins-2/Cases.h
+++ b/review/standins-2/Cases.h
@@ -41,7 +41,7 @@
 int runSafeEvents(const CaseOptions &options);
 int runEndlessEvents(const CaseOptions &options);
 int runForeignEntry(const CaseOptions &options);
-int runLongPrompts(const CaseOptions &options);
+int runExtraResponse(const CaseOptions &options);
 int runManyHeaders(const CaseOptions &options);
 
 } // namespace review
--- a/review/standins-2/Fleet.cpp
+++ b/review/standins-2/Fleet.cpp
@@ -196,7 +196,7 @@
 void Fleet::troubleServer(const std::string &id)
 {
     const std::lock_guard lock(mutex_);
-    record_.write("trouble server=" + id + " writes without end");
+    record_.write("trouble server=" + id + " begins");
     kill(servers_.at(id).process, SIGUSR1);
 }
 
--- a/review/standins-2/Main.cpp
+++ b/review/standins-2/Main.cpp
@@ -20,7 +20,7 @@
             {"endless-events", review::runEndlessEvents},
             {"many-headers", review::runManyHeaders},
             {"foreign-entry", review::runForeignEntry},
-            {"long-prompts", review::runLongPrompts}};
+            {"extra-response", review::runExtraResponse}};
     const auto found = cases.find(command);
     if (found == cases.end()) {
         std::cerr << "usage: " << argv[0]
