Log what requests ask for and which limit they exceed, and compute fairness margins

Change: tokens= and exceeded= at the end of a request, event=shares every 5 s, and "lovagecourse fairness", which computes from routers' logs what each account obtained in its worst six seconds compared with its due.

--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/AgentNode.h"
 #include "app/CheckCommand.h"
+#include "app/FairnessCommand.h"
 #include "app/KeyCommands.h"
 #include "app/NoteCommands.h"
 #include "app/StatusCommand.h"
@@ -38,6 +39,7 @@
   status --admin ADDRESS [--json]    print the status of a running process
   check  FILE [--against FILE] [--settings FILE] [--json]
                                      check a configuration before it is sent to routers
+  fairness FILE... [--accounts N]    compare from logs what accounts obtained with their due
 )";
 
 void printFaults(const std::vector<SettingsFault> &faults)
@@ -147,6 +149,8 @@
         return runStatusCommand(argc - 1, argv + 1);
     if (command == "check")
         return runCheckCommand(argc - 1, argv + 1);
+    if (command == "fairness")
+        return runFairnessCommand(argc - 1, argv + 1);
     const bool wantsHelp = command == "--help" || command == "help";
     (wantsHelp ? std::cout : std::cerr) << usage;
     return wantsHelp ? 0 : exitUsage;
--- a/src/direct/DirectExchange.h
+++ b/src/direct/DirectExchange.h
@@ -105,8 +105,10 @@
     std::size_t candidateCount = 0;
     /// The first attempt went to the fastest server instead of the one with the lowest cost.
     bool isSecondChoice = false;
-    /// When it was rejected because of overload: the time that its client was told.
+    /// When it was rejected because of overload: the time that its client was told, and which limit
+    /// it exceeded.
     milliseconds retryAfter{0};
+    std::optional<AdmissionLimit> exceededLimit;
     /// Time from arrival to the first byte of an answer; 0 when none arrived.
     double firstByteMs = 0;
     /// Of the last attempt that was written: age of the list of servers at the choice of the
--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -276,6 +276,7 @@
         context.metrics.count("lovagecourse_returns_total", refused ? "refused" : "admitted");
     if (refused) {
         exchange.retryAfter = refused->retryAfter;
+        exchange.exceededLimit = refused->limit;
         promises.onRejected(exchange.accountHash, exchange.retryAfter, now());
         exchange.predictedMs = input.firstByteMs;
         refuse(exchange, "overload", exchange.retryAfter);
@@ -467,7 +468,8 @@
     logInfo(LogPart::Routing, "event=", outcome, " request=", exchange.client.attemptId,
             " status=", status, " reason=", reason, " sends=", exchange.sendCount,
             " route=", exchange.route->name, " account=", exchange.account,
-            " configuration=", exchange.configuration->version,
+            " configuration=", exchange.configuration->version, " tokens=", exchange.costTokens,
+            " exceeded=", exchange.exceededLimit ? toString(*exchange.exceededLimit) : "none",
             " standing=", admissionInput.fairShareRatio,
             " deprivation=", admissionInput.deprivation, " urgency=", admissionInput.urgency,
             " kind_factor=", admissionInput.kindFactor, " wait_ms=", admissionInput.waitMs,
--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -277,6 +277,7 @@
     logInfo(LogPart::App, "event=memory used=", memory.used(),
             " high_water=", memory.highWaterMark(), " limit=", memory.limits().totalBytes);
     pool.logState(clock.now());
+    shares.logState(clock.now());
 }
 
 bool RouterNode::Impl::isReady() const
--- a/src/placing/Admission.cpp
+++ b/src/placing/Admission.cpp
@@ -78,6 +78,19 @@
 
 } // namespace
 
+std::string_view toString(AdmissionLimit limit)
+{
+    switch (limit) {
+    case AdmissionLimit::FirstByte:
+        return "first-byte";
+    case AdmissionLimit::Wait:
+        return "wait";
+    case AdmissionLimit::Both:
+        return "both";
+    }
+    return "unknown";
+}
+
 AdmissionDecision decideAdmission(const AdmissionInput &input)
 {
     const double fairShareRatio =
@@ -95,7 +108,9 @@
     const double longPromptWaitMs =
             std::min(allowedWaitMs, longPromptAllowance * input.objectiveMs);
     const double countedWaitMs = std::max(input.waitMs, meanWaitWeight * input.meanWaitMs);
-    const bool isInTime = input.firstByteMs <= allowedFirstByteMs && countedWaitMs <= allowedWaitMs;
+    const bool isFirstByteInTime = input.firstByteMs <= allowedFirstByteMs;
+    const bool isWaitAllowed = countedWaitMs <= allowedWaitMs;
+    const bool isInTime = isFirstByteInTime && isWaitAllowed;
     const bool isLongPrompt =
             countedWaitMs <= longPromptWaitMs && input.firstByteMs < input.remainingMs;
     if (isInTime || isLongPrompt)
@@ -108,7 +123,12 @@
     const double longestMs = std::min(
             maxRetryAfterMs, std::max(minRetryAfterMs, input.remainingMs * maxPartOfRemaining));
     const double retryAfterMs = std::min(longestMs, std::max(minRetryAfterMs, excessMs));
-    return AdmissionRefused{milliseconds(static_cast<std::int64_t>(retryAfterMs))};
+    AdmissionLimit limit = AdmissionLimit::Both;
+    if (isFirstByteInTime)
+        limit = AdmissionLimit::Wait;
+    else if (isWaitAllowed)
+        limit = AdmissionLimit::FirstByte;
+    return AdmissionRefused{milliseconds(static_cast<std::int64_t>(retryAfterMs)), limit};
 }
 
 } // namespace lovagecourse
--- a/src/placing/Admission.h
+++ b/src/placing/Admission.h
@@ -3,6 +3,7 @@
 #include "core/Clock.h"
 
 #include <cstdint>
+#include <string_view>
 #include <variant>
 
 namespace lovagecourse {
@@ -36,6 +37,17 @@
 struct Admitted
 {};
 
+/// Which limit a refused request exceeds.
+enum class AdmissionLimit : std::uint8_t {
+    /// The predicted time to first byte is too long for the objective.
+    FirstByte,
+    /// The wait is too long for the account's share, urgency and kind.
+    Wait,
+    Both,
+};
+
+std::string_view toString(AdmissionLimit limit);
+
 /// The request is refused. While no further request is admitted, the queue needs this time to drain
 /// to the wait that is allowed. The client is told this time, which is the same instant for all
 /// that are refused during one drain: see docs/design/returning-clients.md for why it is not
@@ -43,6 +55,7 @@
 struct AdmissionRefused
 {
     milliseconds retryAfter{0};
+    AdmissionLimit limit = AdmissionLimit::FirstByte;
 };
 
 using AdmissionDecision = std::variant<Admitted, AdmissionRefused>;
--- a/src/placing/FairShares.cpp
+++ b/src/placing/FairShares.cpp
@@ -1,5 +1,7 @@
 #include "placing/FairShares.h"
 
+#include "core/Log.h"
+
 #include <algorithm>
 
 namespace lovagecourse {
@@ -135,6 +137,22 @@
     }
 }
 
+void FairShares::logState(TimePoint now) const
+{
+    refresh(now);
+    AccountTokens sum;
+    for (const auto &[account, total] : totals_) {
+        sum.requested += total.requested;
+        sum.admitted += total.admitted;
+    }
+    const auto reports = std::count_if(peers_.begin(), peers_.end(), [now](const auto &peer) {
+        return now - peer.second.received < peerTimeout;
+    });
+    logInfo(LogPart::Fairness, "event=shares accounts=", totals_.size(), " reports=", reports,
+            " requested_tokens=", sum.requested, " admitted_tokens=", sum.admitted,
+            " share_tokens=", fairShare_, " deprivation=", deprivation_);
+}
+
 double FairShares::deprivation(TimePoint now) const
 {
     refresh(now);
--- a/src/placing/FairShares.h
+++ b/src/placing/FairShares.h
@@ -46,6 +46,8 @@
                        std::vector<std::pair<AccountHash, AccountTokens>> tokens, TimePoint now);
     /// Tokens admitted for the account within the window divided by the fair share; 0 if unknown.
     double fairShareRatio(AccountHash account, TimePoint now) const;
+    /// Logs the fair share and what it is computed from.
+    void logState(TimePoint now) const;
     /// How much the most deprived account lacks of most of its fair share, or of what it requested
     /// if that is less: from 0 (nothing) to 1 (all). Load: accounts above their share keep the
     /// queues at a wait that leaves no time for another account's long prompts.
