Move the registration of a router out of RouterNode

Cause: how a router registers itself and finds the others could be tested only with whole processes.

Change: RouterRegistry holds the two calls and their retries as they were; RouterNodePeers.cpp is smaller by them. No behaviour changes.

--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -95,6 +95,8 @@
     , storeHttp(loop, EventPriority::High)
     , pool(settings.dataCentre)
     , peers(settings.name, settings.dataCentre, settings.processorPermille)
+    , registry(loop, settings.name, RouterRecord{settings.datagrams, settings.dataCentre},
+               registryHandlers())
     , router(std::make_unique<DirectRouter>(routerContext()))
     , configurationAnnouncement(loop, [this] { announceConfiguration(); })
     , intake(settings.processorPermille / permille)
@@ -105,8 +107,6 @@
     , relayTimer(loop, [this] { sendIncrementalRelayReport(); })
     , presenceTimer(loop, [this] { sendPresence(); })
     , traitReportTimer(loop, [this] { sendTraitReport(); })
-    , registerTimer(loop, [this] { registerSelf(); })
-    , routerRecordsTimer(loop, [this] { readRouterRecords(); })
     , stateLogTimer(loop, [this] { logState(); })
     , onTerm(loop, SIGTERM, [this] { onTerminate(); })
     , onInterrupt(loop, SIGINT, [this] { onTerminate(); })
@@ -197,8 +197,7 @@
     pool.setMaxPause(settings.maxPause);
     router->setHedgeShare(settings.hedgeShare);
     restartFollowers();
-    registerSelf();
-    readRouterRecords();
+    registry.start(*store);
     startedAt = clock.now();
     lastTick = startedAt;
     tickTimer.startRepeating(tickInterval);
--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -3,6 +3,7 @@
 #include "direct/DirectRouter.h"
 #include "direct/RouterNode.h"
 #include "direct/RouterPeers.h"
+#include "direct/RouterRegistry.h"
 #include "direct/StoreFollower.h"
 #include "placing/EvacuationReads.h"
 #include "placing/IntakeLimit.h"
@@ -56,8 +57,7 @@
     std::uint32_t ageMs(TimePoint time) const;
     std::uint32_t listAgeMs() const;
 
-    void registerSelf();
-    void readRouterRecords();
+    RouterRegistry::Handlers registryHandlers();
     void sendPresence();
     RouterPresence presence(bool isReply) const;
     std::size_t reportIntervalFactor() const;
@@ -138,6 +138,7 @@
     std::vector<TraitCrash> unreportedCrashes;
     std::vector<std::pair<TraitHash, TimePoint>> unreportedClears;
     RouterPeers peers;
+    RouterRegistry registry;
     LiveRouters liveRouters;
     /// This router relays the load of its data centre to the others.
     bool isRelaying = false;
@@ -175,8 +176,6 @@
     Timer relayTimer;
     Timer presenceTimer;
     Timer traitReportTimer;
-    Timer registerTimer;
-    Timer routerRecordsTimer;
     Timer stateLogTimer;
     SignalWatcher onTerm;
     SignalWatcher onInterrupt;
--- a/src/direct/RouterNodePeers.cpp
+++ b/src/direct/RouterNodePeers.cpp
@@ -1,6 +1,5 @@
 #include "core/Log.h"
 #include "direct/RouterNodeImpl.h"
-#include "direct/RouterRecord.h"
 
 #include <algorithm>
 
@@ -28,8 +27,6 @@
 constexpr std::size_t recordOverheadBytes = 9;
 // Older than any read; does not postpone the receiver's next read.
 constexpr std::uint32_t unknownAgeMs = UINT32_MAX;
-constexpr milliseconds registryRetryInterval{500};
-constexpr milliseconds registryTimeout{1000};
 constexpr seconds presenceInterval{1};
 // After the start, this many presences go to all known routers, in case the first ones are lost.
 constexpr unsigned startPresences = 5;
@@ -69,39 +66,19 @@
 
 } // namespace
 
-/// Writes this router's own record, by which other routers find it; retries until it succeeds.
-void RouterNode::Impl::registerSelf()
+RouterRegistry::Handlers RouterNode::Impl::registryHandlers()
 {
-    const std::string record =
-            formatRouterRecord(RouterRecord{settings.datagrams, settings.dataCentre});
-    store->writeDaemon(
-            settings.name.value, record, registryTimeout, [this](const WriteResult &fault) {
-                if (!fault)
-                    return;
-                logWarning(LogPart::Membership, "event=not-listed fault=", toString(*fault));
-                registerTimer.startOnce(registryRetryInterval);
-            });
-}
-
-void RouterNode::Impl::readRouterRecords()
-{
-    store->readNewest(KeyedTopic::Daemons, registryTimeout, [this](const KeyedResult &result) {
-        if (const auto *fault = std::get_if<StoreFault>(&result)) {
-            logWarning(LogPart::Membership, "event=routers-unknown fault=", toString(*fault));
-            routerRecordsTimer.startOnce(registryRetryInterval);
-            return;
-        }
-        for (const KeyedRecord &record : std::get<KeyedBatch>(result).records) {
-            const auto router = parseRouterRecord(record.value.value_or(""));
-            if (router && record.key != settings.name.value)
-                peers.onRegistered(DaemonId(record.key), router->datagramEndpoint,
-                                   router->dataCentre);
-        }
+    RouterRegistry::Handlers handlers;
+    handlers.onRouter = [this](const DaemonId &router, const RouterRecord &record) {
+        peers.onRegistered(router, record.datagramEndpoint, record.dataCentre);
+    };
+    handlers.onRead = [this] {
         areRoutersKnown = true;
         // Of two routers that start together, the later one reads the record of the other.
         presenceCount = 0;
         sendPresence();
-    });
+    };
+    return handlers;
 }
 
 /// Announces this router to the others of its data centre.
--- a/src/direct/RouterNodeSync.cpp
+++ b/src/direct/RouterNodeSync.cpp
@@ -30,6 +30,7 @@
     configurationFollower.reset();
     serversFollower.reset();
     store = platform.openStore(storeHttp, settings.platformUrl);
+    registry.setStore(*store);
     announcedConfiguration = LogOffset(0);
     StoreFollower::Handlers forConfiguration;
     forConfiguration.onFullRead = [this](const auto &records) {
--- /dev/null
+++ b/src/direct/RouterRegistry.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "core/EventLoop.h"
+#include "core/Ids.h"
+#include "direct/FleetStore.h"
+#include "direct/RouterRecord.h"
+
+#include <functional>
+#include <memory>
+
+namespace lovagecourse {
+
+/// Writes this router's own record to the store, by which other routers find it, and reads the
+/// records of the others. Calls that fail are repeated until they succeed.
+class RouterRegistry
+{
+public:
+    struct Handlers
+    {
+        std::function<void(const DaemonId &router, const RouterRecord &record)> onRouter;
+        /// All records have been read.
+        std::function<void()> onRead;
+    };
+
+    RouterRegistry(EventLoop &loop, DaemonId self, RouterRecord record, Handlers handlers);
+    ~RouterRegistry();
+
+    void start(FleetStore &store);
+    /// Uses another store from now on, when a call is repeated.
+    void setStore(FleetStore &store);
+
+private:
+    struct Impl;
+
+    /// Shared with the callbacks of calls, which may outlive this object.
+    std::shared_ptr<Impl> impl_;
+};
+
+} // namespace lovagecourse
