Add failing tests: accounts above their share are served by turns

Cause: an account's tokens count in full for 4 s and then not at all. An account that got much at one moment gets nothing for 4 s and then much again; in the seconds in which it gets much, others with the same share over 4 s get nothing.

Change: FairSharesTest checks that the ratio falls gradually, FairOverloadTest replays 16 accounts of which three compete above their share and burst.

--- a/tests/placing/FairOverloadTest.cpp
+++ b/tests/placing/FairOverloadTest.cpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -50,11 +51,35 @@
     double demand;
     /// Kind of its requests; all kinds equally often if it is none of them.
     std::size_t kind;
+    /// In every other of these intervals, in seconds, it requests as many times as much; 0 for
+    /// none.
+    double burstSeconds = 0;
+    double burstFactor = 1;
 };
 // The first is far below its fair share and has the largest prompts and the shortest objective. The
 // second and third request several times their share.
 constexpr std::array<Account, 5> accounts{
         {{0.05, largestKind}, {0.4, kinds.size()}, {0.4, 0}, {0.1, 0}, {0.05, 1}}};
+// The first requests twice the fleet's capacity; it and the next two request two or three times as
+// much in every other interval. The others have less than their share.
+constexpr double burstSeconds = 8;
+constexpr std::size_t mixed = kinds.size();
+constexpr std::array<Account, 16> competingAccounts{{{2, mixed, 2},
+                                                     {0.5, mixed, 2.5},
+                                                     {0.25, mixed, 3},
+                                                     {0.1, mixed},
+                                                     {0.07, mixed},
+                                                     {0.06, mixed},
+                                                     {0.05, mixed},
+                                                     {0.04, mixed},
+                                                     {0.03, mixed},
+                                                     {0.03, mixed},
+                                                     {0.02, mixed},
+                                                     {0.02, mixed},
+                                                     {0.02, mixed},
+                                                     {0.01, mixed},
+                                                     {0.01, mixed},
+                                                     {0.01, mixed}}};
 
 struct AccountSecond
 {
@@ -67,13 +92,13 @@
 class Replay
 {
 public:
-    Replay(double load, unsigned seed);
+    Replay(std::span<const Account> accounts, double load, unsigned seed);
     void run();
     /// Lowest quotient of the tokens that the account got and those that rule FAIR requires.
     double worstFairness(std::size_t account) const;
     double utilisation() const { return busyMs_ / (engineCount * 1000. * totalSeconds); }
 
-    std::array<std::array<AccountSecond, totalSeconds>, accounts.size()> seconds{};
+    std::vector<std::array<AccountSecond, totalSeconds>> seconds;
     double lateShare() const { return late_ / std::max(1., admitted_); }
 
 private:
@@ -104,6 +129,7 @@
     void send(Router &router, const Placement &placement, const std::vector<PromptPrefix> &prompt,
               const Kind &kind, AccountSecond &second);
 
+    std::span<const Account> accounts_;
     std::mt19937 random_;
     std::multimap<double, std::function<void()>> events_;
     double time_ = 0;
@@ -116,8 +142,10 @@
     double admitted_ = 0;
 };
 
-Replay::Replay(double load, unsigned seed)
-    : random_(seed)
+Replay::Replay(std::span<const Account> accounts, double load, unsigned seed)
+    : seconds(accounts.size())
+    , accounts_(accounts)
+    , random_(seed)
 {
     auto configuration = std::make_shared<DirectConfiguration>();
     configuration->services[ServiceId("llm")].cacheTokens = memoryTokens;
@@ -180,14 +208,17 @@
 
 void Replay::onArrival(std::size_t number)
 {
-    const Account &account = accounts[number];
+    const Account &account = accounts_[number];
     const bool isMixed = account.kind == kinds.size();
     const std::size_t kindNumber = isMixed ? random_() % kinds.size() : account.kind;
     const Kind &kind = kinds[kindNumber];
     double meanTokens = kind.tokens();
     if (isMixed)
         meanTokens = (kinds[0].tokens() + kinds[1].tokens() + kinds[2].tokens()) / 3;
-    const double perMs = account.demand * tokensPerSecond_ / meanTokens / 1000;
+    double demand = account.demand;
+    if (static_cast<std::size_t>(time_ / 1000 / burstSeconds) % 2 == 1)
+        demand *= account.burstFactor;
+    const double perMs = demand * tokensPerSecond_ / meanTokens / 1000;
     events_.emplace(time_ + std::exponential_distribution<double>(perMs)(random_),
                     [this, number] { onArrival(number); });
 
@@ -268,7 +299,7 @@
     for (std::size_t from = warmUpSeconds; from + ruleSeconds <= totalSeconds; ++from) {
         bool waits = true;
         double served = 0;
-        double required = -3 * kinds[std::min(accounts[account].kind, largestKind)].tokens();
+        double required = -3 * kinds[std::min(accounts_[account].kind, largestKind)].tokens();
         for (std::size_t i = from; i < from + ruleSeconds; ++i) {
             double best = 0;
             for (const auto &other : seconds)
@@ -292,7 +323,7 @@
 {
     const double load = GENERATE(1.5, 2.);
     const unsigned seed = GENERATE(1u, 2u, 3u);
-    Replay replay(load, seed);
+    Replay replay(accounts, load, seed);
     replay.run();
     CAPTURE(load, seed, replay.lateShare());
     for (std::size_t i = 0; i < accounts.size(); ++i) {
@@ -302,13 +333,29 @@
     CHECK(replay.lateShare() < 0.1);
 }
 
+// Guards against accounts above their share that are served by turns: one that requests many times
+// as much then gets most of each second in which the others are refused.
+TEST_CASE("fair overload, accounts above their share, every account gets half of its share")
+{
+    const double load = GENERATE(1.5, 2.);
+    const unsigned seed = GENERATE(1u, 2u, 3u);
+    Replay replay(competingAccounts, load, seed);
+    replay.run();
+    CAPTURE(load, seed, replay.lateShare());
+    for (std::size_t i = 0; i < competingAccounts.size(); ++i) {
+        CAPTURE(i);
+        CHECK(replay.worstFairness(i) >= 1);
+    }
+    CHECK(replay.lateShare() < 0.1);
+}
+
 // Guards against engines that are idle while requests are refused, when waits are shortened for a
 // deprived account.
 TEST_CASE("fair overload, engines with shared prefixes, are busy")
 {
     const double load = GENERATE(1.5, 2.);
     const unsigned seed = GENERATE(1u, 2u, 3u);
-    Replay replay(load, seed);
+    Replay replay(accounts, load, seed);
     replay.run();
     CAPTURE(load, seed);
     CHECK(replay.utilisation() > 0.97);
--- a/tests/placing/FairSharesTest.cpp
+++ b/tests/placing/FairSharesTest.cpp
@@ -59,6 +59,24 @@
     CHECK(shares.fairShareRatio(1, now) == 0);
 }
 
+// Guards against accounts that are served by turns: an account whose tokens of one moment cease to
+// count all at once is admitted without limit in the next one.
+TEST_CASE_METHOD(FairSharesFixture, "fair shares, tokens of one moment, ratio falls gradually")
+{
+    constexpr milliseconds step{250};
+    shares.onRequested(1, 8e6, now);
+    shares.onAdmitted(1, 8e6, now);
+    double before = 0;
+    for (const TimePoint end = now + seconds(8); now < end; now += step) {
+        shares.onRequested(2, 1e6, now);
+        shares.onAdmitted(2, 0.5e6, now);
+        const double ratio = shares.fairShareRatio(1, now);
+        CAPTURE(toMs(end - now), before);
+        CHECK(ratio > 0.7 * before);
+        before = ratio;
+    }
+}
+
 // Guards against the tokens of a stopped router that count forever.
 TEST_CASE_METHOD(FairSharesFixture, "fair shares, peer without reports, its totals expire")
 {
