Forget the tokens of accounts exponentially

Callers saw: an account got far less than half of what another one got, in six seconds in which it was refused all through (FAIR); both were above their share.

Cause: shares were computed from sums over a sliding window of 4 s. What an account got at one moment left its sum at one moment, 4 s later, and it was then admitted without limit until it was far above its share again. In the logs, an account got 6.0 million tokens in second 0, 3.8 in second 4, 3.6 in second 8 and 4.1 in second 12 and little between, while the next one got 0.1 to 0.5 in those seconds. The account with most requests took most of such a moment.

Change: tokens decay with a time constant of 1.5 s. Totals keep their scale (tokens of 4 s at the present rate), so reports of routers of both versions can be added.

Why it works: a ratio falls by a factor of 0.85 in 0.25 s at most, so accounts above their share are admitted at the same time and not by turns.

--- a/src/placing/Admission.h
+++ b/src/placing/Admission.h
@@ -21,8 +21,8 @@
     double objectiveMs = 0;
     /// Time until the caller's or the route's timeout, in ms.
     double remainingMs = 0;
-    /// Tokens admitted for the account within FairShares::window, divided by its fair share; 0 for
-    /// an unknown account.
+    /// Tokens admitted for the account divided by its fair share; 0 for an unknown account. From
+    /// FairShares::fairShareRatio().
     double fairShareRatio = 0;
     /// Rank among the service's requests by priority, from -1 (least urgent) to 1; 0 if all are
     /// equal. From UrgencyRanks.
--- a/src/placing/FairShares.cpp
+++ b/src/placing/FairShares.cpp
@@ -3,6 +3,7 @@
 #include "core/Log.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lovagecourse {
 
@@ -18,6 +19,11 @@
 // An account that lacks less than one of the largest prompts is not deprived, so a single refused
 // request does not shorten the queues.
 constexpr double dueSlackTokens = 17020;
+// With this factor the steady total is the rate times the window.
+constexpr double windowsPerDecayTime =
+        std::chrono::duration<double>(FairShares::window) / FairShares::decayTime;
+// Smaller totals are those of accounts that have sent nothing for several times the decay time.
+constexpr double minTokens = 1;
 
 } // namespace
 
@@ -35,42 +41,38 @@
     return requested.empty() ? 0 : requested.back() + remaining;
 }
 
-FairShares::Bucket &FairShares::bucketOf(AccountHash account, TimePoint now)
+AccountTokens FairShares::DecayingTokens::at(TimePoint now) const
 {
-    const auto length = std::chrono::nanoseconds(window) / bucketCount;
-    const std::int64_t number = now.time_since_epoch() / length;
-    Bucket &bucket = localBuckets_[account][static_cast<std::size_t>(number) % bucketCount];
-    if (bucket.number != number)
-        bucket = Bucket{number, {}};
-    return bucket;
+    const double remaining = std::exp(-toMs(now - updated) / toMs(decayTime));
+    return {tokens.requested * remaining, tokens.admitted * remaining};
+}
+
+/// Brings the account's totals up to the present and returns them.
+AccountTokens &FairShares::localTokens(AccountHash account, TimePoint now)
+{
+    DecayingTokens &decaying =
+            localTokens_.try_emplace(account, DecayingTokens{{}, now}).first->second;
+    decaying = DecayingTokens{decaying.at(now), now};
+    return decaying.tokens;
 }
 
 void FairShares::onRequested(AccountHash account, double tokens, TimePoint now)
 {
-    bucketOf(account, now).tokens.requested += tokens;
+    localTokens(account, now).requested += tokens * windowsPerDecayTime;
 }
 
 void FairShares::onAdmitted(AccountHash account, double tokens, TimePoint now)
 {
-    bucketOf(account, now).tokens.admitted += tokens;
+    localTokens(account, now).admitted += tokens * windowsPerDecayTime;
 }
 
 std::vector<std::pair<AccountHash, AccountTokens>> FairShares::localTotals(TimePoint now) const
 {
-    const auto length = std::chrono::nanoseconds(window) / bucketCount;
-    const std::int64_t oldest =
-            now.time_since_epoch() / length - static_cast<std::int64_t>(bucketCount) + 1;
     std::vector<std::pair<AccountHash, AccountTokens>> result;
-    for (const auto &[account, buckets] : localBuckets_) {
-        AccountTokens sum;
-        for (const Bucket &bucket : buckets) {
-            if (bucket.number < oldest)
-                continue;
-            sum.requested += bucket.tokens.requested;
-            sum.admitted += bucket.tokens.admitted;
-        }
-        if (sum.requested > 0 || sum.admitted > 0)
-            result.emplace_back(account, sum);
+    for (const auto &[account, decaying] : localTokens_) {
+        const AccountTokens tokens = decaying.at(now);
+        if (tokens.requested >= minTokens || tokens.admitted >= minTokens)
+            result.emplace_back(account, tokens);
     }
     return result;
 }
--- a/src/placing/FairShares.h
+++ b/src/placing/FairShares.h
@@ -2,7 +2,6 @@
 
 #include "core/Clock.h"
 
-#include <array>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -15,7 +14,7 @@
 /// Hash of a client account's id, equal in all routers; identifies the account in their reports.
 using AccountHash = std::uint32_t;
 
-/// Estimated cost of one account's requests within the window, in tokens.
+/// Estimated cost of one account's requests within FairShares::window, in tokens.
 struct AccountTokens
 {
     /// All requests.
@@ -24,18 +23,25 @@
     double admitted = 0;
 };
 
-/// Counts the requested and admitted tokens of each account in a sliding window, over all routers,
-/// and computes the max-min fair share. With it, accounts that request less than the share are
-/// admitted first when one account sends many times its usual load, or all send more than usual.
+/// Estimates the requested and admitted tokens of each account over all routers, and computes the
+/// max-min fair share. With it, accounts that request less than the share are admitted first when
+/// one account sends many times its usual load, or all send more than usual.
+///
+/// Tokens are forgotten exponentially. In a sliding window, all that an account got at one moment
+/// would cease to count at one moment, so that accounts above their share would be served by turns.
 class FairShares
 {
 public:
-    /// Sliding window over which the accounts' tokens are summed.
+    /// Time for which the totals are estimated: tokens at the rate of the last moments.
     static constexpr seconds window{4};
+    /// Time constant with which tokens are forgotten. Longer, and an account that was over-served
+    /// when its load began is refused for the whole window of the fairness rule; shorter, and
+    /// reports that are 0.4 s old no longer tell its rate.
+    static constexpr milliseconds decayTime{1500};
 
     void onRequested(AccountHash account, double tokens, TimePoint now);
     void onAdmitted(AccountHash account, double tokens, TimePoint now);
-    /// Tokens of this router's requests within the window, for its reports to the other routers.
+    /// Totals of this router's requests, for its reports to the other routers.
     std::vector<std::pair<AccountHash, AccountTokens>> localTotals(TimePoint now) const;
     /// The same together with the last reports of the peers for which isMember returns true.
     std::vector<std::pair<AccountHash, AccountTokens>>
@@ -44,7 +50,7 @@
     /// 2 s.
     void setPeerTotals(const std::string &peer,
                        std::vector<std::pair<AccountHash, AccountTokens>> tokens, TimePoint now);
-    /// Tokens admitted for the account within the window divided by the fair share; 0 if unknown.
+    /// Tokens admitted for the account divided by the fair share; 0 if unknown.
     double fairShareRatio(AccountHash account, TimePoint now) const;
     /// Logs the fair share and what it is computed from.
     void logState(TimePoint now) const;
@@ -54,12 +60,12 @@
     double deprivation(TimePoint now) const;
 
 private:
-    static constexpr std::size_t bucketCount = 8;
-
-    struct Bucket
+    struct DecayingTokens
     {
-        std::int64_t number = -1;
+        AccountTokens at(TimePoint now) const;
+
         AccountTokens tokens;
+        TimePoint updated;
     };
 
     struct PeerReport
@@ -68,10 +74,10 @@
         std::vector<std::pair<AccountHash, AccountTokens>> tokens;
     };
 
-    Bucket &bucketOf(AccountHash account, TimePoint now);
+    AccountTokens &localTokens(AccountHash account, TimePoint now);
     void refresh(TimePoint now) const;
 
-    std::unordered_map<AccountHash, std::array<Bucket, bucketCount>> localBuckets_;
+    std::unordered_map<AccountHash, DecayingTokens> localTokens_;
     std::unordered_map<std::string, PeerReport> peers_;
     mutable std::unordered_map<AccountHash, AccountTokens> totals_;
     mutable double fairShare_ = 0;
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -456,7 +456,7 @@
 {
     /// Hash of the account's id.
     std::uint32_t account = 0;
-    /// Requested and admitted tokens within the fair-share window (FairShares::window).
+    /// Requested and admitted tokens, as estimated for FairShares::window.
     std::uint32_t requested = 0;
     std::uint32_t admitted = 0;
 
