--- a/src/core/Ids.h
+++ b/src/core/Ids.h
@@ -42,6 +42,8 @@
 using ModelId = StrongId<struct ModelTag, std::string>;
 /// Name of a backend server in the release notes.
 using ServerId = StrongId<struct ServerTag, std::string>;
+/// Version of a backend server's software, not of its model's weights; empty when unknown.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag, std::string>;
 /// Name of a host in the platform's host list.
 using HostId = StrongId<struct HostTag, std::string>;
 /// Name of a data centre in the settings and release notes.
--- a/src/direct/ServerEntry.h
+++ b/src/direct/ServerEntry.h
@@ -15,6 +15,7 @@
     ServiceId service;
     Endpoint address;
     DataCentreId dataCentre;
+    SoftwareVersion version;
     /// Requests that the server runs concurrently; 0 when unknown.
     unsigned slots = 0;
     /// The server shuts down soon and must get no new requests.
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -124,8 +124,8 @@
     const ServerEntry &entry = *change.entry;
     if (!server) {
         logInfo(LogPart::Membership, "event=server-added server=", change.id,
-                " service=", entry.service, " address=", toString(entry.address),
-                " draining=", entry.isDraining);
+                " service=", entry.service, " version=", entry.version,
+                " address=", toString(entry.address), " draining=", entry.isDraining);
         Server added;
         added.entry = entry;
         added.isEvacuated = evacuations_.isEvacuated(entry.dataCentre);
@@ -247,6 +247,7 @@
     Placement placement;
     placement.server = candidates[*best].server;
     placement.address = candidates_.servers[*best]->entry.address;
+    placement.version = candidates_.servers[*best]->entry.version;
     placement.uncachedTokens = candidates_.works[*best].uncachedTokens;
     placement.cachedTokens = candidates_.works[*best].cachedTokens;
     placement.outputTokens = request.outputTokens;
--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -86,6 +86,7 @@
 {
     ServerId server;
     Endpoint address;
+    SoftwareVersion version;
     /// Tokens of the prompt that the server must prefill.
     double uncachedTokens = 0;
     /// Tokens of the prompt that are expected in the server's prompt cache.
