Let streams go on only at the software version that began them

A router resumed a stream, and sent a client's take-up, to any server; what another router had begun, or it itself before a restart, it could not know. Class: state that must outlive the process that has it, kept nowhere.

Change: a stream is bound to the version of its first event. At its start a router reads the retained records of the servers, so that a version that has just left counts. The calls of the store's client are generalised (append with a topic, reads that begin at the first retained record).

Why it works: the version is fixed with the first event and checked at each placement; a router that lacks the knowledge never guesses.

--- a/src/direct/ClientRequest.h
+++ b/src/direct/ClientRequest.h
@@ -29,8 +29,8 @@
     /// The caller's estimate of the output tokens; 0 without one.
     double expectedOutputTokens = 0;
     std::vector<PromptPart> prompt;
-    /// Id of the caller's attempt that brought the first event of the stream that this one takes up;
-    /// empty when it takes up none.
+    /// Id of the caller's attempt that brought the first event of the stream that this one takes
+    /// up; empty when it takes up none.
     std::string resumes;
     /// Id of the last event that the caller has received; empty without one.
     std::string lastEventId;
--- a/src/direct/DirectExchange.h
+++ b/src/direct/DirectExchange.h
@@ -131,6 +131,8 @@
 
     /// The status and headers of a streamed answer were sent to the caller.
     bool isStreaming = false;
+    /// Software version that began the stream: it goes on at servers of this version only.
+    std::optional<VersionHash> version;
     /// Events that were forwarded to the caller.
     EventSequence events;
     /// Streamed bytes that the caller's connection has not taken yet.
--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -62,6 +62,13 @@
     return std::to_string(millis / 1000) + "." + fraction;
 }
 
+/// The client has the first events of the stream.
+bool isTakeUp(const DirectExchange &exchange)
+{
+    return exchange.route->kind == RequestKind::ResumableStream
+           && !(exchange.client.resumes.empty() && exchange.client.lastEventId.empty());
+}
+
 } // namespace
 
 bool isRetryable(RequestKind kind)
@@ -126,7 +133,26 @@
             std::make_unique<Timer>(context.loop, [this, caller] { onDeadline(caller); });
     exchange.deadlineTimer->startOnce(
             std::max(exchange.deadline - exchange.arrived, std::chrono::nanoseconds(0)));
-    dispatch(exchange);
+    if (isTakeUp(exchange))
+        dispatchTakeUp(exchange);
+    else
+        dispatch(exchange);
+}
+
+/// Sends an attempt that takes up a stream to a server of the version that began it.
+void DirectRouter::Impl::dispatchTakeUp(DirectExchange &exchange)
+{
+    const CallerId caller = exchange.caller;
+    context.streams.decide(exchange.client.resumes, exchange.service,
+                           [this, caller](const TakeUpDecision &decision) {
+                               DirectExchange *found = find(caller);
+                               if (!found)
+                                   return;
+                               if (decision.action == TakeUpAction::Refuse)
+                                   return refuse(*found, "origin-unknown", defaultRetryAfter);
+                               found->version = decision.version;
+                               dispatch(*found);
+                           });
 }
 
 /// Finds the route and the account, selects the service and sets the deadline. Returns false after
@@ -192,6 +218,7 @@
                                                 exchange.client.maxOutputTokens);
     request.objectiveMs = static_cast<double>(exchange.route->objective.count());
     request.excluded = exchange.triedServers;
+    request.version = exchange.version;
     return request;
 }
 
@@ -208,6 +235,8 @@
     if (!placement) {
         if (exchange.mayHaveRun)
             return fail(exchange, statusBadGateway, "no-server-left");
+        if (exchange.version)
+            return refuse(exchange, "version-gone", defaultRetryAfter);
         const auto withheld = context.pool.withheldFor(exchange.service, now());
         if (!withheld)
             return refuse(exchange, "no-server", defaultRetryAfter);
--- a/src/direct/DirectRouter.h
+++ b/src/direct/DirectRouter.h
@@ -10,6 +10,7 @@
 #include "placing/CrashTraits.h"
 #include "placing/FairShares.h"
 #include "placing/FleetRetryBudget.h"
+#include "resuming/ResumableStreams.h"
 
 #include <functional>
 #include <memory>
@@ -33,6 +34,8 @@
     /// Called when this router has seen a crash that is new, or an answer that clears a trait.
     std::function<void(const TraitCrash &crash)> onTraitCrash;
     std::function<void(TraitHash trait)> onTraitCleared;
+    /// Tells at which software version a stream may go on.
+    ResumableStreams &streams;
     /// Counts buffered answers; null means no limit.
     MemoryAccount *memory = nullptr;
 };
--- a/src/direct/DirectRouterAnswers.cpp
+++ b/src/direct/DirectRouterAnswers.cpp
@@ -266,6 +266,7 @@
 {
     if (!exchange.isStreaming) {
         exchange.isStreaming = true;
+        onStreamBegun(exchange);
         gateway->beginStream(exchange.caller, exchange.attempt->status,
                              exchange.attempt->answer.forwarded);
     }
@@ -277,6 +278,16 @@
     }
 }
 
+/// Binds a stream whose first events are forwarded to the version that began it.
+void DirectRouter::Impl::onStreamBegun(DirectExchange &exchange)
+{
+    if (exchange.version || exchange.route->kind != RequestKind::ResumableStream)
+        return;
+    const SoftwareVersion &version = exchange.attempt->placement.version;
+    exchange.version = versionHash(exchange.service, version);
+    context.streams.onBegun(exchange.client.attemptId, exchange.service, version);
+}
+
 void DirectRouter::Impl::onDone(CallerId caller, AttemptKey key,
                                 const std::optional<HttpFailure> &failure)
 {
--- a/src/direct/DirectRouterImpl.h
+++ b/src/direct/DirectRouterImpl.h
@@ -63,6 +63,7 @@
 
     void receive(CallerRequest &&request);
     bool accept(DirectExchange &exchange);
+    void dispatchTakeUp(DirectExchange &exchange);
     void dispatch(DirectExchange &exchange);
     PlacementRequest placementRequest(const DirectExchange &exchange) const;
     bool rejectsTraits(DirectExchange &exchange);
@@ -117,6 +118,7 @@
     void onStalled(CallerId caller);
 
     void forward(DirectExchange &exchange, std::string_view bytes);
+    void onStreamBegun(DirectExchange &exchange);
     bool reserveAnswer(DirectExchange &exchange, std::size_t bytes);
     DirectExchange *largestAnswer();
     std::size_t maxUnconsumedBytes() const;
--- a/src/direct/FleetStore.h
+++ b/src/direct/FleetStore.h
@@ -13,9 +13,9 @@
 
 namespace lovagecourse {
 
-/// Topics of the platform's log whose records have keys; a record replaces earlier records of the
-/// same key.
-enum class KeyedTopic : std::uint8_t { Configuration, Servers, Daemons };
+/// Topics of the platform's log whose records have keys. A record replaces earlier records of the
+/// same key, but in StreamOrigins, where each record expires.
+enum class KeyedTopic : std::uint8_t { Configuration, Servers, Daemons, StreamOrigins };
 
 /// One record of a keyed topic.
 struct KeyedRecord
@@ -61,6 +61,8 @@
     milliseconds timeout{0};
     /// Uses none of the kept connections, which may have gone silent.
     bool freshConnection = false;
+    /// Begins at the first retained record if those before it have expired.
+    bool skipsExpired = false;
 };
 
 using KeyedResult = std::variant<KeyedBatch, StoreFault>;
@@ -80,9 +82,9 @@
     /// Reads the records from an offset on.
     virtual void readFrom(KeyedTopic topic, LogOffset from, const ReadOptions &options,
                           std::function<void(const KeyedResult &)> onDone) = 0;
-    /// Writes this router's own record.
-    virtual void writeDaemon(const std::string &key, const std::string &value, milliseconds timeout,
-                             std::function<void(const WriteResult &)> onDone) = 0;
+    /// Appends a record to Daemons or StreamOrigins; routers may not write to the other topics.
+    virtual void append(KeyedTopic topic, const std::string &key, const std::string &value,
+                        milliseconds timeout, std::function<void(const WriteResult &)> onDone) = 0;
 };
 
 } // namespace lovagecourse
--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -97,6 +97,7 @@
     , peers(settings.name, settings.dataCentre, settings.processorPermille)
     , registry(loop, settings.name, RouterRecord{settings.datagrams, settings.dataCentre},
                registryHandlers())
+    , streams(loop, clock, metrics, settings.name, [this] { return peers.liveCount(clock.now()); })
     , router(std::make_unique<DirectRouter>(routerContext()))
     , configurationAnnouncement(loop, [this] { announceConfiguration(); })
     , intake(settings.processorPermille / permille)
@@ -128,6 +129,7 @@
                          crashTraits,
                          [this](const TraitCrash &crash) { onTraitCrash(crash); },
                          [this](TraitHash trait) { onTraitCleared(trait); },
+                         streams,
                          &memory};
 }
 
@@ -198,6 +200,8 @@
     router->setHedgeShare(settings.hedgeShare);
     restartFollowers();
     registry.start(*store);
+    streams.onStarted();
+    readServerHistory(LogOffset(0), 1);
     startedAt = clock.now();
     lastTick = startedAt;
     tickTimer.startRepeating(tickInterval);
--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -40,6 +40,7 @@
     void onEvacuationRecords(const std::vector<KeyedRecord> &records, LogOffset next);
     void applyEvacuations();
     void sendEvacuations(const std::vector<Endpoint> &targets);
+    void readServerHistory(LogOffset from, unsigned reads);
     void onAllServers(const std::vector<KeyedRecord> &records);
     void onServerRecords(const std::vector<KeyedRecord> &records, LogOffset from, LogOffset to);
     void onConfigurationRead();
@@ -139,6 +140,7 @@
     std::vector<std::pair<TraitHash, TimePoint>> unreportedClears;
     RouterPeers peers;
     RouterRegistry registry;
+    ResumableStreams streams;
     LiveRouters liveRouters;
     /// This router relays the load of its data centre to the others.
     bool isRelaying = false;
--- a/src/direct/RouterNodeSync.cpp
+++ b/src/direct/RouterNodeSync.cpp
@@ -3,6 +3,7 @@
 #include "wire/ReportHash.h"
 
 #include <algorithm>
+#include <set>
 
 namespace lovagecourse {
 
@@ -14,6 +15,9 @@
 // Added to the idle timeout, so that a caller that keeps to it never sends on a connection that is
 // being closed.
 constexpr seconds idleTimeoutSlack{1};
+// The history of the servers may fill several reads of up to 1 MB.
+constexpr milliseconds historyTimeout{2000};
+constexpr unsigned maxHistoryReads = 8;
 
 } // namespace
 
@@ -31,6 +35,7 @@
     serversFollower.reset();
     store = platform.openStore(storeHttp, settings.platformUrl);
     registry.setStore(*store);
+    streams.setStore(*store);
     announcedConfiguration = LogOffset(0);
     StoreFollower::Handlers forConfiguration;
     forConfiguration.onFullRead = [this](const auto &records) {
@@ -136,6 +141,35 @@
     return std::get<ServerEntry>(std::move(decoded));
 }
 
+/// Reads the retained records of servers, from which it follows which software versions served
+/// before this router started.
+void RouterNode::Impl::readServerHistory(LogOffset from, unsigned reads)
+{
+    ReadOptions options;
+    options.timeout = historyTimeout;
+    options.skipsExpired = true;
+    store->readFrom(KeyedTopic::Servers, from, options, [this, reads](const KeyedResult &result) {
+        const auto *batch = std::get_if<KeyedBatch>(&result);
+        if (!batch) {
+            logWarning(LogPart::Membership, "event=server-history-unread fault=",
+                       toString(std::get<StoreFault>(result)));
+            return;
+        }
+        std::set<std::string> decoded;
+        for (const KeyedRecord &record : batch->records) {
+            // Further records of a server are renewals.
+            if (!record.value || !decoded.insert(record.key).second)
+                continue;
+            if (const auto entry = decodeServer(record))
+                streams.onPastEntry(*entry);
+        }
+        if (batch->records.empty())
+            return streams.onPastRead();
+        if (reads < maxHistoryReads)
+            readServerHistory(batch->next, reads + 1);
+    });
+}
+
 void RouterNode::Impl::onAllServers(const std::vector<KeyedRecord> &records)
 {
     std::map<ServerId, ServerEntry> entries;
@@ -200,6 +234,10 @@
 {
     for (const RegistrationChange &change : changes) {
         pool.apply(change, clock.now());
+        if (change.entry)
+            streams.onRegistered(*change.entry);
+        else
+            streams.onRemoved(change.id);
         if (!change.entry)
             metrics.latency("lovagecourse_server_removal_seconds",
                             clock.now() - change.writtenAfter);
--- a/src/direct/RouterRegistry.cpp
+++ b/src/direct/RouterRegistry.cpp
@@ -37,11 +37,11 @@
 
 void RouterRegistry::Impl::write()
 {
-    store->writeDaemon(self.value, formatRouterRecord(record), callTimeout,
-                       [impl = weak_from_this()](const WriteResult &fault) {
-                           if (const auto alive = impl.lock())
-                               alive->onWritten(fault);
-                       });
+    store->append(KeyedTopic::Daemons, self.value, formatRouterRecord(record), callTimeout,
+                  [impl = weak_from_this()](const WriteResult &fault) {
+                      if (const auto alive = impl.lock())
+                          alive->onWritten(fault);
+                  });
 }
 
 void RouterRegistry::Impl::onWritten(const WriteResult &fault)
--- a/src/direct/ServerPool.cpp
+++ b/src/direct/ServerPool.cpp
@@ -210,6 +210,9 @@
         const Server &server = *candidateServer;
         if (withheld(server, now) != Withheld::No || request.excluded.contains(server.entry.id))
             continue;
+        if (request.version
+            && versionHash(server.entry.service, server.entry.version) != *request.version)
+            continue;
         const PeerLoad peers = server.peerLoads.sum(now);
         const double runningTokens =
                 server.memory.runningTokens(peers.running, meanTokens, server.entry.slots);
--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -14,6 +14,7 @@
 #include "placing/PrefixHolders.h"
 #include "placing/ServerModel.h"
 #include "placing/ServerWords.h"
+#include "placing/StreamOrigins.h"
 #include "placing/WarmingShare.h"
 #include "placing/WarmingState.h"
 
@@ -77,6 +78,8 @@
     double objectiveMs = 0;
     /// Servers that the request must not be sent to again.
     std::set<ServerId> excluded;
+    /// The stream that the request goes on with was begun by this version.
+    std::optional<VersionHash> version;
     /// Choose by chooseFastest() instead of choosePlacement().
     bool isSecondChoice = false;
 };
--- /dev/null
+++ b/src/placing/VersionHistory.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "placing/StreamOrigins.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace lovagecourse {
+
+/// The software versions of each service's servers within streamMemory. A stream whose origin
+/// nobody knows may only go on if a single version can have begun it.
+class VersionHistory
+{
+public:
+    /// The router starts to read registrations; what was registered before is unknown.
+    void onStarted(TimePoint now);
+    /// The registrations of the time before the start have been passed to onSeen().
+    void onHistoryRead() { isPastKnown_ = true; }
+    /// A server with the version was registered at some time until now.
+    void onSeen(const ServiceId &service, const SoftwareVersion &version, TimePoint now);
+    /// A server is registered. Returns true if the service has several versions since this call.
+    bool onRegistered(const ServerId &server, const ServiceId &service,
+                      const SoftwareVersion &version, TimePoint now);
+    void onRemoved(const ServerId &server, TimePoint now);
+
+    /// More than one version of the service may have begun streams.
+    bool isMixed(const ServiceId &service, TimePoint now) const;
+    /// The only version that can have begun a stream of the service; empty if there are several, or
+    /// if it is not known.
+    std::optional<VersionHash> soleVersion(const ServiceId &service, TimePoint now) const;
+
+private:
+    struct Version
+    {
+        std::set<ServerId> servers;
+        TimePoint lastSeen;
+    };
+    struct Registered
+    {
+        ServiceId service;
+        VersionHash version;
+    };
+
+    std::vector<VersionHash> versionsOf(const ServiceId &service, TimePoint now) const;
+
+    std::map<ServiceId, std::map<VersionHash, Version>> services_;
+    std::map<ServerId, Registered> registered_;
+    TimePoint startedAt_;
+    bool isPastKnown_ = false;
+};
+
+} // namespace lovagecourse
--- /dev/null
+++ b/src/resuming/ResumableStreams.cpp
@@ -0,0 +1,255 @@
+#include "resuming/ResumableStreams.h"
+
+#include "core/Log.h"
+#include "placing/VersionHistory.h"
+#include "resuming/StreamOriginRecord.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace lovagecourse {
+
+namespace {
+
+// All routers together append at most 125 times a second; a partition of the store takes 500.
+constexpr milliseconds minAppendInterval{100};
+constexpr milliseconds appendIntervalPerRouter{8};
+constexpr milliseconds appendTimeout{1000};
+constexpr milliseconds retryInterval{500};
+// More than one router begins in the time in which the store answers again; the oldest are dropped.
+constexpr std::size_t maxUntold = 20000;
+// Origins in one record; 12 bytes each.
+constexpr std::size_t maxOriginsPerRecord = 8000;
+// A client that takes up a stream waits for the read.
+constexpr milliseconds readTimeout{300};
+// A read returns up to 1 MB; this covers more than streamMemory.
+constexpr unsigned maxReads = 8;
+
+} // namespace
+
+struct ResumableStreams::Impl : std::enable_shared_from_this<Impl>
+{
+    Impl(EventLoop &loop, const Clock &clock, Metrics &metrics, DaemonId self,
+         std::function<std::size_t()> routerCount)
+        : clock(clock)
+        , metrics(metrics)
+        , self(std::move(self))
+        , routerCount(std::move(routerCount))
+        , appendTimer(loop, [this] { append(); })
+    {}
+
+    void tell(const std::vector<StreamOrigin> &origins);
+    void append();
+    void onAppended(const std::vector<StreamOrigin> &origins, const WriteResult &fault);
+    void read(std::function<void()> onRead);
+    void startRead();
+    void readOn(unsigned reads);
+    void onRecords(const KeyedResult &result, unsigned reads);
+    void endRead();
+
+    const Clock &clock;
+    Metrics &metrics;
+    DaemonId self;
+    std::function<std::size_t()> routerCount;
+    FleetStore *store = nullptr;
+    VersionHistory versions;
+    StreamOrigins origins;
+    /// Own origins that are not in the store yet.
+    std::vector<StreamOrigin> untold;
+    bool isAppending = false;
+    Timer appendTimer;
+    /// Where the next read begins; 0 before the first one.
+    LogOffset next;
+    bool isReading = false;
+    /// For the read in progress, and for one that begins after it: what a request asks for may have
+    /// been appended since the one in progress began.
+    std::vector<std::function<void()>> readers;
+    std::vector<std::function<void()>> laterReaders;
+};
+
+/// Queues origins for the store.
+void ResumableStreams::Impl::tell(const std::vector<StreamOrigin> &added)
+{
+    untold.insert(untold.end(), added.begin(), added.end());
+    if (untold.size() > maxUntold) {
+        metrics.count("lovagecourse_stream_origins_dropped_total");
+        untold.erase(untold.begin(), untold.end() - maxUntold);
+    }
+    if (!store || untold.empty() || isAppending || appendTimer.isActive())
+        return;
+    const auto routers = static_cast<int>(routerCount());
+    appendTimer.startOnce(std::max(minAppendInterval, appendIntervalPerRouter * routers));
+}
+
+void ResumableStreams::Impl::append()
+{
+    const std::size_t count = std::min(untold.size(), maxOriginsPerRecord);
+    const auto end = untold.begin() + static_cast<std::ptrdiff_t>(count);
+    std::vector<StreamOrigin> batch(untold.begin(), end);
+    untold.erase(untold.begin(), end);
+    isAppending = true;
+    store->append(KeyedTopic::StreamOrigins, self.value, formatStreamOrigins(batch), appendTimeout,
+                  [impl = weak_from_this(), batch](const WriteResult &fault) {
+                      if (const auto alive = impl.lock())
+                          alive->onAppended(batch, fault);
+                  });
+}
+
+void ResumableStreams::Impl::onAppended(const std::vector<StreamOrigin> &batch,
+                                        const WriteResult &fault)
+{
+    isAppending = false;
+    if (!fault) {
+        metrics.count("lovagecourse_stream_origin_appends_total");
+        return tell({});
+    }
+    logWarning(LogPart::Routing, "event=stream-origins-not-told fault=", toString(*fault),
+               " origins=", batch.size(), " untold=", untold.size());
+    // A record that was written nevertheless does no harm.
+    untold.insert(untold.begin(), batch.begin(), batch.end());
+    appendTimer.startOnce(retryInterval);
+}
+
+/// Reads what other routers have told until now, then calls onRead.
+void ResumableStreams::Impl::read(std::function<void()> onRead)
+{
+    if (isReading) {
+        laterReaders.push_back(std::move(onRead));
+        return;
+    }
+    readers.push_back(std::move(onRead));
+    startRead();
+}
+
+void ResumableStreams::Impl::startRead()
+{
+    isReading = true;
+    readOn(1);
+}
+
+void ResumableStreams::Impl::readOn(unsigned reads)
+{
+    if (!store)
+        return endRead();
+    ReadOptions options;
+    options.timeout = readTimeout;
+    options.skipsExpired = true;
+    store->readFrom(KeyedTopic::StreamOrigins, next, options,
+                    [impl = weak_from_this(), reads](const KeyedResult &result) {
+                        if (const auto alive = impl.lock())
+                            alive->onRecords(result, reads);
+                    });
+}
+
+void ResumableStreams::Impl::onRecords(const KeyedResult &result, unsigned reads)
+{
+    if (const auto *fault = std::get_if<StoreFault>(&result)) {
+        logWarning(LogPart::Routing, "event=stream-origins-unread fault=", toString(*fault),
+                   " next=", next.value);
+        // Offsets are given out again after the store has lost records.
+        if (*fault == StoreFault::HistoryLost || *fault == StoreFault::Expired)
+            next = LogOffset(0);
+        return endRead();
+    }
+    const auto &batch = std::get<KeyedBatch>(result);
+    next = batch.next;
+    for (const KeyedRecord &record : batch.records) {
+        for (const StreamOrigin &origin : parseStreamOrigins(record.value.value_or("")))
+            origins.add(origin, clock.now());
+    }
+    if (batch.records.empty() || reads >= maxReads)
+        return endRead();
+    readOn(reads + 1);
+}
+
+void ResumableStreams::Impl::endRead()
+{
+    isReading = false;
+    const auto done = std::exchange(readers, std::exchange(laterReaders, {}));
+    if (!readers.empty())
+        startRead();
+    for (const auto &onRead : done)
+        onRead();
+}
+
+ResumableStreams::ResumableStreams(EventLoop &loop, const Clock &clock, Metrics &metrics,
+                                   DaemonId self, std::function<std::size_t()> routerCount)
+    : impl_(std::make_shared<Impl>(loop, clock, metrics, std::move(self), std::move(routerCount)))
+{}
+
+ResumableStreams::~ResumableStreams() = default;
+
+void ResumableStreams::setStore(FleetStore &store)
+{
+    impl_->store = &store;
+}
+
+void ResumableStreams::onStarted()
+{
+    impl_->versions.onStarted(impl_->clock.now());
+}
+
+void ResumableStreams::onPastEntry(const ServerEntry &entry)
+{
+    impl_->versions.onSeen(entry.service, entry.version, impl_->clock.now());
+}
+
+void ResumableStreams::onPastRead()
+{
+    impl_->versions.onHistoryRead();
+}
+
+void ResumableStreams::onRegistered(const ServerEntry &entry)
+{
+    const TimePoint now = impl_->clock.now();
+    if (impl_->versions.onRegistered(entry.id, entry.service, entry.version, now)) {
+        logInfo(LogPart::Routing, "event=versions-mixed service=", entry.service,
+                " version=", entry.version, " server=", entry.id);
+        impl_->tell(impl_->origins.all(now));
+    }
+}
+
+void ResumableStreams::onRemoved(const ServerId &server)
+{
+    impl_->versions.onRemoved(server, impl_->clock.now());
+}
+
+void ResumableStreams::onBegun(const std::string &attemptId, const ServiceId &service,
+                               const SoftwareVersion &version)
+{
+    if (attemptId.empty())
+        return;
+    const TimePoint now = impl_->clock.now();
+    const StreamOrigin origin{attemptHash(attemptId), versionHash(service, version)};
+    impl_->origins.add(origin, now);
+    if (impl_->versions.isMixed(service, now))
+        impl_->tell({origin});
+}
+
+void ResumableStreams::decide(const std::string &resumes, const ServiceId &service,
+                              std::function<void(const TakeUpDecision &)> onDecided)
+{
+    const auto decideNow = [impl = impl_.get(), resumes, service](bool isRecordRead) {
+        const TimePoint now = impl->clock.now();
+        TakeUpInput input;
+        if (!resumes.empty())
+            input.origin = impl->origins.find(attemptHash(resumes), now);
+        input.soleVersion = impl->versions.soleVersion(service, now);
+        input.isRecordRead = isRecordRead;
+        const TakeUpDecision decision = decideTakeUp(input);
+        impl->metrics.count("lovagecourse_take_ups_total", toString(decision.action));
+        logInfo(LogPart::Routing, "event=take-up resumes=", resumes, " service=", service,
+                " action=", toString(decision.action), " origin_known=", input.origin.has_value(),
+                " sole_version=", input.soleVersion.has_value(), " record_read=", isRecordRead,
+                " version=", decision.version);
+        return decision;
+    };
+    // An attempt that is not named can't be found.
+    const TakeUpDecision decision = decideNow(resumes.empty());
+    if (decision.action != TakeUpAction::ReadRecord)
+        return onDecided(decision);
+    impl_->read([decideNow, onDecided = std::move(onDecided)] { onDecided(decideNow(true)); });
+}
+
+} // namespace lovagecourse
--- /dev/null
+++ b/src/resuming/ResumableStreams.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "core/EventLoop.h"
+#include "core/Metrics.h"
+#include "direct/FleetStore.h"
+#include "direct/ServerEntry.h"
+#include "placing/TakeUp.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lovagecourse {
+
+/// Decides at which software version a stream that a client takes up may go on.
+///
+/// A router remembers which version began each resumable stream. While a service has several
+/// versions, it also appends this to the store, in batches, so that other routers, and this one
+/// after a restart, can read it when a client takes such a stream up.
+class ResumableStreams
+{
+public:
+    /// routerCount: live routers in the fleet, among which the store's capacity is divided.
+    ResumableStreams(EventLoop &loop, const Clock &clock, Metrics &metrics, DaemonId self,
+                     std::function<std::size_t()> routerCount);
+    ~ResumableStreams();
+
+    /// Uses this store from now on; before, origins are only remembered.
+    void setStore(FleetStore &store);
+    void onStarted();
+    /// A server was registered with this entry at some time before the start.
+    void onPastEntry(const ServerEntry &entry);
+    /// All entries of the time before the start have been passed to onPastEntry().
+    void onPastRead();
+    void onRegistered(const ServerEntry &entry);
+    void onRemoved(const ServerId &server);
+
+    /// The first event of a stream that a client's attempt began was forwarded.
+    void onBegun(const std::string &attemptId, const ServiceId &service,
+                 const SoftwareVersion &version);
+    /// Decides about an attempt that takes up the stream of another one; empty if it names none.
+    /// onDecided is called once with GoOn or Refuse, at once or later.
+    void decide(const std::string &resumes, const ServiceId &service,
+                std::function<void(const TakeUpDecision &)> onDecided);
+
+private:
+    struct Impl;
+
+    /// Shared with the callbacks of the store's calls, which may outlive this object.
+    std::shared_ptr<Impl> impl_;
+};
+
+} // namespace lovagecourse
--- a/tests/direct/DirectRouterFixture.h
+++ b/tests/direct/DirectRouterFixture.h
@@ -41,6 +41,8 @@
     CrashTraits crashTraits;
     std::vector<TraitCrash> reportedCrashes;
     std::vector<TraitHash> reportedClears;
+    ResumableStreams streams{loop, clock, metrics, DaemonId("router"),
+                             [] { return std::size_t(1); }};
     std::unique_ptr<DirectRouter> router;
     std::unique_ptr<HttpGateway> gateway;
     Endpoint callers;
@@ -57,7 +59,7 @@
                 loop, clock, metrics, serverSide, codec, pool, shares,
                 RetryLimits{0.2, 50, seconds(10)}, [] { return std::size_t(1); }, crashTraits,
                 [this](const TraitCrash &crash) { reportedCrashes.push_back(crash); },
-                [this](TraitHash trait) { reportedClears.push_back(trait); }});
+                [this](TraitHash trait) { reportedClears.push_back(trait); }, streams});
         HttpGateway::Handlers handlers;
         handlers.onRequest = [this](CallerRequest &&request) {
             std::this_thread::sleep_for(loopDelay);
@@ -111,6 +113,7 @@
         entry.dataCentre = DataCentreId("a");
         entry.slots = 8;
         pool.apply(RegistrationChange{entry.id, entry}, clock.now());
+        streams.onRegistered(entry);
         entries.push_back(entry);
         return *servers.back();
     }
--- a/tests/direct/ResumedVersionTest.cpp
+++ b/tests/direct/ResumedVersionTest.cpp
@@ -31,10 +31,12 @@
     void registerAs(std::size_t server, const std::string &version)
     {
         entries[server].version = SoftwareVersion(version);
+        streams.onRegistered(entries[server]);
         pool.apply(RegistrationChange{entries[server].id, entries[server], {}}, clock.now());
     }
     void remove(std::size_t server)
     {
+        streams.onRemoved(entries[server].id);
         pool.apply(RegistrationChange{entries[server].id, std::nullopt, {}}, clock.now());
     }
 
--- a/tests/direct/RouterRegistryTest.cpp
+++ b/tests/direct/RouterRegistryTest.cpp
@@ -28,8 +28,8 @@
     void readFrom(KeyedTopic, LogOffset, const ReadOptions &,
                   std::function<void(const KeyedResult &)>) override
     {}
-    void writeDaemon(const std::string &key, const std::string &value, milliseconds,
-                     std::function<void(const WriteResult &)> onDone) override
+    void append(KeyedTopic, const std::string &key, const std::string &value, milliseconds,
+                std::function<void(const WriteResult &)> onDone) override
     {
         pending.emplace_back([this, key, value, onDone] {
             if (failingWrites > 0) {
--- a/tests/direct/StoreFollowerTest.cpp
+++ b/tests/direct/StoreFollowerTest.cpp
@@ -16,8 +16,8 @@
 class ReadOnlyStore : public FleetStore
 {
 public:
-    void writeDaemon(const std::string &, const std::string &, milliseconds,
-                     std::function<void(const WriteResult &)>) override
+    void append(KeyedTopic, const std::string &, const std::string &, milliseconds,
+                std::function<void(const WriteResult &)>) override
     {}
 };
 
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -129,3 +129,40 @@
     CHECK(std::get<StoreFault>(*result) == StoreFault::NoAnswer);
     CHECK(store.closedByPeer() > 0);
 }
+
+// Guards against a history that can't be read because its beginning has expired, and against reads
+// that are repeated without end.
+TEST_CASE_METHOD(StoreClientFixture,
+                 "store client, beginning has expired, reads on from the first retained record")
+{
+    const auto readWith = [&](const std::string &gone, bool skipsExpired) {
+        ScriptedServer store(loop, [&](auto &connection, const std::string &request) {
+            if (request.find("&from=40 ") == std::string::npos) {
+                std::string bytes = answer(gone);
+                connection.send(bytes.replace(bytes.find("200 OK"), 6, "410 Gone"));
+                return;
+            }
+            // End and first offset, then a record of 4 bytes with the key "k" and the value "va".
+            connection.send(answer(std::string("\0\0\0\0\0\0\0\x29\0\0\0\0\0\0\0\x28", 16)
+                                   + std::string("\0\0\0\x04\x01kva", 8)));
+        });
+        client.emplace(http, urlOf(store));
+        result.reset();
+        ReadOptions options;
+        options.timeout = seconds(1);
+        options.skipsExpired = skipsExpired;
+        client->readFrom(KeyedTopic::Servers, LogOffset(0), options, keepResult());
+        runUntilDone();
+        REQUIRE(result);
+        return *result;
+    };
+    const KeyedResult read = readWith(R"({"first":40})", true);
+    REQUIRE(std::holds_alternative<KeyedBatch>(read));
+    const auto &batch = std::get<KeyedBatch>(read);
+    REQUIRE(batch.records.size() == 1);
+    CHECK(batch.records[0].value == "va");
+    CHECK(batch.next == LogOffset(41));
+    CHECK(std::get<StoreFault>(readWith(R"({"first":40})", false)) == StoreFault::Expired);
+    for (const char *gone : {R"({"first":0})", R"({"first":39})", R"({"first":"40"})", "[40]", ""})
+        CHECK(std::get<StoreFault>(readWith(gone, true)) == StoreFault::Expired);
+}
--- /dev/null
+++ b/tests/resuming/ResumableStreamsTest.cpp
@@ -0,0 +1,195 @@
+#include "resuming/ResumableStreams.h"
+#include "resuming/StreamOriginRecord.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <vector>
+
+using namespace lovagecourse;
+
+namespace {
+
+/// Store in memory whose calls are done at once, or fail.
+class SharedStore final : public FleetStore
+{
+public:
+    void readNewest(KeyedTopic, milliseconds, std::function<void(const KeyedResult &)>) override {}
+    void readFrom(KeyedTopic, LogOffset from, const ReadOptions &,
+                  std::function<void(const KeyedResult &)> onDone) override
+    {
+        ++reads;
+        if (isAway)
+            return onDone(StoreFault::Unavailable);
+        if (from.value > records.size())
+            return onDone(StoreFault::HistoryLost);
+        KeyedBatch batch;
+        batch.next = LogOffset(records.size());
+        for (std::size_t i = from.value; i < records.size(); ++i)
+            batch.records.push_back(KeyedRecord{"router", records[i], LogOffset(i)});
+        onDone(batch);
+    }
+    void append(KeyedTopic topic, const std::string &, const std::string &value, milliseconds,
+                std::function<void(const WriteResult &)> onDone) override
+    {
+        CHECK(topic == KeyedTopic::StreamOrigins);
+        if (isAway)
+            return onDone(StoreFault::Unavailable);
+        records.push_back(value);
+        onDone(std::nullopt);
+    }
+
+    std::vector<std::string> records;
+    unsigned reads = 0;
+    bool isAway = false;
+};
+
+struct ResumableStreamsFixture
+{
+    EventLoop loop;
+    ManualClock clock;
+    Metrics metrics;
+    SharedStore store;
+    const ServiceId service{"llm"};
+    const SoftwareVersion older{"v1"};
+    const SoftwareVersion newer{"v2"};
+    std::unique_ptr<ResumableStreams> first = start();
+    std::unique_ptr<ResumableStreams> second = start();
+
+    std::unique_ptr<ResumableStreams> start()
+    {
+        auto streams = std::make_unique<ResumableStreams>(loop, clock, metrics, DaemonId("router"),
+                                                          [] { return std::size_t(4); });
+        streams->setStore(store);
+        streams->onStarted();
+        return streams;
+    }
+    ServerEntry entry(const std::string &id, const SoftwareVersion &version) const
+    {
+        ServerEntry result;
+        result.id = ServerId(id);
+        result.service = service;
+        result.version = version;
+        return result;
+    }
+    /// Both versions serve side by side.
+    void mix(ResumableStreams &streams) const
+    {
+        streams.onRegistered(entry("a", older));
+        streams.onRegistered(entry("b", newer));
+    }
+    TakeUpDecision decide(ResumableStreams &streams, const std::string &resumes)
+    {
+        std::optional<TakeUpDecision> decided;
+        streams.decide(resumes, service, [&](const TakeUpDecision &got) { decided = got; });
+        REQUIRE(decided);
+        return *decided;
+    }
+    bool goesOnAt(ResumableStreams &streams, const std::string &resumes,
+                  const SoftwareVersion &version)
+    {
+        const TakeUpDecision decision = decide(streams, resumes);
+        return decision.action == TakeUpAction::GoOn
+               && decision.version == versionHash(service, version);
+    }
+    void runFor(milliseconds time)
+    {
+        Timer end(loop, [this] { loop.stop(); });
+        end.startOnce(time);
+        loop.run();
+    }
+};
+
+// Longer than the interval of appends of four routers.
+constexpr milliseconds appendTime{250};
+
+} // namespace
+
+// Guards against a stream that goes on at another version because its client reaches another
+// router, or the same one after a restart.
+TEST_CASE_METHOD(ResumableStreamsFixture,
+                 "resumable streams, router that began one is gone, others know its version")
+{
+    mix(*first);
+    mix(*second);
+    first->onBegun("attempt", service, newer);
+    runFor(appendTime);
+    CHECK(store.records.size() == 1);
+    first.reset();
+    CHECK(goesOnAt(*second, "attempt", newer));
+    first = start();
+    mix(*first);
+    CHECK(goesOnAt(*first, "attempt", newer));
+}
+
+// Guards against a guess: the stream was begun by one of two versions.
+TEST_CASE_METHOD(ResumableStreamsFixture, "resumable streams, nobody knows the version, refuses")
+{
+    mix(*first);
+    CHECK(decide(*first, "unknown").action == TakeUpAction::Refuse);
+    CHECK(decide(*first, "").action == TakeUpAction::Refuse);
+    store.isAway = true;
+    CHECK(decide(*first, "unknown").action == TakeUpAction::Refuse);
+    first->onBegun("attempt", service, older);
+    CHECK(goesOnAt(*first, "attempt", older));
+}
+
+// Guards against calls of the store for each stream while there is a single version.
+TEST_CASE_METHOD(ResumableStreamsFixture, "resumable streams, one version, don't use the store")
+{
+    first->onPastRead();
+    first->onRegistered(entry("a", older));
+    first->onRegistered(entry("b", older));
+    first->onBegun("attempt", service, older);
+    runFor(appendTime);
+    CHECK(goesOnAt(*first, "other", older));
+    CHECK(store.records.empty());
+    CHECK(store.reads == 0);
+}
+
+// Guards against streams that began before the second version came and whose router dies after it.
+TEST_CASE_METHOD(ResumableStreamsFixture,
+                 "resumable streams, second version comes, tells the streams that have begun")
+{
+    first->onPastRead();
+    first->onRegistered(entry("a", older));
+    first->onBegun("attempt", service, older);
+    first->onRegistered(entry("b", newer));
+    runFor(appendTime);
+    mix(*second);
+    CHECK(goesOnAt(*second, "attempt", older));
+}
+
+// Guards against origins that are lost because the store is away when a stream begins, and against
+// reads that fail for good because the store has lost records.
+TEST_CASE_METHOD(ResumableStreamsFixture, "resumable streams, store away and back, tells and reads")
+{
+    mix(*first);
+    mix(*second);
+    store.isAway = true;
+    first->onBegun("attempt", service, older);
+    runFor(appendTime);
+    store.isAway = false;
+    // Appends are repeated after half a second.
+    runFor(milliseconds(500) + appendTime);
+    CHECK(goesOnAt(*second, "attempt", older));
+    store.records.clear();
+    first->onBegun("later", service, newer);
+    runFor(appendTime);
+    store.records.clear();
+    CHECK(decide(*second, "later").action == TakeUpAction::Refuse);
+    first->onBegun("last", service, newer);
+    runFor(appendTime);
+    CHECK(goesOnAt(*second, "last", newer));
+}
+
+// Guards against a record of another writer that ends the process or names origins that it lacks.
+TEST_CASE("stream origin record, cut off, keeps the whole origins")
+{
+    const std::vector<StreamOrigin> origins{{AttemptHash(0x0123456789abcdef), VersionHash(7)},
+                                            {AttemptHash(UINT64_MAX), VersionHash(UINT32_MAX)}};
+    const std::string text = formatStreamOrigins(origins);
+    CHECK(parseStreamOrigins(text) == origins);
+    for (std::size_t length = 0; length < text.size(); ++length)
+        CHECK(parseStreamOrigins(text.substr(0, length)).size() == length / (text.size() / 2));
+}
