Test answers that are reset during an upload, and status 000

Change: tests only. BrokenAnswerTest, "unframed answer reset during the upload" (8 MB to a server that does not read, plain and stream, reset after 0 to 20 ms); FaultyHeadTest has status 000 with and without a length.

No fix was needed.

--- a/tests/direct/BrokenAnswerTest.cpp
+++ b/tests/direct/BrokenAnswerTest.cpp
@@ -355,3 +355,31 @@
     runFor(milliseconds(50));
     CHECK(server.closedByPeer() == 0);
 }
+
+// Guards against a part of an answer that reaches the caller as complete, because the error of the
+// connection was reported to the upload that was still being written.
+TEST_CASE_METHOD(DirectRouterFixture,
+                 "direct router, unframed answer reset during the upload, is not complete")
+{
+    // More than the sockets buffer on their way to a server that does not read.
+    constexpr std::size_t uploadBytes = 8U << 20;
+    gateway->setMaxBodyBytes(uploadBytes);
+    const std::string path = GENERATE("/unsafe/x", "/stream/x");
+    const int delayMs = GENERATE(0, 1, 5, 20);
+    CAPTURE(path, delayMs);
+    const bool isStream = path == "/stream/x";
+    std::unique_ptr<Timer> end;
+    ScriptedServer &server = addServer([&](auto &connection, const std::string &request) {
+        connection.send("HTTP/1.1 200 OK\r\nX-Lovagecourse-Attempt-Id: "
+                        + headerValue(request, "x-lovagecourse-attempt-id")
+                        + "\r\nX-Lovagecourse-Server-Stamp: st\r\n"
+                        + (isStream ? "Content-Type: text/event-stream\r\n\r\n" + event(1)
+                                    : "\r\na part of the answer"));
+        end = std::make_unique<Timer>(loop, [&connection] { connection.reset(); });
+        end->startOnce(milliseconds(delayMs));
+    });
+    server.answerHeads();
+    const CallerAnswer got = call("POST", path, {}, std::string(uploadBytes, 'b'));
+    CHECK_FALSE((got.isComplete && got.status == 200));
+    CHECK(server.requests().size() == 1);
+}
--- a/tests/direct/FaultyHeadTest.cpp
+++ b/tests/direct/FaultyHeadTest.cpp
@@ -82,6 +82,8 @@
              "HTTP/1.1 100 Continue\r\nContent-Length: 9\r\n\r\nHTTP/1.1 200 OK\r\n"},
             {"upgrade", withLength(""), "HTTP/1.1 101 Switching\r\n"},
             {"status below 100", withLength(""), "HTTP/1.1 099 Low\r\n"},
+            {"status 000", withLength(""), "HTTP/1.1 000 None\r\n"},
+            {"status 000 without a length", "", "HTTP/1.1 000 None\r\n"},
             {"status 600", withLength(""), "HTTP/1.1 600 High\r\n"},
             {"status of four digits", withLength(""), "HTTP/1.1 2000 OK\r\n"},
             {"other version", withLength(""), "HTTP/2 200 OK\r\n"},
--- a/tests/direct/ScriptedServer.cpp
+++ b/tests/direct/ScriptedServer.cpp
@@ -83,6 +83,13 @@
         return;
     }
     received_.append(buffer.data(), static_cast<std::size_t>(count));
+    const std::size_t headEnd = received_.find("\r\n\r\n");
+    if (server_.answersHeads_ && headEnd != std::string::npos) {
+        watcher_.watch(0);
+        const std::string head = received_.substr(0, headEnd + 4);
+        server_.requests_.push_back(head);
+        return server_.onRequest_(*this, head);
+    }
     const std::size_t length = completeRequestLength(received_);
     if (length == 0)
         return;
--- a/tests/direct/ScriptedServer.h
+++ b/tests/direct/ScriptedServer.h
@@ -56,6 +56,9 @@
     int closedByPeer() const { return closedByPeer_; }
     /// Sets a function that is called before a connection that the peer has closed is destroyed.
     void onClosed(std::function<void()> handler) { onClosed_ = std::move(handler); }
+    /// Calls the handler with the head of each request, before its body has arrived, and reads no
+    /// further bytes of the connection.
+    void answerHeads() { answersHeads_ = true; }
     /// Stops listening and resets the open connections.
     void crash();
 
@@ -70,6 +73,7 @@
     std::unique_ptr<IoWatcher> watcher_;
     std::map<int, std::unique_ptr<Connection>> connections_;
     std::vector<std::string> requests_;
+    bool answersHeads_ = false;
     int accepted_ = 0;
     int closedByPeer_ = 0;
     std::function<void()> onClosed_ = [] {};
