Break off event streams of safe routes instead of joining two runs

Cause: a safe request is repeated after any broken answer, also after events of it have been forwarded. A stream that can't be told where to go on begins anew.

Change: after the first event only resumable streams go on, after their last event.

--- a/src/direct/DirectRouterAnswers.cpp
+++ b/src/direct/DirectRouterAnswers.cpp
@@ -392,9 +392,11 @@
     endAttempt(exchange);
     if (continueWithRival(exchange))
         return;
-    const bool canContinue = exchange.route->kind == RequestKind::Safe
-                             || (exchange.route->kind == RequestKind::ResumableStream
-                                 && (!exchange.isStreaming || !exchange.events.lastId().empty()));
+    // Another run's answer begins with its first event, unless it can be told where to go on.
+    const bool canResume = exchange.route->kind == RequestKind::ResumableStream
+                           && !exchange.events.lastId().empty();
+    const bool canContinue =
+            isRetryable(exchange.route->kind) && (!exchange.isStreaming || canResume);
     if (canContinue && tryTakeRetry(exchange))
         return dispatch(exchange);
     fail(exchange, statusBadGateway, reason);
--- a/tests/direct/DirectRouterStreamTest.cpp
+++ b/tests/direct/DirectRouterStreamTest.cpp
@@ -128,3 +128,31 @@
     call("POST", "/unsafe/x", {}, "b");
     CHECK(left <= 300);
 }
+
+// Guards against the first events of one run followed by all events of another one, as an answer
+// that looks whole.
+TEST_CASE_METHOD(DirectRouterFixture,
+                 "direct router, event stream of a safe route breaks, is not joined with another")
+{
+    const bool hasIds = GENERATE(true, false);
+    const auto piece = [&](int id) {
+        return hasIds ? event(id) : "data: " + std::to_string(id) + "\n\n";
+    };
+    bool isFirst = true;
+    const auto handler = [&](auto &connection, const std::string &request) {
+        if (std::exchange(isFirst, false)) {
+            connection.send(streamHead(request) + chunk(piece(1) + piece(2)));
+            connection.reset();
+        } else {
+            connection.send(streamHead(request) + chunk(piece(1) + piece(2) + piece(3))
+                            + "0\r\n\r\n");
+        }
+    };
+    addServer(handler);
+    addServer(handler);
+    const CallerAnswer got = call("GET", "/safe/x");
+    CHECK_FALSE(got.isComplete);
+    // An abort may overtake the last bytes.
+    CHECK((piece(1) + piece(2)).starts_with(got.body));
+    CHECK(requestsAtServers() == 1);
+}
