Count the unfinished events of streams in the memory account

Cause: an unfinished event may be 1 MB and its buffer twice as large, in each stream, and was counted nowhere. A bound for one answer is no bound for all.

Change: a buffer of more than 16 KB is reserved like the body of a plain answer: when there is no memory, the largest unfinished answers are ended. A buffer that grew for one event is released after it.

--- a/src/backend/EventStreamSplitter.cpp
+++ b/src/backend/EventStreamSplitter.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t maxEventEndBytes = 4;
+// A buffer that grew for one large event is released after it.
+constexpr std::size_t maxIdleCapacity = 16U << 10;
 constexpr std::string_view doneEvent = "data: [DONE]\n\n";
 
 /// Returns the length of the end of an event, an empty line after any of the three line ends, at
@@ -62,6 +64,8 @@
     complete.bytes = pending_.substr(0, completeEnd);
     complete.done = complete.bytes.ends_with(doneEvent);
     pending_.erase(0, completeEnd);
+    if (pending_.capacity() > maxIdleCapacity && pending_.size() < maxIdleCapacity / 2)
+        pending_.shrink_to_fit();
     return complete;
 }
 
--- a/src/direct/DirectRouterAnswers.cpp
+++ b/src/direct/DirectRouterAnswers.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds maxSampleLoopDelay{15};
 // Larger than answers of backend servers; a body without end is cut here.
 constexpr std::size_t maxAnswerBodyBytes = 16U << 20;
+// Unfinished events up to this size are part of what each connection may take.
+constexpr std::size_t uncountedEventBytes = 16U << 10;
 // Larger than one event of a stream; bytes without an end of event are cut here.
 constexpr std::size_t maxEventBytes = 1U << 20;
 
@@ -211,9 +213,10 @@
         context.metrics.count("lovagecourse_answers_aborted_total", "memory-short");
         logWarning(LogPart::Routing,
                    "event=answer-aborted reason=memory-short request=", ended.client.attemptId,
-                   " server=", attempt.placement.server, " bytes=", attempt.body.size(),
+                   " server=", attempt.placement.server, " bytes=", attempt.bodyMemory.bytes(),
                    " memory_used=", context.memory->used());
         std::string().swap(attempt.body);
+        attempt.splitter = EventStreamSplitter();
         attempt.bodyMemory.release();
         rejectAnswer(ended, "memory-short");
         if (&ended == &exchange)
@@ -258,8 +261,13 @@
                    " after_id=", exchange.events.lastId(), attempt.evidence);
         return rejectAnswer(exchange, "foreign-event");
     }
-    if (attempt.splitter.rest().size() > maxEventBytes)
-        onAnswerWithoutEnd(exchange, attempt.splitter.rest().size());
+    const std::string &unfinished = attempt.splitter.rest();
+    if (unfinished.size() > maxEventBytes)
+        return onAnswerWithoutEnd(exchange, unfinished.size());
+    if (unfinished.capacity() > uncountedEventBytes)
+        reserveAnswer(exchange, unfinished.capacity());
+    else
+        attempt.bodyMemory.release();
 }
 
 void DirectRouter::Impl::forward(DirectExchange &exchange, std::string_view bytes)
--- a/tests/direct/DirectRouterFixture.h
+++ b/tests/direct/DirectRouterFixture.h
@@ -43,6 +43,8 @@
     std::vector<TraitHash> reportedClears;
     ResumableStreams streams{loop, clock, metrics, DaemonId("router"),
                              [] { return std::size_t(1); }};
+    /// Set by limitMemory().
+    std::unique_ptr<MemoryAccount> memory;
     std::unique_ptr<DirectRouter> router;
     std::unique_ptr<HttpGateway> gateway;
     Endpoint callers;
@@ -55,11 +57,7 @@
 
     DirectRouterFixture()
     {
-        router = std::make_unique<DirectRouter>(DirectContext{
-                loop, clock, metrics, serverSide, codec, pool, shares,
-                RetryLimits{0.2, 50, seconds(10)}, [] { return std::size_t(1); }, crashTraits,
-                [this](const TraitCrash &crash) { reportedCrashes.push_back(crash); },
-                [this](TraitHash trait) { reportedClears.push_back(trait); }, streams});
+        makeRouter();
         HttpGateway::Handlers handlers;
         handlers.onRequest = [this](CallerRequest &&request) {
             std::this_thread::sleep_for(loopDelay);
@@ -87,6 +85,25 @@
         configure();
     }
 
+    void makeRouter()
+    {
+        router = std::make_unique<DirectRouter>(DirectContext{
+                loop, clock, metrics, serverSide, codec, pool, shares,
+                RetryLimits{0.2, 50, seconds(10)}, [] { return std::size_t(1); }, crashTraits,
+                [this](const TraitCrash &crash) { reportedCrashes.push_back(crash); },
+                [this](TraitHash trait) { reportedClears.push_back(trait); }, streams,
+                memory.get()});
+    }
+
+    /// Replaces the router by one that counts its buffered answers.
+    void limitMemory(std::size_t bytes)
+    {
+        memory = std::make_unique<MemoryAccount>(MemoryLimits{bytes, bytes / 4});
+        makeRouter();
+        router->setGateway(*gateway);
+        configure();
+    }
+
     void addRoute(const std::string &prefix, RequestKind kind, unsigned maxServers)
     {
         Route route;
