Count what the lines of a server's head take in memory

Cause: a head's limit and its reservation counted the bytes of its lines only, and the reservation was made without a limit.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -26,6 +26,8 @@
 // Per transfer. libcurl's defaults of 16 KB and 64 KB need much memory with hundreds of transfers.
 constexpr long receiveBufferBytes = 8L << 10;
 constexpr long sendBufferBytes = 16L << 10;
+// Larger heads fail while the memory is full.
+constexpr std::size_t usualHeadBytes = 16U << 10;
 
 /// State of a transfer and its libcurl easy handle.
 struct Transfer
@@ -140,13 +142,27 @@
         curl_easy_setopt(transfer.easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
+/// Reserves memory for what the head has grown by. Returns false if it is larger than usual and the
+/// memory is full.
+bool reserveHead(Transfer &transfer, std::size_t bytesBefore)
+{
+    const std::size_t headBytes = transfer.head.bytes();
+    const std::size_t wanted = transfer.memory.bytes() + headBytes - bytesBefore;
+    if (headBytes > usualHeadBytes)
+        return transfer.memory.growTo(wanted) == ReserveResult::Reserved;
+    transfer.memory.resize(wanted);
+    return true;
+}
+
 std::size_t onHeaderLine(char *data, std::size_t size, std::size_t count, void *user)
 {
     auto &transfer = *static_cast<Transfer *>(user);
     const std::string_view line(data, size * count);
-    transfer.memory.resize(transfer.memory.bytes() + line.size());
     const bool wasWhole = transfer.head.isWhole();
+    const std::size_t bytesBefore = transfer.head.bytes();
     transfer.headFault = transfer.head.addLine(line);
+    if (!reserveHead(transfer, bytesBefore))
+        transfer.headFault = ResponseHeadFault::TooLong;
     // Fails the transfer and closes its connection.
     if (transfer.headFault)
         return 0;
--- a/src/http/ResponseHead.cpp
+++ b/src/http/ResponseHead.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t maxHeadBytes = 128U << 10;
+// Two strings here and in the decoded answer, and a list entry with a copy of the line in libcurl.
+constexpr std::size_t lineOverheadBytes = 256;
 constexpr int firstStatus = 100;
 constexpr int switchingProtocols = 101;
 constexpr int firstFinalStatus = 200;
@@ -67,7 +69,7 @@
 
 std::optional<ResponseHeadFault> ResponseHead::addLine(std::string_view line)
 {
-    bytes_ += line.size();
+    bytes_ += line.size() + lineOverheadBytes;
     if (bytes_ > maxHeadBytes)
         return ResponseHeadFault::TooLong;
     if (isWhole_)
--- a/src/http/ResponseHead.h
+++ b/src/http/ResponseHead.h
@@ -43,7 +43,7 @@
     /// The blank line of the final head has been read.
     bool isWhole() const { return isWhole_; }
     int status() const { return status_; }
-    /// Bytes of all heads so far.
+    /// Memory that all heads so far take, here and in libcurl.
     std::size_t bytes() const { return bytes_; }
     /// Of the last head; names in lower case.
     const HeaderList &headers() const { return headers_; }
@@ -62,7 +62,7 @@
     bool isInsideHead_ = false;
     bool isWhole_ = false;
     bool isLenient_ = false;
-    /// Of all heads so far: interim heads may follow each other without end.
+    /// Of all heads and trailers so far: interim heads may follow each other without end.
     std::size_t bytes_ = 0;
     HeaderList headers_;
 };
