--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -166,3 +166,40 @@
     for (const char *gone : {R"({"first":0})", R"({"first":39})", R"({"first":"40"})", "[40]", ""})
         CHECK(std::get<StoreFault>(readWith(gone, true)) == StoreFault::Expired);
 }
+
+// Guards against an answer of the store that goes on without end and exceeds the process's memory.
+TEST_CASE_METHOD(StoreClientFixture, "store client, answer without end, call fails")
+{
+    const bool isRead = GENERATE(true, false);
+    // Larger than any answer of the store: a read returns 1 MB, a page 500 items or 1 MB.
+    constexpr std::size_t mostBytes = 16U << 20;
+    std::size_t sentBytes = 0;
+    std::unique_ptr<Timer> sender;
+    ScriptedServer store(loop, [&](auto &connection, const std::string &) {
+        connection.send("HTTP/1.1 200 OK\r\n\r\n");
+        sender = std::make_unique<Timer>(loop, [&] {
+            const std::string bytes(256U << 10, 'x');
+            connection.send(bytes);
+            sentBytes += bytes.size();
+            if (sentBytes > 4 * mostBytes)
+                loop.stop();
+        });
+        sender->startRepeating(milliseconds(1));
+    });
+    store.onClosed([&] { sender.reset(); });
+    client.emplace(http, urlOf(store));
+    if (isRead) {
+        ReadOptions options;
+        options.timeout = seconds(10);
+        client->readFrom(KeyedTopic::Servers, LogOffset(0), options, keepResult());
+    } else {
+        client->readNewest(KeyedTopic::Servers, seconds(10), keepResult());
+    }
+    Timer limit(loop, [this] { loop.stop(); });
+    limit.startOnce(seconds(8));
+    loop.run();
+    REQUIRE(result);
+    CHECK(std::get<StoreFault>(*result) == StoreFault::Malformed);
+    // What the sockets buffer was sent as well.
+    CHECK(sentBytes <= 2 * mostBytes);
+}
