Count what the heads of callers take in memory

Cause: heads were counted nowhere. A line of a few bytes takes several hundred as text and list entries, as received and as forwarded.

Change: a head counts three times its bytes and 256 a line. Heads of more than 16 KB by this measure share a quarter of the memory account; beyond it they are refused as not run. Usual heads are always served.

--- a/src/core/MemoryAccount.cpp
+++ b/src/core/MemoryAccount.cpp
@@ -26,6 +26,8 @@
 std::string_view toString(MemoryHolder holder)
 {
     switch (holder) {
+    case MemoryHolder::RequestHeads:
+        return "request_heads";
     case MemoryHolder::RequestBodies:
         return "request_bodies";
     case MemoryHolder::ServerAnswers:
--- a/src/core/MemoryAccount.h
+++ b/src/core/MemoryAccount.h
@@ -11,6 +11,8 @@
 
 /// What a process keeps bytes for.
 enum class MemoryHolder : std::uint8_t {
+    /// Heads of callers' requests, from their arrival to the end of the answer.
+    RequestHeads,
     /// Bodies of callers' requests, from their first byte until no attempt needs them.
     RequestBodies,
     /// Answers of servers that are not complete yet.
--- a/src/gateway/CallerExchange.cpp
+++ b/src/gateway/CallerExchange.cpp
@@ -16,6 +16,13 @@
 // libmicrohttpd keeps seven words for each header line in the connection's pool, aligned to two
 // words.
 constexpr std::size_t poolBytesPerField = 8 * sizeof(void *);
+// A head is kept as it was received, as it is forwarded, and as libcurl's list of lines.
+constexpr std::size_t headCopies = 3;
+// Strings and list entries of one field in these copies.
+constexpr std::size_t fieldOverheadBytes = 256;
+// Larger heads share a part of the memory and are refused beyond it.
+constexpr std::size_t usualHeadBytes = 16U << 10;
+constexpr std::size_t headMemoryDivisor = 4;
 
 ClientAddress addressOf(MHD_Connection *connection)
 {
@@ -77,6 +84,21 @@
     return MHD_YES;
 }
 
+/// Reserves memory for the head. Returns false if it is larger than usual and such heads take their
+/// part of the memory already.
+bool HttpGateway::Impl::reserveHead(Exchange &exchange, std::size_t fields)
+{
+    exchange.headMemory = MemoryReservation(limits.memory, MemoryHolder::RequestHeads);
+    const std::size_t bytes = headCopies * exchange.headerBytes + fields * fieldOverheadBytes;
+    if (limits.memory && bytes > usualHeadBytes) {
+        const std::size_t mostBytes = limits.memory->limits().totalBytes / headMemoryDivisor;
+        return limits.memory->used(MemoryHolder::RequestHeads) + bytes <= mostBytes
+               && exchange.headMemory.growTo(bytes) == ReserveResult::Reserved;
+    }
+    exchange.headMemory.resize(bytes);
+    return true;
+}
+
 MHD_Result HttpGateway::Impl::receiveHeaders(Exchange &exchange, const char *method,
                                              const char *version)
 {
@@ -94,14 +116,19 @@
     MHD_get_connection_values_n(exchange.connection, MHD_HEADER_KIND, &Impl::onHeader, &head);
     exchange.headPoolBytes = head.bytes.size() + head.fields.size() * poolBytesPerField;
     exchange.headerBytes = target.size();
-    for (const auto &[name, value] : head.fields) {
+    for (const auto &[name, value] : head.fields)
         exchange.headerBytes += name.size() + value.size();
-        request.headers.emplace_back(toLower(name), value);
-    }
     if (exchange.headerBytes > limits.maxHeaderBytes) {
         // Its framing was not checked.
         return rejectMalformed(exchange);
     }
+    if (!reserveHead(exchange, head.fields.size())) {
+        noteMemoryRefused(exchange);
+        rejectBody(exchange, RefusalReason::MemoryShort);
+        return MHD_YES;
+    }
+    for (const auto &[name, value] : head.fields)
+        request.headers.emplace_back(toLower(name), value);
     auto fault = findFault(head);
     RequestStream *stream = streamOf(exchange.connection);
     if (!fault && (!stream || stream->takeHead() != head.bytes.size()))
--- a/src/gateway/GatewayImpl.h
+++ b/src/gateway/GatewayImpl.h
@@ -41,6 +41,8 @@
         std::size_t headerBytes = 0;
         /// Of the connection's memory pool, what the request's head occupies at most.
         std::size_t headPoolBytes = 0;
+        /// What the head takes here and where it is forwarded.
+        MemoryReservation headMemory;
         /// Received bytes of the body, as it arrives. Empty once the body is rejected.
         std::string body;
         MemoryReservation bodyMemory;
@@ -153,6 +155,7 @@
                             MHD_RequestTerminationCode code);
 
     MHD_Result receiveHeaders(Exchange &exchange, const char *method, const char *version);
+    bool reserveHead(Exchange &exchange, std::size_t fields);
     MHD_Result rejectMalformed(Exchange &exchange);
     RequestStream *streamOf(MHD_Connection *connection);
     static ssize_t onReadWhole(void *exchange, std::uint64_t position, char *buffer,
