--- a/tests/direct/ResumedVersionTest.cpp
+++ b/tests/direct/ResumedVersionTest.cpp
@@ -16,7 +16,7 @@
         addRoute("/once/", RequestKind::ResumableStream, 1);
         configure();
         for (const char *version : {"v1", "v1", "v2", "v2"}) {
-            addServer([this](auto &connection, const std::string &request) {
+            addServer([](auto &connection, const std::string &request) {
                 if (headerValue(request, "last-event-id").empty()) {
                     connection.send(streamHead(request) + chunk(event(1) + event(2)));
                     connection.reset();
--- a/tests/direct/UnfinishedEventTest.cpp
+++ b/tests/direct/UnfinishedEventTest.cpp
@@ -20,6 +20,7 @@
             connection.send(chunk("data: " + std::string(4U << 10, 'x')));
     });
     std::vector<std::shared_ptr<CallerAnswer>> streams;
+    streams.reserve(streamCount);
     for (int i = 0; i < streamCount; ++i)
         streams.push_back(start("POST", "/stream/x", {}, "b"));
     const TimePoint limit = clock.now() + milliseconds(400);
--- a/tests/gateway/CallerHeadMemoryTest.cpp
+++ b/tests/gateway/CallerHeadMemoryTest.cpp
@@ -38,8 +38,8 @@
         limits.memory = &memory;
         limits.maxHeaderBytes = 16U << 10;
         for (unsigned attempt = 0; !gateway && attempt < 100; ++attempt) {
-            endpoint = Endpoint{"127.0.0.1", static_cast<std::uint16_t>(
-                                                     24100 + (getpid() + attempt * 7) % 900)};
+            endpoint = Endpoint{"127.0.0.1",
+                                static_cast<std::uint16_t>(24100 + (getpid() + attempt * 7) % 900)};
             auto opened = HttpGateway::open(loop, metrics, endpoint, limits, handlers);
             if (auto *ready = std::get_if<std::unique_ptr<HttpGateway>>(&opened))
                 gateway = std::move(*ready);
