Move the placement's request and result out of ServerPool.h

Cause: the header of the largest class held ten types. No behaviour changes. Result: unit tests pass.

--- a/src/direct/ServerPool.h
+++ b/src/direct/ServerPool.h
@@ -3,6 +3,7 @@
 #include "direct/ClientRequest.h"
 #include "direct/DirectConfiguration.h"
 #include "direct/LoadSources.h"
+#include "direct/PlacementRequest.h"
 #include "direct/ServerDirectory.h"
 #include "placing/CrashTraits.h"
 #include "placing/EngineMemory.h"
@@ -14,7 +15,6 @@
 #include "placing/PrefixHolders.h"
 #include "placing/ServerModel.h"
 #include "placing/ServerWords.h"
-#include "placing/StreamOrigins.h"
 #include "placing/WarmingShare.h"
 #include "placing/WarmingState.h"
 
@@ -67,44 +67,6 @@
     std::size_t ended = 0;
 };
 
-/// Properties of a request by which a server is chosen.
-struct PlacementRequest
-{
-    ServiceId service;
-    std::vector<PromptPrefix> prompt;
-    double promptTokens = 0;
-    /// Expected output.
-    double outputTokens = 0;
-    double objectiveMs = 0;
-    /// Servers that the request must not be sent to again.
-    std::set<ServerId> excluded;
-    /// The stream that the request goes on with was begun by this version.
-    std::optional<VersionHash> version;
-    /// Choose by chooseFastest() instead of choosePlacement().
-    bool isSecondChoice = false;
-};
-
-/// Chosen server with the predictions that the choice was based on.
-struct Placement
-{
-    ServerId server;
-    Endpoint address;
-    SoftwareVersion version;
-    /// Tokens of the prompt that the server must prefill.
-    double uncachedTokens = 0;
-    /// Tokens of the prompt that are expected in the server's prompt cache.
-    double cachedTokens = 0;
-    /// Expected output.
-    double outputTokens = 0;
-    PlacementCandidate prediction;
-    /// Number of servers that were compared, and the mean of their waits in ms, each capped at the
-    /// objective.
-    std::size_t candidateCount = 0;
-    double meanWaitMs = 0;
-    /// Age of the list of servers at the choice.
-    std::chrono::nanoseconds listAge{0};
-};
-
 /// The backend servers of the fleet: registrations, performance models, estimated prompt caches and
 /// the load that other routers report. Chooses the server for a request. Events of servers that are
 /// no longer registered are ignored.
