Let take-ups on a split route go on at the service that began the stream

Callers saw: on a route that is split among services, half of the streams that their clients took up were refused (version-gone), because the service is drawn for each attempt and another service has no server of the stream's version. Found by reading the change before the landing.

Cause: a stream's origin names a version of one service, but the attempt kept the service that was drawn.

Change: the attempt uses the service of the origin if its route still sends there. Servers that ask for a pause are named as before ("servers-paused") when no server of the version is free.

Result: ResumedVersionTest, "route is split among services", failed before (6 of 12 take-ups refused), and passes.

--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -62,6 +62,14 @@
     return std::to_string(millis / 1000) + "." + fraction;
 }
 
+bool sendsTo(const Route &route, const ServiceId &service)
+{
+    return std::any_of(route.services.begin(), route.services.end(),
+                       [&](const ServiceShare &share) {
+                           return share.weight > 0 && share.service == service;
+                       });
+}
+
 /// The client has the first events of the stream.
 bool isTakeUp(const DirectExchange &exchange)
 {
@@ -151,6 +159,10 @@
                                if (decision.action == TakeUpAction::Refuse)
                                    return refuse(*found, "origin-unknown", defaultRetryAfter);
                                found->version = decision.version;
+                               // Of a split route, another service may have been drawn.
+                               const auto service = context.streams.serviceOf(decision.version);
+                               if (service && sendsTo(*found->route, *service))
+                                   found->service = *service;
                                dispatch(*found);
                            });
 }
@@ -235,11 +247,10 @@
     if (!placement) {
         if (exchange.mayHaveRun)
             return fail(exchange, statusBadGateway, "no-server-left");
-        if (exchange.version)
-            return refuse(exchange, "version-gone", defaultRetryAfter);
         const auto withheld = context.pool.withheldFor(exchange.service, now());
         if (!withheld)
-            return refuse(exchange, "no-server", defaultRetryAfter);
+            return refuse(exchange, exchange.version ? "version-gone" : "no-server",
+                          defaultRetryAfter);
         if (withheld->reason == Withheld::Evacuated)
             return refuse(exchange, "servers-evacuated", spreadRetryAfter(defaultRetryAfter));
         if (withheld->reason == Withheld::Warming)
--- a/src/placing/VersionHistory.cpp
+++ b/src/placing/VersionHistory.cpp
@@ -45,6 +45,15 @@
     });
 }
 
+std::optional<ServiceId> VersionHistory::serviceOf(VersionHash version) const
+{
+    for (const auto &[service, versions] : services_) {
+        if (versions.contains(version))
+            return service;
+    }
+    return std::nullopt;
+}
+
 std::vector<VersionHash> VersionHistory::versionsOf(const ServiceId &service, TimePoint now) const
 {
     std::vector<VersionHash> found;
--- a/src/placing/VersionHistory.h
+++ b/src/placing/VersionHistory.h
@@ -29,6 +29,8 @@
     /// The only version that can have begun a stream of the service; empty if there are several, or
     /// if it is not known.
     std::optional<VersionHash> soleVersion(const ServiceId &service, TimePoint now) const;
+    /// Service of a version that was seen within streamMemory.
+    std::optional<ServiceId> serviceOf(VersionHash version) const;
 
 private:
     struct Version
--- a/src/resuming/ResumableStreams.cpp
+++ b/src/resuming/ResumableStreams.cpp
@@ -227,6 +227,11 @@
         impl_->tell({origin});
 }
 
+std::optional<ServiceId> ResumableStreams::serviceOf(VersionHash version) const
+{
+    return impl_->versions.serviceOf(version);
+}
+
 void ResumableStreams::decide(const std::string &resumes, const ServiceId &service,
                               std::function<void(const TakeUpDecision &)> onDecided)
 {
--- a/src/resuming/ResumableStreams.h
+++ b/src/resuming/ResumableStreams.h
@@ -42,6 +42,8 @@
     /// onDecided is called once with GoOn or Refuse, at once or later.
     void decide(const std::string &resumes, const ServiceId &service,
                 std::function<void(const TakeUpDecision &)> onDecided);
+    /// Service whose servers have or had the version; empty if it is not known.
+    std::optional<ServiceId> serviceOf(VersionHash version) const;
 
 private:
     struct Impl;
--- a/tests/direct/ResumedVersionTest.cpp
+++ b/tests/direct/ResumedVersionTest.cpp
@@ -108,6 +108,34 @@
     }
 }
 
+// Guards against take-ups that are refused because another service of a split route was drawn.
+TEST_CASE_METHOD(ResumedVersionFixture,
+                 "resumed stream, route is split among services, goes on at its service")
+{
+    for (const std::size_t server : {std::size_t(2), std::size_t(3)})
+        entries[server].service = ServiceId("other");
+    for (std::size_t server = 0; server < servers.size(); ++server) {
+        remove(server);
+        registerAs(server, server < 2 ? "v1" : "v2");
+    }
+    for (Route &route : configuration->routes["shop.example"])
+        route.services = {{ServiceId("desk"), 1}, {ServiceId("other"), 1}};
+    configure();
+    for (int i = 0; i < streamCount; ++i) {
+        const std::string first = "first-" + std::to_string(i);
+        const std::string second = "second-" + std::to_string(i);
+        CHECK_FALSE(begin("/once/x", first).isComplete);
+        CAPTURE(i);
+        CHECK(takeUp(first, second).status == 200);
+        CHECK(versionsOf("x-lovagecourse-attempt-id", first)
+              == versionsOf("x-lovagecourse-attempt-id", second));
+        for (std::size_t server = 0; server < servers.size(); ++server) {
+            remove(server);
+            registerAs(server, entries[server].version.value);
+        }
+    }
+}
+
 // Guards against a stream that goes on at another version because none of its own is left.
 TEST_CASE_METHOD(ResumedVersionFixture,
                  "resumed stream, its version has left, is refused as not run")
