Keep the bytes of a generated line of the store client's test

Cause: GENERATE takes the type of its first value, a string literal, so the last value, a temporary string with a NUL, was kept as a pointer to freed memory. What the test sent was undefined; here it was nothing, so the answer was sound and the call did not fail. A program with the same list prints an empty last value. All values are strings now, so the NUL is sent; the checks are unchanged.

--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -109,8 +109,9 @@
 {
     const std::string status = GENERATE("200 OK", "404 Not Found", "410 Gone");
     const std::string line =
-            GENERATE("X-A: b\nX-B: c\r\n", "X-A: b\r\n c\r\n", "X-A b\r\n", "Content-Length: 3\r\n",
-                     "Transfer-Encoding: chunked\r\n", std::string("X-A: b") + '\0' + "\r\n");
+            GENERATE(as<std::string>(), "X-A: b\nX-B: c\r\n", "X-A: b\r\n c\r\n", "X-A b\r\n",
+                     "Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n",
+                     std::string("X-A: b") + '\0' + "\r\n");
     CAPTURE(status, line);
     ScriptedServer store(loop, [&](auto &connection, const std::string &) {
         std::string bytes = answer(page("own", false));
