Log when a router becomes ready or not ready, and why

Each change is logged as event=readiness with all reasons, the probe's answer names them, and lovagecourse_ready is a gauge. The decision is a free function over a plain struct in placing.

--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -283,18 +283,38 @@
     shares.logState(clock.now());
 }
 
-bool RouterNode::Impl::isReady() const
+ReadinessInput RouterNode::Impl::readiness() const
 {
-    return configuration && serversLoaded && !terminatedAt && !isOverloaded
-           && !rotationPause.isPaused(clock.now());
+    ReadinessInput input;
+    input.hasConfiguration = configuration != nullptr;
+    input.hasServers = serversLoaded;
+    input.isStopping = terminatedAt.has_value();
+    input.isOverloaded = isOverloaded;
+    input.isPaused = rotationPause.isPaused(clock.now());
+    return input;
+}
+
+/// Logs each change of the readiness and of its reasons.
+void RouterNode::Impl::logReadiness()
+{
+    const ReadinessInput input = readiness();
+    if (loggedReadiness == input)
+        return;
+    loggedReadiness = input;
+    metrics.gauge("lovagecourse_ready", isReady(input) ? 1 : 0);
+    logInfo(LogPart::App, "event=readiness ready=", isReady(input),
+            " reasons=", reasonsNotReady(input));
 }
 
 void RouterNode::Impl::answerAdmin(HttpGateway &target, const CallerRequest &request)
 {
-    if (request.path == platform.readyPath || request.path == "/readyz")
-        return target.answer(request.id, isReady() ? statusOk : statusUnavailable,
+    if (request.path == platform.readyPath || request.path == "/readyz") {
+        logReadiness();
+        const std::string reasons = reasonsNotReady(readiness());
+        return target.answer(request.id, reasons.empty() ? statusOk : statusUnavailable,
                              {{"content-type", "text/plain"}},
-                             isReady() ? "ready\n" : "not ready\n");
+                             reasons.empty() ? "ready\n" : "not ready: " + reasons + '\n');
+    }
     if (request.path == "/metrics")
         return target.answer(request.id, statusOk, {{"content-type", "text/plain; version=0.0.4"}},
                              metrics.renderPrometheus());
@@ -375,6 +395,7 @@
     crashTraits.expire(now);
     pool.updateLimitParts(limitCounts(), now);
     updateWarming(now);
+    logReadiness();
     if (pool.takeLimitsChanged())
         sendLimits(fleetTargets());
     flushLog();
--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -7,6 +7,7 @@
 #include "direct/StoreFollower.h"
 #include "placing/EvacuationReads.h"
 #include "placing/IntakeLimit.h"
+#include "placing/Readiness.h"
 #include "placing/RotationPause.h"
 #include "wire/DatagramSocket.h"
 
@@ -104,7 +105,8 @@
     }
 
     void logState();
-    bool isReady() const;
+    ReadinessInput readiness() const;
+    void logReadiness();
     void reloadSettings();
     void restartFollowers();
     void onTerminate();
@@ -171,6 +173,7 @@
     bool isOverloaded = false;
     IntakeLimit intake;
     RotationPause rotationPause;
+    std::optional<ReadinessInput> loggedReadiness;
     Timer tickTimer;
     Timer fullReportTimer;
     Timer incrementalReportTimer;
