Add failing tests: a router that is not ready after it read deep records

Two unit tests show what hid and what prolonged it: callbacks of high priority count as idle time, and callers that waited during a stall count as a load above the host's size.

--- a/tests/core/EventLoopTest.cpp
+++ b/tests/core/EventLoopTest.cpp
@@ -69,3 +69,33 @@
     loop.run();
     CHECK(order == "hnl");
 }
+
+// Guards against a process that is late because of what it reads from the store, and that counts as
+// one that was suspended.
+TEST_CASE("event loop, long callback of high priority, busy share and delay contain it")
+{
+    EventLoop loop;
+    std::chrono::nanoseconds delay{};
+    double share = 0;
+    Timer work(
+            loop,
+            [] {
+                const auto end = std::chrono::steady_clock::now() + milliseconds(60);
+                while (std::chrono::steady_clock::now() < end) {
+                }
+            },
+            EventPriority::High);
+    Timer last(loop, [&] {
+        delay = loop.delay();
+        share = loop.takeBusyShare();
+        loop.stop();
+    });
+    // An iteration before, so that the time between two of them is measured.
+    Timer first(loop, [&] { loop.takeBusyShare(); });
+    first.startOnce(milliseconds(1));
+    work.startOnce(milliseconds(20));
+    last.startOnce(milliseconds(20));
+    loop.run();
+    CHECK(delay >= milliseconds(59));
+    CHECK(share > 0.5);
+}
--- a/tests/integration/RouterHost.cpp
+++ b/tests/integration/RouterHost.cpp
@@ -2,7 +2,6 @@
 
 #include "integration/Fleet.h"
 
-#include <openssl/evp.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -36,28 +35,14 @@
         R"("header_timeout_ms":3000,"idle_timeout_ms":15000,"tokens_per_s":1000000},)"
         R"("tenants":[]})";
 
-std::string encodeBase64(const std::string &bytes)
+/// Value of a parameter in the request line; empty if it is missing.
+std::string queryValue(const std::string &head, const std::string &name)
 {
-    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
-                                       reinterpret_cast<const unsigned char *>(bytes.data()),
-                                       static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(length));
-    return text;
-}
-
-std::string page(const std::string &key, const std::string &value)
-{
-    return R"({"items":[{"key":")" + key + R"(","value":")" + encodeBase64(value)
-           + R"(","offset":0}],"has_more":false,"end_offset":1})";
-}
-
-std::string bigEndian(std::size_t value, std::size_t count)
-{
-    std::string bytes(count, '\0');
-    for (std::size_t i = count; i > 0; --i, value >>= 8U)
-        bytes[i - 1] = static_cast<char>(value & 0xffU);
-    return bytes;
+    const std::size_t found = head.find('&' + name + '=');
+    if (found == std::string::npos)
+        return {};
+    const std::size_t begin = found + name.size() + 2;
+    return head.substr(begin, head.find_first_of("& ", begin) - begin);
 }
 
 std::string withLength(const std::string &body)
@@ -93,13 +78,14 @@
 
 RouterHost::RouterHost(unsigned maxMemoryMb, ServerAnswer answer, const std::string &serviceFields)
     : answer_(std::move(answer))
-    , configuration_(configurationPattern)
     , callers_(Fleet::freeEndpoint())
     , ready_(Fleet::freeEndpoint())
     , admin_(Fleet::freeEndpoint())
     , datagrams_(Fleet::freeEndpoint())
 {
-    configuration_.replace(configuration_.find('@'), 1, serviceFields);
+    std::string configuration(configurationPattern);
+    configuration.replace(configuration.find('@'), 1, serviceFields);
+    operatorTopic_.write("config", configuration);
     std::string pattern = "/tmp/memory-bound-XXXXXX";
     if (!mkdtemp(pattern.data()))
         throw std::runtime_error("no temporary folder");
@@ -108,26 +94,34 @@
             [this](LoopbackConnection &connection) { answerRequests(connection); });
     store_ = std::make_unique<LoopbackServer>(
             [this](LoopbackConnection &connection) { answerStore(connection); });
-    const std::string settings = folder_ + "/settings.toml";
-    std::ofstream(settings) << "name = \"router-1\"\ndata_centre = \"zone-a\"\n"
-                            << "fleet_key = \"" << fleetKey << "\"\n"
-                            << "platform = \"http://" << store_->endpoint() << "\"\n"
-                            << "callers = \"" << callers_ << "\"\nready = \"" << ready_
-                            << "\"\nadmin = \"" << admin_ << "\"\ndatagrams = \"" << datagrams_
-                            << "\"\nmax_sockets = 1024\n"
-                            << "max_memory_mb = " << maxMemoryMb << "\n"
-                            << "[log]\nlevel = \"info\"\n";
-    process_ = std::make_unique<Process>(
-            std::vector<std::string>{LOVAGECOURSE_BINARY, "router", "--settings", settings},
-            folder_ + "/log");
-    const bool isReady = waitUntil(startLimit, [this] {
-        return call("GET", "http://" + ready_ + "/readyz", {}, "", std::chrono::seconds(1)).status
-               == 200;
-    });
-    if (!isReady || !servesRequest())
+    serverTopic_.write("pool-1", serverEntry());
+    std::ofstream(folder_ + "/settings.toml")
+            << "name = \"router-1\"\ndata_centre = \"zone-a\"\n"
+            << "fleet_key = \"" << fleetKey << "\"\n"
+            << "platform = \"http://" << store_->endpoint() << "\"\n"
+            << "callers = \"" << callers_ << "\"\nready = \"" << ready_ << "\"\nadmin = \""
+            << admin_ << "\"\ndatagrams = \"" << datagrams_ << "\"\nmax_sockets = 1024\n"
+            << "max_memory_mb = " << maxMemoryMb << "\n"
+            << "[log]\nlevel = \"info\"\n";
+    start();
+    if (!waitUntil(startLimit, [this] { return isReady(); }) || !servesRequest())
         throw std::runtime_error("the router is not ready");
 }
 
+void RouterHost::start()
+{
+    process_ = std::make_unique<Process>(std::vector<std::string>{LOVAGECOURSE_BINARY, "router",
+                                                                  "--settings",
+                                                                  folder_ + "/settings.toml"},
+                                         folder_ + "/log");
+}
+
+bool RouterHost::isReady() const
+{
+    return call("GET", "http://" + ready_ + "/readyz", {}, "", std::chrono::seconds(1)).status
+           == 200;
+}
+
 RouterHost::~RouterHost()
 {
     isStopping_ = true;
@@ -137,30 +131,32 @@
     std::filesystem::remove_all(folder_);
 }
 
+std::string RouterHost::serverEntry(const std::string &furtherFields) const
+{
+    return R"({"service":"pool","address":")" + server_->endpoint()
+           + R"(","zone":"zone-a","version":"v1","slots":1000,"state":"ready","cold_left_ms":0,)"
+             R"("sequence":1,"born":1700000000000)"
+           + furtherFields + '}';
+}
+
 void RouterHost::answerStore(LoopbackConnection &connection)
 {
-    const std::string entry =
-            R"({"service":"pool","address":")" + server_->endpoint()
-            + R"(","zone":"zone-a","version":"v1","slots":1000,"state":"ready","cold_left_ms":0,)"
-              R"("sequence":1,"born":1700000000000})";
+    static const StoredTopic noRecords;
     RawMessage request;
     while (readMessage(connection, request, std::chrono::seconds(60))) {
+        const std::string line = request.head.substr(0, request.head.find("\r\n"));
+        const StoredTopic &topic = line.find("keyed.op&") != std::string::npos ? operatorTopic_
+                                   : line.find("keyed.servers&") != std::string::npos ? serverTopic_
+                                                                                      : noRecords;
         std::string body = R"({"offset":0,"end_offset":1})";
-        if (request.head.find("/v1/log-newest") != std::string::npos) {
-            body = R"({"items":[],"has_more":false,"end_offset":1})";
-            if (request.head.find("keyed.op") != std::string::npos)
-                body = page("config", configuration_);
-            else if (request.head.find("keyed.servers") != std::string::npos)
-                body = page("pool-1", entry);
-        } else if (request.head.find("/v1/log-read") != std::string::npos) {
-            const bool isOperators = request.head.find("keyed.op") != std::string::npos;
-            // End offset and first offset in 8 bytes each, and no records.
-            const std::string none = bigEndian(1, 8) + bigEndian(0, 8);
-            body = isOperators ? readOperatorRecords(request.head) : none;
-            for (int waits = 0; waits < 20 && !isStopping_ && body.size() == none.size(); ++waits) {
+        if (line.find("/v1/log-newest") != std::string::npos) {
+            body = topic.newestPage(queryValue(line, "after"));
+        } else if (line.find("/v1/log-read") != std::string::npos) {
+            const std::size_t from = std::stoul(queryValue(line, "from"));
+            const bool waits = !queryValue(line, "wait_ms").empty();
+            for (int i = 0; waits && i < 20 && !isStopping_ && topic.end() <= from; ++i)
                 std::this_thread::sleep_for(std::chrono::milliseconds(25));
-                body = isOperators ? readOperatorRecords(request.head) : none;
-            }
+            body = topic.read(from);
         }
         if (!connection.send(withLength(body)))
             return;
@@ -168,24 +164,6 @@
     }
 }
 
-void RouterHost::writeOperatorRecord(const std::string &key, const std::string &value)
-{
-    const std::string record = static_cast<char>(key.size()) + key + value;
-    const std::lock_guard lock(recordsMutex_);
-    operatorRecords_.push_back(bigEndian(record.size(), 4) + record);
-}
-
-/// Returns the records from the offset that the request asks for.
-std::string RouterHost::readOperatorRecords(const std::string &head) const
-{
-    const std::size_t from = std::stoul(head.substr(head.find("from=") + 5));
-    const std::lock_guard lock(recordsMutex_);
-    std::string body = bigEndian(1 + operatorRecords_.size(), 8) + bigEndian(0, 8);
-    for (std::size_t i = std::max<std::size_t>(from, 1) - 1; i < operatorRecords_.size(); ++i)
-        body += operatorRecords_[i];
-    return body;
-}
-
 std::string RouterHost::log() const
 {
     std::ifstream file(folder_ + "/log");
--- a/tests/integration/RouterHost.h
+++ b/tests/integration/RouterHost.h
@@ -3,11 +3,11 @@
 #include "integration/CallerCrowd.h"
 #include "integration/LoopbackConnection.h"
 #include "integration/Process.h"
+#include "integration/StoredTopic.h"
 
 #include <atomic>
 #include <functional>
 #include <memory>
-#include <mutex>
 #include <string>
 #include <vector>
 
@@ -35,22 +35,35 @@
     const std::string &datagrams() const { return datagrams_; }
     static constexpr const char *fleetKey = "a-key-of-the-memory-tests";
     double metric(const std::string &name) const;
+    /// Whether the router says at this moment that it may get callers.
+    bool isReady() const;
+    /// Kills the router.
+    void kill() { process_->kill(); }
+    /// Starts the router again after a kill.
+    void start();
     /// Adds a record to the topic of the configuration; one without a value deletes its key.
-    void writeOperatorRecord(const std::string &key, const std::string &value);
+    void writeOperatorRecord(const std::string &key, const std::string &value)
+    {
+        operatorTopic_.write(key, value);
+    }
+    /// Adds a record to the topic of the servers.
+    void writeServerRecord(const std::string &key, const std::string &value)
+    {
+        serverTopic_.write(key, value);
+    }
+    /// Registration of the server. furtherFields: each after a comma.
+    std::string serverEntry(const std::string &furtherFields = {}) const;
     /// The router's log so far.
     std::string log() const;
 
 private:
     void answerStore(LoopbackConnection &connection);
-    std::string readOperatorRecords(const std::string &head) const;
     void answerRequests(LoopbackConnection &connection);
 
     ServerAnswer answer_;
     std::atomic<bool> isStopping_ = false;
-    std::string configuration_;
-    mutable std::mutex recordsMutex_;
-    /// Records after the configuration, as the store sends them.
-    std::vector<std::string> operatorRecords_;
+    StoredTopic operatorTopic_;
+    StoredTopic serverTopic_;
     std::string folder_;
     std::string callers_;
     std::string ready_;
--- a/tests/placing/RotationPauseTest.cpp
+++ b/tests/placing/RotationPauseTest.cpp
@@ -68,3 +68,18 @@
         CHECK_FALSE(pause.onInterval(i == 20 ? 17 : 0, 60, now));
     CHECK_FALSE(pause.isPaused(now));
 }
+
+// Guards against a host that leaves for many seconds, because callers have waited while the process
+// did something else for a second or two.
+TEST_CASE_METHOD(RotationPauseFixture,
+                 "rotation pause, callers that waited during two stalls, stays in rotation")
+{
+    playCalm(seconds(1));
+    for (int stall = 0; stall < 2; ++stall) {
+        now += milliseconds(1500);
+        for (int i = 0; i < 4; ++i, now += interval)
+            CHECK_FALSE(pause.onInterval(17, 3, now));
+    }
+    playCalm(seconds(1));
+    CHECK_FALSE(pause.isPaused(now));
+}
