Measure the time of event callbacks of every priority

Callers saw a router that left the rotation after a restart, with busy=0.003 in a line that was written after 1.4 s of decoding. Cause: the watcher that marks the start of an iteration had the normal priority, so libev ran callbacks of high priority, which read the store, before it. Their time counted as waiting, and a process that was late because of them as one that had been suspended. The watcher has the highest priority now.

--- a/src/core/EventLoop.cpp
+++ b/src/core/EventLoop.cpp
@@ -21,6 +21,8 @@
     beforeWait_.data = this;
     ev_prepare_start(loop_, &beforeWait_);
     ev_check_init(&afterWait_, &EventLoop::onAfterWait);
+    // Before callbacks of every priority, so that the time of all of them is measured.
+    ev_set_priority(&afterWait_, EV_MAXPRI);
     afterWait_.data = this;
     ev_check_start(loop_, &afterWait_);
     // The loop must not keep running only because of these two watchers.
