Leave the rotation only when callers are rejected for half a second

Callers that go on while all routers restart lost a router for 6 to 30 s: it was late once, because it decoded records, and rejected the 16 or more callers that had waited meanwhile. RotationPause took these rejections of one or two intervals for a load above the size of the host. It now wants twelve intervals of 50 ms with rejections, or five longer ones; a host that is too small for its callers reaches that, and one that is late for longer is overloaded besides. The process's own stall is no evidence about callers.

The new test failed before (paused in the first interval); the tests of the pause's length and of the short burst are unchanged and pass.

--- a/src/placing/RotationPause.cpp
+++ b/src/placing/RotationPause.cpp
@@ -12,6 +12,11 @@
 // handles most of them.
 constexpr double minRejected = 10;
 constexpr double minRejectedShare = 0.25;
+// A host that is too small goes on rejecting, for twelve intervals of 50 ms or five longer ones.
+// Callers that waited while the process did something else are rejected within fewer.
+constexpr double minRejectingMs = 350;
+// Caps an interval in the moving sum: a long one may be a single stall.
+constexpr double maxCountedIntervalMs = 100;
 // Pause of a process that rejects as many callers as it takes; grows with their ratio.
 constexpr seconds basePause{6};
 constexpr double maxPauseFactor = 5;
@@ -25,7 +30,10 @@
 {
     rejected_ = decay * rejected_ + static_cast<double>(rejected);
     received_ = decay * received_ + static_cast<double>(received);
-    if (rejected == 0 || rejected_ < minRejected
+    const double intervalMs = std::min(toMs(now - lastInterval_), maxCountedIntervalMs);
+    lastInterval_ = now;
+    rejectingMs_ = decay * rejectingMs_ + (rejected > 0 ? intervalMs : 0);
+    if (rejected == 0 || rejectingMs_ < minRejectingMs || rejected_ < minRejected
         || rejected_ < minRejectedShare * (rejected_ + received_))
         return false;
     const bool isNew = !isPaused(now);
