Keep the handling of the store's answers out of the cost of a request

EventLoop tells the time of these callbacks apart; the intake limit gets the rest, as before, and readiness all of it. Ticks with more than 40 ms of it are logged as event=store-work.

--- a/src/core/EventLoop.cpp
+++ b/src/core/EventLoop.cpp
@@ -25,17 +25,24 @@
     ev_set_priority(&afterWait_, EV_MAXPRI);
     afterWait_.data = this;
     ev_check_start(loop_, &afterWait_);
-    // The loop must not keep running only because of these two watchers.
+    // libev runs it before other callbacks of the normal priority.
+    ev_check_init(&afterHighPriority_, &EventLoop::onAfterHighPriority);
+    afterHighPriority_.data = this;
+    ev_check_start(loop_, &afterHighPriority_);
+    // The loop must not keep running only because of these three watchers.
+    ev_unref(loop_);
     ev_unref(loop_);
     ev_unref(loop_);
 }
 
 EventLoop::~EventLoop()
 {
+    ev_ref(loop_);
     ev_ref(loop_);
     ev_ref(loop_);
     ev_prepare_stop(loop_, &beforeWait_);
     ev_check_stop(loop_, &afterWait_);
+    ev_check_stop(loop_, &afterHighPriority_);
     ev_loop_destroy(loop_);
 }
 
@@ -54,6 +61,12 @@
     static_cast<EventLoop *>(watcher->data)->wokenAt_ = std::chrono::steady_clock::now();
 }
 
+void EventLoop::onAfterHighPriority(struct ev_loop *, ev_check *watcher, int)
+{
+    auto &self = *static_cast<EventLoop *>(watcher->data);
+    self.highPriority_ += std::chrono::steady_clock::now() - self.wokenAt_;
+}
+
 std::chrono::nanoseconds EventLoop::delay() const
 {
     if (wokenAt_ == SteadyTime())
@@ -69,9 +82,13 @@
     if (wokenAt_ != SteadyTime())
         busy_ += now - std::max(wokenAt_, since);
     const auto busy = std::exchange(busy_, std::chrono::nanoseconds(0));
+    const auto highPriority = std::exchange(highPriority_, std::chrono::nanoseconds(0));
+    highPriorityShare_ = 0;
     if (since == SteadyTime() || now <= since)
         return 0;
-    return std::clamp(toSeconds(busy) / toSeconds(now - since), 0., 1.);
+    const double period = toSeconds(now - since);
+    highPriorityShare_ = std::clamp(toSeconds(highPriority) / period, 0., 1.);
+    return std::clamp(toSeconds(busy) / period, 0., 1.);
 }
 
 void EventLoop::setCollectInterval(std::chrono::nanoseconds interval)
--- a/src/core/EventLoop.h
+++ b/src/core/EventLoop.h
@@ -37,6 +37,9 @@
     std::chrono::nanoseconds delay() const;
     /// Part of the time since the last call that was spent in callbacks, from 0 to 1.
     double takeBusyShare();
+    /// Part of the time before the last call of takeBusyShare() that was spent in callbacks of high
+    /// priority; contained in the busy share.
+    double highPriorityShare() const { return highPriorityShare_; }
     /// Collects events for up to this long before they are handled together. Saves the cost of
     /// iterations in a busy process, at the price of a later start of each event; 0 for none.
     void setCollectInterval(std::chrono::nanoseconds interval);
@@ -48,10 +51,12 @@
 
     static void onBeforeWait(struct ev_loop *loop, ev_prepare *watcher, int events);
     static void onAfterWait(struct ev_loop *loop, ev_check *watcher, int events);
+    static void onAfterHighPriority(struct ev_loop *loop, ev_check *watcher, int events);
 
     struct ev_loop *loop_;
     ev_prepare beforeWait_{};
     ev_check afterWait_{};
+    ev_check afterHighPriority_{};
     /// Start of the callbacks of the current iteration.
     SteadyTime wokenAt_;
     /// Time that the callbacks of the previous iteration took.
@@ -59,6 +64,8 @@
     /// Time spent in callbacks since busySince_, without the current iteration.
     std::chrono::nanoseconds busy_{0};
     SteadyTime busySince_;
+    std::chrono::nanoseconds highPriority_{0};
+    double highPriorityShare_ = 0;
 };
 
 /// One-shot or repeating timer; stops when destroyed.
--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -26,6 +26,9 @@
 constexpr double loopDelayWeight = 0.1;
 // A process with a lower busy share is not late because of its load.
 constexpr double minCountedBusyShare = 0.6;
+// Callers wait this long, about a tenth of a latency objective, when answers of the store take more
+// time in one tick; such ticks are logged.
+constexpr double longStoreWorkMs = 40;
 // Weight of one tick in the mean busy share.
 constexpr double busyShareWeight = 0.2;
 // Events are collected for longer, the busier the process is, up to a small part of the forwarding
@@ -360,17 +363,23 @@
     const auto elapsed = now - std::exchange(lastTick, now);
     ProcessLoad load;
     load.loopDelayMs = std::max(0., toMs(elapsed - tickInterval));
-    load.busyShare = loop.takeBusyShare();
+    const double busyShare = loop.takeBusyShare();
+    const double storeShare = loop.highPriorityShare();
+    // Rejecting callers would not make the handling of the store's answers shorter.
+    load.busyShare = std::max(0., busyShare - storeShare);
     load.intervalMs = toMs(elapsed);
     load.received = std::exchange(receivedRequests, 0);
     load.open = gateway->openRequests();
     pool.setLoopDelay(elapsed > tickInterval ? elapsed - tickInterval
                                              : std::chrono::nanoseconds(0));
     updateIntakeLimit(load, now);
-    meanBusyShare += busyShareWeight * (load.busyShare - meanBusyShare);
+    meanBusyShare += busyShareWeight * (busyShare - meanBusyShare);
+    if (toMs(elapsed) * storeShare > longStoreWorkMs)
+        logInfo(LogPart::Platform, "event=store-work took_ms=", toMs(elapsed) * storeShare,
+                " late_ms=", load.loopDelayMs);
     loop.setCollectInterval(collectInterval(meanBusyShare));
     // A process that was suspended is late without load.
-    const double countedDelayMs = load.busyShare >= minCountedBusyShare
+    const double countedDelayMs = busyShare >= minCountedBusyShare
                                           ? std::min(load.loopDelayMs, maxCountedLoopDelayMs)
                                           : 0;
     meanLoopDelayMs += loopDelayWeight * (countedDelayMs - meanLoopDelayMs);
--- a/src/placing/IntakeLimit.h
+++ b/src/placing/IntakeLimit.h
@@ -11,7 +11,8 @@
 {
     /// Delay of the event loop at the end of the interval, in ms.
     double loopDelayMs = 0;
-    /// Part of the interval that was spent in callbacks, from 0 to 1.
+    /// Part of the interval that was spent in callbacks, from 0 to 1, without the handling of what
+    /// is read from the store.
     double busyShare = 0;
     /// Length of the interval, in ms.
     double intervalMs = 0;
--- a/tests/core/EventLoopTest.cpp
+++ b/tests/core/EventLoopTest.cpp
@@ -98,4 +98,20 @@
     loop.run();
     CHECK(delay >= milliseconds(59));
     CHECK(share > 0.5);
+    CHECK(loop.highPriorityShare() > 0.5);
+}
+
+// Guards against a request that seems to cost what the process does besides.
+TEST_CASE("event loop, long callback of normal priority, is no high-priority work")
+{
+    EventLoop loop;
+    loop.takeBusyShare();
+    Timer work(loop, [&] {
+        std::this_thread::sleep_for(milliseconds(60));
+        CHECK(loop.takeBusyShare() > 0.3);
+        loop.stop();
+    });
+    work.startOnce(milliseconds(10));
+    loop.run();
+    CHECK(loop.highPriorityShare() < 0.1);
 }
