Build only what a reader uses of documents that others wrote

Cause: records, bodies and answers of other programs were parsed into a whole tree before anything bounded them: 250 KB of nested lists took 15 MB, 250 KB of "[],[]," as routes 38 MB, a body of 1 MB 61 MB. Change: new folder src/documents with readDocument(), which builds what a selection names and skips the rest. All readers of such documents use it, also the decoder of claims. Lists of the log's state and answers must be lists: an object was read as its values. The status command rejects pages deeper than 32 levels, which its output can't take. The check names what routers do with deep values.

--- a/src/agent/RequestRuns.cpp
+++ b/src/agent/RequestRuns.cpp
@@ -1,11 +1,11 @@
 #include "agent/AgentNodeImpl.h"
+#include "agent/AnswerTokens.h"
 #include "agent/CollectedAnswers.h"
 
 #include "core/Log.h"
 #include "routing/BreakEvidence.h"
 #include "wire/FramePayload.h"
 
-#include <nlohmann/json.hpp>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -28,16 +28,6 @@
     return std::to_string(XXH64(text.data(), text.size(), 0));
 }
 
-/// Token count in a model's non-streaming answer; empty when it has none.
-std::optional<Work> completionTokens(const std::string &body)
-{
-    const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
-    const auto pointer = nlohmann::json::json_pointer("/usage/completion_tokens");
-    if (!answer.is_object() || !answer.contains(pointer) || !answer[pointer].is_number())
-        return std::nullopt;
-    return Work(std::max(0., answer[pointer].get<double>()));
-}
-
 double toMilliseconds(std::chrono::nanoseconds duration)
 {
     return std::chrono::duration<double, std::milli>(duration).count();
--- a/src/app/CheckCommand.cpp
+++ b/src/app/CheckCommand.cpp
@@ -21,7 +21,7 @@
 
 // Bounds the memory of the check; the decoded document takes several times the text.
 constexpr std::size_t maxFileBytes = 16U << 20;
-// A configuration has four levels. Deeper values are in fields that routers ignore.
+// Routers read the four levels of a configuration and skip deeper values without building them.
 constexpr std::size_t usualDepth = 16;
 
 /// Parsed options of the command.
@@ -210,8 +210,9 @@
                             field.position.column, "given again; the last value counts"});
     if (scan.depth > usualDepth)
         messages.push_back({"deep-nesting", file.name, "", 0, 0,
-                            std::to_string(scan.depth) + " levels; routers ignore what is below "
-                                    + std::to_string(usualDepth)});
+                            std::to_string(scan.depth)
+                                    + " levels; routers skip what is below the "
+                                      "fields that they read"});
     return messages;
 }
 
--- a/src/app/StatusCommand.cpp
+++ b/src/app/StatusCommand.cpp
@@ -1,11 +1,11 @@
 #include "app/StatusCommand.h"
 
 #include "app/CommandLine.h"
+#include "documents/DocumentReader.h"
 #include "wire/Endpoint.h"
 
 #include <curl/curl.h>
 #include <cxxopts.hpp>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <iostream>
@@ -24,6 +24,8 @@
 constexpr long fetchTimeoutSeconds = 5;
 constexpr long statusOk = 200;
 constexpr std::size_t indentWidth = 2;
+// Pages have four levels; the output of deeper ones would exhaust the stack.
+constexpr std::size_t maxStatusLevels = 32;
 
 /// Parsed options of the command.
 struct StatusOptions
@@ -186,11 +188,15 @@
             std::cerr << "HTTP status " << failure->status << '\n';
         return exitUnreachable;
     }
-    const json status = json::parse(std::get<std::string>(fetched), nullptr, false);
-    if (status.is_discarded()) {
-        std::cerr << "lovagecourse: the status is not valid JSON\n";
+    const auto read = readDocument(std::get<std::string>(fetched), selectWhole(maxStatusLevels));
+    if (const auto *fault = std::get_if<DocumentFault>(&read)) {
+        std::cerr << "lovagecourse: the status "
+                  << (*fault == DocumentFault::TooDeep ? "is nested too deeply"
+                                                       : "is not valid JSON")
+                  << '\n';
         return exitUnreachable;
     }
+    const json &status = std::get<json>(read);
     std::cout << (options->isJson ? status.dump(2) + '\n' : renderStatus(status));
     return 0;
 }
--- a/src/claims/ClaimEntry.cpp
+++ b/src/claims/ClaimEntry.cpp
@@ -1,6 +1,6 @@
 #include "claims/ClaimEntry.h"
 
-#include <nlohmann/json.hpp>
+#include "documents/DocumentReader.h"
 
 #include <algorithm>
 
@@ -242,6 +242,29 @@
     return outcome;
 }
 
+/// What is read of a list of entries, of all types.
+const DocumentSelection &entriesSelection()
+{
+    // A header has two elements; a third one shows that there are more.
+    static const DocumentSelection selection = selectElements(
+            selectFields({{"type", selectScalar()},
+                          {"account", selectScalar()},
+                          {"key", selectScalar()},
+                          {"claim", selectScalar()},
+                          {"digest", selectScalar()},
+                          {"server", selectScalar()},
+                          {"agent", selectScalar()},
+                          {"incarnation", selectScalar()},
+                          {"fencing", selectScalar()},
+                          {"validMs", selectScalar()},
+                          {"status", selectScalar()},
+                          {"body", selectScalar()},
+                          {"headers", selectElements(selectElements(selectText(), 3))},
+                          {"ran", selectScalar()},
+                          {"order", selectScalar()}}));
+    return selection;
+}
+
 std::optional<ClaimEntry> readEntry(FieldReader &fields)
 {
     const std::string type = fields.text("type");
@@ -279,12 +302,13 @@
 DecodedClaimEntries decodeClaimEntries(std::string_view body)
 {
     DecodedClaimEntries decoded;
-    const Json list = Json::parse(body, nullptr, false);
-    if (!list.is_array()) {
+    const auto read = readDocument(body, entriesSelection());
+    const auto *list = std::get_if<Json>(&read);
+    if (!list || !list->is_array()) {
         decoded.malformed = 1;
         return decoded;
     }
-    for (const Json &object : list) {
+    for (const Json &object : *list) {
         FieldReader fields(object);
         std::optional<ClaimEntry> entry;
         if (object.is_object())
--- a/src/claims/ClaimEntry.h
+++ b/src/claims/ClaimEntry.h
@@ -74,7 +74,8 @@
 struct DecodedClaimEntries
 {
     std::vector<ClaimEntry> entries;
-    /// Number of entries that could not be decoded; 1 if the whole record could not.
+    /// Number of entries that could not be decoded; 1 if the whole record could not. Of the entries
+    /// that are no objects, up to maxUnfitElements count.
     std::size_t malformed = 0;
 };
 
--- a/src/configuration/StateJson.cpp
+++ b/src/configuration/StateJson.cpp
@@ -1,6 +1,6 @@
 #include "configuration/ConfigurationStateMachine.h"
 
-#include <nlohmann/json.hpp>
+#include "documents/DocumentReader.h"
 
 #include <stdexcept>
 
@@ -114,11 +114,16 @@
     return *endpoint;
 }
 
+const json::array_t &listOf(const json &object, const char *key)
+{
+    return object.at(key).get_ref<const json::array_t &>();
+}
+
 template <class Id>
 std::vector<Id> idsOf(const json &object, const char *key)
 {
     std::vector<Id> ids;
-    for (const json &id : object.at(key))
+    for (const json &id : listOf(object, key))
         ids.emplace_back(id.get<std::string>());
     return ids;
 }
@@ -169,24 +174,59 @@
             textOf(object, "action"), textOf(object, "argument")};
 }
 
+/// What is read of a state's JSON form.
+const DocumentSelection &stateSelection()
+{
+    static const DocumentSelection selection = selectFields(
+            {{"offset", selectScalar()},
+             {"note", selectScalar()},
+             {"accounts", selectElements(selectFields({{"name", selectScalar()},
+                                                       {"share", selectScalar()},
+                                                       {"keys", selectElements(selectText())}}))},
+             {"services", selectElements(selectFields({{"name", selectScalar()},
+                                                       {"path", selectScalar()},
+                                                       {"kind", selectScalar()},
+                                                       {"repeatable", selectScalar()},
+                                                       {"queue_limit", selectScalar()},
+                                                       {"default_deadline_ms", selectScalar()},
+                                                       {"default_cost", selectScalar()},
+                                                       {"long_above", selectScalar()}}))},
+             {"servers", selectElements(selectFields({{"name", selectScalar()},
+                                                      {"host", selectScalar()},
+                                                      {"address", selectScalar()},
+                                                      {"agent", selectScalar()},
+                                                      {"data_centre", selectScalar()},
+                                                      {"services", selectElements(selectText())},
+                                                      {"models", selectElements(selectText())},
+                                                      {"checks_fencing", selectScalar()},
+                                                      {"leaving", selectScalar()},
+                                                      {"min_limit", selectScalar()},
+                                                      {"max_limit", selectScalar()}}))},
+             {"orders", selectElements(selectFields({{"server", selectScalar()},
+                                                     {"fencing", selectScalar()},
+                                                     {"action", selectScalar()},
+                                                     {"argument", selectScalar()}}))}});
+    return selection;
+}
+
 ConfigurationState stateOf(const json &object)
 {
     ConfigurationState state;
     state.offset = LogOffset(uint64Of(object, "offset"));
     state.note = NoteNumber(uint64Of(object, "note"));
-    for (const json &entry : object.at("accounts")) {
+    for (const json &entry : listOf(object, "accounts")) {
         ClientAccount account = accountOf(entry);
         state.accounts.emplace(account.name, std::move(account));
     }
-    for (const json &entry : object.at("services")) {
+    for (const json &entry : listOf(object, "services")) {
         Service service = serviceOf(entry);
         state.services.emplace(service.name, std::move(service));
     }
-    for (const json &entry : object.at("servers")) {
+    for (const json &entry : listOf(object, "servers")) {
         BackendServer server = serverOf(entry);
         state.servers.emplace(server.name, std::move(server));
     }
-    for (const json &entry : object.at("orders"))
+    for (const json &entry : listOf(object, "orders"))
         state.orders.push_back(orderOf(entry));
     return state;
 }
@@ -231,7 +271,10 @@
 {
     // at() and get() throw on missing fields and wrong types.
     try {
-        return stateOf(json::parse(text));
+        const auto read = readDocument(text, stateSelection());
+        if (const auto *object = std::get_if<json>(&read))
+            return stateOf(*object);
+        return RecordMalformed{};
     } catch (const json::exception &) {
         return RecordMalformed{};
     } catch (const FieldFault &) {
@@ -242,8 +285,13 @@
 std::variant<NoteRecord, ConfigurationState, RecordMalformed>
 parseConfigurationRecord(const std::string &body)
 {
+    static const DocumentSelection selection = selectFields(
+            {{"type", selectScalar()}, {"toml", selectScalar()}, {"state", stateSelection()}});
+    const auto read = readDocument(body, selection);
+    if (!std::holds_alternative<json>(read))
+        return RecordMalformed{};
+    const json &record = std::get<json>(read);
     try {
-        const json record = json::parse(body);
         const std::string type = textOf(record, "type");
         if (type == "note")
             return NoteRecord{textOf(record, "toml")};
--- a/src/entry/RequestValidator.cpp
+++ b/src/entry/RequestValidator.cpp
@@ -1,9 +1,9 @@
 #include "entry/RequestValidator.h"
 
 #include "claims/IdempotencyKeyCheck.h"
+#include "documents/DocumentReader.h"
 #include "http/HttpClient.h"
 
-#include <nlohmann/json.hpp>
 #include <openssl/sha.h>
 #include <xxhash.h>
 
@@ -53,7 +53,14 @@
 /// Reads model, prompt prefix and max_tokens of a chat request; false when the body is malformed.
 bool readChat(const std::string &body, RequestDetails &details)
 {
-    const nlohmann::json chat = nlohmann::json::parse(body, nullptr, false);
+    static const DocumentSelection selection = selectFields(
+            {{"model", selectScalar()},
+             {"messages", selectElements(selectFields({{"content", selectScalar()}}), 1)},
+             {"max_tokens", selectScalar()}});
+    const auto read = readDocument(body, selection);
+    if (!std::holds_alternative<nlohmann::json>(read))
+        return false;
+    const nlohmann::json &chat = std::get<nlohmann::json>(read);
     const bool isWellFormed = chat.is_object() && chat.contains("messages")
                               && chat["messages"].is_array() && chat.contains("model")
                               && chat["model"].is_string();
--- a/src/platform/LogClient.cpp
+++ b/src/platform/LogClient.cpp
@@ -1,6 +1,6 @@
 #include "platform/LogClient.h"
 
-#include <nlohmann/json.hpp>
+#include "platform/LogAnswers.h"
 
 #include <memory>
 #include <optional>
@@ -10,8 +10,6 @@
 
 namespace {
 
-using nlohmann::json;
-
 // Limits the memory for one answer; a snapshot at the target size takes about 4 MB.
 constexpr std::size_t maxAnswerBytes = 16U << 20U;
 // Large enough to catch up in few round trips.
@@ -73,65 +71,6 @@
     http.start(request, std::move(handlers));
 }
 
-AppendResult parseAppend(const std::string &body)
-{
-    const json parsed = json::parse(body, nullptr, false);
-    if (!parsed.is_object() || !parsed.contains("offset") || !parsed["offset"].is_number_unsigned())
-        return PlatformFailure(PlatformAnswerMalformed{});
-    return LogOffset(parsed["offset"].get<std::uint64_t>());
-}
-
-LogRecord parseRecord(const json &record)
-{
-    const milliseconds time(record.at("time_ms").get<std::int64_t>());
-    return {LogOffset(record.at("offset").get<std::uint64_t>()), record.at("id").get<std::string>(),
-            WallTime(time), record.at("body").get<std::string>()};
-}
-
-/// Returns false if offsets don't increase or lie outside [oldest, next).
-bool hasValidOffsets(const LogBatch &batch)
-{
-    LogOffset minOffset = batch.oldest;
-    for (const LogRecord &record : batch.records) {
-        if (record.offset < minOffset || record.offset >= batch.next)
-            return false;
-        minOffset = LogOffset(record.offset.value + 1);
-    }
-    return true;
-}
-
-ReadResult parseBatch(const std::string &body)
-{
-    // at() and get() throw if a field is missing or has the wrong type.
-    try {
-        const json parsed = json::parse(body);
-        LogBatch batch;
-        batch.oldest = LogOffset(parsed.at("oldest").get<std::uint64_t>());
-        batch.next = LogOffset(parsed.at("next").get<std::uint64_t>());
-        for (const json &record : parsed.at("records"))
-            batch.records.push_back(parseRecord(record));
-        if (!hasValidOffsets(batch))
-            return PlatformFailure(PlatformAnswerMalformed{});
-        return batch;
-    } catch (const json::exception &) {
-        return PlatformFailure(PlatformAnswerMalformed{});
-    }
-}
-
-HostListResult parseHosts(const std::string &body)
-{
-    try {
-        const json parsed = json::parse(body);
-        std::vector<HostEntry> hosts;
-        for (const json &host : parsed.at("hosts"))
-            hosts.push_back({HostId(host.at("host").get<std::string>()),
-                             host.at("state").get<std::string>() == "leaving"});
-        return hosts;
-    } catch (const json::exception &) {
-        return PlatformFailure(PlatformAnswerMalformed{});
-    }
-}
-
 /// Returns an answer handler that parses a complete answer and forwards a failure unchanged.
 template <class Result>
 std::function<void(Answer)> makeAnswerHandler(Result (*parse)(const std::string &),
