--- a/src/app/StatusCommand.cpp
+++ b/src/app/StatusCommand.cpp
@@ -24,7 +24,7 @@
 constexpr long fetchTimeoutSeconds = 5;
 constexpr long statusOk = 200;
 constexpr std::size_t indentWidth = 2;
-// Pages have four levels; the output of deeper ones would exhaust the stack.
+// Pages have few levels; the output of very deep ones would exhaust the stack.
 constexpr std::size_t maxStatusLevels = 32;
 
 /// Parsed options of the command.
--- a/tests/documents/DocumentMemoryTest.cpp
+++ b/tests/documents/DocumentMemoryTest.cpp
@@ -108,7 +108,7 @@
               R"({"items":[{"key":"k","value":@}],"end_offset":1})",
               "{\"note\":@,\"items\":[{\"key\":\"\xff\"}],\"end_offset\":1}"},
              [](const std::string &text) {
-                 return peakOf([&] { platform::decodeKeyedPage(text); });
+                 return peakOf([&] { platform::decodeKeyedPage(text, KeyedTopic::Servers); });
              }},
             {"first retained record",
              recordBytes,
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -1,8 +1,11 @@
 #include "platform/StoreClient.h"
 
+#include "core/HeapMeter.h"
 #include "direct/ScriptedServer.h"
+#include "platform/ConfigurationDecoder.h"
 
 #include <catch2/catch.hpp>
+#include <openssl/evp.h>
 
 using namespace lovagecourse;
 using test::ScriptedServer;
@@ -167,6 +170,47 @@
         CHECK(std::get<StoreFault>(readWith(gone, true)) == StoreFault::Expired);
 }
 
+// Guards against records of other programs that together take the memory of the process.
+TEST_CASE_METHOD(StoreClientFixture, "store client, many large records, a read holds what is used")
+{
+    constexpr std::size_t levels = 24'000;
+    const std::string value =
+            R"({"service":"s","slots":1,"zone":"z","address":"10.0.0.1:1","state":"ready","note":)"
+            + std::string(levels, '[') + std::string(levels, ']') + "}";
+    std::string encoded(value.size() * 2, '\0');
+    encoded.resize(static_cast<std::size_t>(
+            EVP_EncodeBlock(reinterpret_cast<unsigned char *>(encoded.data()),
+                            reinterpret_cast<const unsigned char *>(value.data()),
+                            static_cast<int>(value.size()))));
+    int left = 0;
+    ScriptedServer store(loop, [&](auto &connection, const std::string &) {
+        std::string bytes = page("k" + std::to_string(left), left > 1);
+        --left;
+        connection.send(answer(bytes.replace(bytes.find("dg=="), 4, encoded)));
+    });
+    client.emplace(http, urlOf(store));
+    const auto peakOf = [&](int records) {
+        left = records;
+        result.reset();
+        const test::HeapMeter meter;
+        client->readNewest(KeyedTopic::Servers, seconds(2), keepResult());
+        runUntilDone();
+        REQUIRE(result);
+        REQUIRE(std::holds_alternative<KeyedBatch>(*result));
+        const auto &batch = std::get<KeyedBatch>(*result);
+        CHECK(batch.records.size() == static_cast<std::size_t>(records));
+        for (const KeyedRecord &record : batch.records) {
+            const auto decoded = platform::decodeServerEntry(record.key, *record.value);
+            REQUIRE(std::holds_alternative<ServerEntry>(decoded));
+            CHECK(std::get<ServerEntry>(decoded).service == ServiceId("s"));
+        }
+        return meter.peak();
+    };
+    // An item of each page, with its own memory and that of its request in the fixture.
+    constexpr std::size_t itemBytes = 2048;
+    CHECK(peakOf(40) <= peakOf(2) + 40 * itemBytes);
+}
+
 // Guards against an answer of the store that goes on without end and exceeds the process's memory.
 TEST_CASE_METHOD(StoreClientFixture, "store client, answer without end, call fails")
 {
