Reject release notes with keys of very many parts

Cause: toml++ limits nested values to 256 levels, but not the tables for the parts of a dotted key. A note of 1 MB in the log, a key of 500,000 parts, ends each process that reads it (segmentation fault when the tables are destroyed); 125,000 parts (250 KB) take 32 MB. Change: a key of more than 16 parts is out of range, found before the parser runs. Notes of many short dotted keys still take many times their size as tables.

--- a/src/configuration/NoteParser.cpp
+++ b/src/configuration/NoteParser.cpp
@@ -14,6 +14,8 @@
 
 // Small enough that a daemon can hold several records in memory.
 constexpr std::size_t maxNoteBytes = 1U << 20U;
+// The keys of a note have two parts.
+constexpr std::size_t maxKeyParts = 16;
 
 constexpr NumberRule<double> shareRule{0.001, 1e6, "a number from 0.001 to 1000000"};
 constexpr NumberRule<double> workRule{0.001, 1e9, "a number from 0.001 to 1000000000"};
@@ -288,12 +290,62 @@
     return {NoteFault{kind, 1, 1, "note", expected}};
 }
 
+/// Returns the end of the TOML string that begins at a quotation mark.
+std::size_t endOfString(std::string_view text, std::size_t begin)
+{
+    const char quote = text[begin];
+    const std::string triple(3, quote);
+    const bool isMultiLine = text.substr(begin, 3) == triple;
+    const std::string_view delimiter = std::string_view(triple).substr(isMultiLine ? 0 : 2);
+    for (std::size_t i = begin + delimiter.size(); i < text.size(); ++i) {
+        if (quote == '"' && text[i] == '\\') {
+            ++i;
+        } else if (text.substr(i, delimiter.size()) == delimiter) {
+            i += delimiter.size();
+            // A multi-line string may end with quotation marks of its own.
+            while (isMultiLine && i < text.size() && text[i] == quote)
+                ++i;
+            return i;
+        } else if (!isMultiLine && text[i] == '\n') {
+            return i;
+        }
+    }
+    return text.size();
+}
+
+/// True if a dotted key has more than maxKeyParts. The parser limits nested values, but not the
+/// tables that it builds for the parts of a key, and destroys these recursively.
+bool hasDeepKey(std::string_view toml)
+{
+    constexpr std::string_view endsOfKey = "=[]{},\n";
+    std::size_t parts = 1;
+    for (std::size_t i = 0; i < toml.size();) {
+        const char letter = toml[i];
+        if (letter == '"' || letter == '\'') {
+            i = endOfString(toml, i);
+            continue;
+        }
+        if (letter == '#') {
+            i = std::min(toml.find('\n', i), toml.size());
+            continue;
+        }
+        if (letter == '.' && ++parts > maxKeyParts)
+            return true;
+        if (endsOfKey.find(letter) != std::string_view::npos)
+            parts = 1;
+        ++i;
+    }
+    return false;
+}
+
 } // namespace
 
 ReleaseNoteResult parseReleaseNote(std::string_view toml)
 {
     if (toml.size() > maxNoteBytes)
         return wholeNoteFault(NoteFaultKind::OutOfRange, "at most 1048576 bytes");
+    if (hasDeepKey(toml))
+        return wholeNoteFault(NoteFaultKind::OutOfRange, "keys of at most 16 parts");
     const toml::parse_result root = toml::parse(toml);
     if (root)
         return NoteParser(root.table()).parse();
--- a/tests/configuration/ReleaseNoteTest.cpp
+++ b/tests/configuration/ReleaseNoteTest.cpp
@@ -234,3 +234,23 @@
                 + "\"]\n[[changed.accounts]]\nname = \"sleepers\"\nkeys = [\"" + digestB + "\"]")
                   .empty());
 }
+
+// Guards against a key whose parts become nested tables, which exhaust the stack.
+TEST_CASE("release note, keys of many parts, are out of range")
+{
+    std::string key = "a";
+    for (int i = 1; i < 500'000; ++i)
+        key += ".a";
+    const std::string quoted = R"("a".'b'."c.d")";
+    for (const std::string &text :
+         {key + " = 1", "[" + key + "]", "n = {" + key + " = 1}", quoted + "." + key + " = 1",
+          "n = [\"\"\"q\"\"\"\", {" + key + " = 1}]", "n = 'q\\' # it's\n" + key + " = 1"}) {
+        const auto result = parseReleaseNote(text);
+        REQUIRE(std::holds_alternative<std::vector<NoteFault>>(result));
+        CHECK(std::get<std::vector<NoteFault>>(result).front().kind == NoteFaultKind::OutOfRange);
+    }
+    // Dots in text and comments, and in many short keys, are no parts of one key.
+    const std::string dots(100, '.');
+    const auto sound = parseReleaseNote("follows = 0 # " + dots + "\ntitle = \"" + dots + "\"\n");
+    CHECK(std::holds_alternative<ReleaseNote>(sound));
+}
