Read the list of servers before a take-up counts on a sole version

Cause: a router that holds one version of a service in its list took it for the only one there is, whatever the age of the list, and read nothing.

Change: a sole version counts only after a read of the servers' topic that began after the request arrived, was answered to the topic's end and is applied (StoreFollower::readNow, shared, at most 20 a second). If it fails or takes more than 300 ms, the record is read, and without the origin in it the take-up is refused. After a full read that is not the router's first, no version counts as the only one for 20 s. event=take-up says which evidence there was (list).

Before, with the new interface and the old decision: ResumableStreamsTest "newer version is not in the list yet" failed in 6 of 6 cases (went on at the older version: clock not moved, 1 s, 19 s; origin told or not), "list can't be read" in all 4 (went on at the older version instead of the origin's, or instead of being refused), "one version" (the list was not read), and the table of decideTakeUp in 4 of its 12 rows.

Result: the tests of take-ups, of the history, of followers and of the store's client: 36 of 37 pass; "answer with a faulty head" fails as on the untouched code (bytes of the test, arm64).

--- a/src/direct/FleetStore.h
+++ b/src/direct/FleetStore.h
@@ -32,6 +32,8 @@
 {
     std::vector<KeyedRecord> records;
     LogOffset next;
+    /// False if the topic had further records when the store answered.
+    bool isAtEnd = true;
 };
 
 /// Reason why a call to the store failed.
--- a/src/direct/PollTiming.cpp
+++ b/src/direct/PollTiming.cpp
@@ -1,5 +1,7 @@
 #include "direct/PollTiming.h"
 
+#include <algorithm>
+
 namespace lovagecourse {
 
 namespace {
@@ -15,6 +17,8 @@
 constexpr double answerTimeoutShare = 0.3;
 constexpr double firstRetryShare = 0.05;
 constexpr double maxRetryShare = 0.2;
+// Shared by the take-ups of this time, of which many come at once when a server crashes.
+constexpr milliseconds leastServersInterval{50};
 // Long enough for the store's answer to all routers, which are told of a change at about the same
 // time, to arrive and be handled.
 constexpr double catchUpShare = 0.1;
@@ -47,6 +51,7 @@
 {
     PollTiming timing = commonTiming(maxDelay);
     timing.interval = part(maxDelay, intervalShare + staggerShare * stagger);
+    timing.leastInterval = std::min(timing.interval, leastServersInterval);
     return timing;
 }
 
--- a/src/direct/PollTiming.h
+++ b/src/direct/PollTiming.h
@@ -9,6 +9,8 @@
 {
     /// Time from the start of a read to the start of the next.
     milliseconds interval{0};
+    /// Least time from the start of a read to the start of one that a caller asks for.
+    milliseconds leastInterval{0};
     /// Time for which the store may hold a read until a record arrives; 0 for no long poll. A read
     /// after a failed one is not held.
     milliseconds longPollWait{0};
--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -198,6 +198,9 @@
     directory.setRenewalInterval(settings.renewalInterval);
     pool.setMaxPause(settings.maxPause);
     router->setHedgeShare(settings.hedgeShare);
+    streams.setServersReader([this](std::function<void(bool)> onRead) {
+        serversFollower->readNow(std::move(onRead));
+    });
     restartFollowers();
     registry.start(*store);
     streams.onStarted();
--- a/src/direct/RouterNodeSync.cpp
+++ b/src/direct/RouterNodeSync.cpp
@@ -30,6 +30,8 @@
 
 void RouterNode::Impl::restartFollowers()
 {
+    if (serversFollower)
+        serversFollower->cancelReaders();
     // Both refer to the store that is replaced.
     configurationFollower.reset();
     serversFollower.reset();
@@ -56,7 +58,12 @@
             loop, clock, *store, KeyedTopic::Configuration,
             configurationPollTiming(settings.maxConfigurationDelay), std::move(forConfiguration));
     StoreFollower::Handlers forServers;
-    forServers.onFullRead = [this](const auto &records) { onAllServers(records); };
+    forServers.onFullRead = [this](const auto &records) {
+        // Servers may have come and left since the last read.
+        if (serversLoaded)
+            streams.onStarted();
+        onAllServers(records);
+    };
     forServers.onRecords = [this](const auto &records, LogOffset from, LogOffset to) {
         onServerRecords(records, from, to);
     };
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <utility>
 
 namespace lovagecourse {
@@ -93,12 +94,15 @@
                          alive = std::weak_ptr<bool>(alive_)](const KeyedResult &result) {
         if (alive.expired())
             return;
-        if (number == readNumber_)
+        const bool isLast = number == readNumber_;
+        if (isLast)
             onResult(result, isFullRead);
         else
             onEarlierResult(result, start);
-        if (!alive.expired())
-            scheduleCatchUp();
+        if (alive.expired())
+            return;
+        scheduleCatchUp();
+        answerReaders(result, number, isLast);
     };
     const bool isRetry = failures_ > 0;
     const milliseconds answerTimeout = timing_.answerTimeout * (isRetry ? 2 : 1);
@@ -188,10 +192,58 @@
 {
     next_ = next;
     asOf_ = std::max(asOf_.value_or(asOf), asOf);
-    if (isReading_ || failures_ > 0)
+    scheduleRead();
+}
+
+void StoreFollower::scheduleRead()
+{
+    // A full read that is due now, or a retry, keeps its time.
+    if (!next_ || isReading_ || failures_ > 0)
         return;
-    const auto age = clock_.now() - *asOf_;
-    timer_.startOnce(std::max<std::chrono::nanoseconds>(timing_.interval - age, milliseconds(0)));
+    const TimePoint now = clock_.now();
+    std::chrono::nanoseconds delay = timing_.interval - (now - *asOf_);
+    if (!readers_.empty())
+        delay = std::min<std::chrono::nanoseconds>(delay,
+                                                   timing_.leastInterval - (now - readStart_));
+    timer_.startOnce(std::max<std::chrono::nanoseconds>(delay, milliseconds(0)));
+}
+
+void StoreFollower::readNow(std::function<void(bool isCurrent)> onRead)
+{
+    readers_.push_back({readNumber_ + 1, std::move(onRead)});
+    scheduleRead();
+}
+
+void StoreFollower::cancelReaders()
+{
+    for (const auto &onRead : takeReaders(std::numeric_limits<std::uint64_t>::max()))
+        onRead(false);
+}
+
+/// Removes the readers that the read with this number concerns.
+std::vector<std::function<void(bool)>> StoreFollower::takeReaders(std::uint64_t number)
+{
+    std::vector<std::function<void(bool)>> taken;
+    for (; !readers_.empty() && readers_.front().firstRead <= number; readers_.pop_front())
+        taken.push_back(std::move(readers_.front().onRead));
+    return taken;
+}
+
+/// isLast: no other read has begun since.
+void StoreFollower::answerReaders(const KeyedResult &result, std::uint64_t number, bool isLast)
+{
+    if (readers_.empty())
+        return;
+    std::vector<std::function<void(bool)>> answered;
+    const auto *batch = std::get_if<KeyedBatch>(&result);
+    const bool isCurrent = batch && batch->isAtEnd && next_ && batch->next <= *next_;
+    if (isCurrent || (!batch && isLast))
+        answered = takeReaders(number);
+    // Soon for those that wait for a later read or for the rest of the records, else as usual.
+    scheduleRead();
+    // Their callers may destroy this object.
+    for (const auto &onRead : answered)
+        onRead(isCurrent);
 }
 
 /// A read in progress covers the range.
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -4,6 +4,8 @@
 #include "direct/FleetStore.h"
 #include "direct/PollTiming.h"
 
+#include <deque>
+#include <functional>
 #include <memory>
 
 namespace lovagecourse {
@@ -50,6 +52,12 @@
     /// within the catch-up delay, it reads on a new connection beside the read in progress, whose
     /// connection may be silent; the first answer counts.
     void onReadElsewhere(LogOffset next);
+    /// Calls onRead with true as soon as all records that were written before this call are
+    /// applied: after a read that begins after the call, at once or after the one in progress. With
+    /// false if that read fails. Calls share a read; after a failure they wait for the next retry.
+    void readNow(std::function<void(bool isCurrent)> onRead);
+    /// Answers the callers of readNow() with false.
+    void cancelReaders();
     /// Start of the last read whose records are applied, by this follower or by the router that
     /// passed them on. Changes from before it are known. Empty before the first read.
     std::optional<TimePoint> asOf() const { return asOf_; }
@@ -61,6 +69,13 @@
     bool isFailing() const { return failures_ > 0; }
 
 private:
+    struct Reader
+    {
+        /// Number of the first read that begins after the call.
+        std::uint64_t firstRead = 0;
+        std::function<void(bool)> onRead;
+    };
+
     void read(bool isCatchUp = false);
     void catchUp();
     void scheduleCatchUp();
@@ -69,6 +84,9 @@
     void onFault(StoreFault fault);
     bool canSkip() const;
     void setCurrent(LogOffset next, TimePoint asOf);
+    void scheduleRead();
+    void answerReaders(const KeyedResult &result, std::uint64_t number, bool isLast);
+    std::vector<std::function<void(bool)>> takeReaders(std::uint64_t number);
 
     const Clock &clock_;
     FleetStore &store_;
@@ -82,6 +100,8 @@
     bool isCatchingUp_ = false;
     /// Counts reads; only the result of the last one is used.
     std::uint64_t readNumber_ = 0;
+    /// In the order of the calls.
+    std::deque<Reader> readers_;
     Timer catchUpTimer_;
     /// Other routers have read all records before it.
     LogOffset readElsewhere_;
--- a/src/placing/VersionHistory.cpp
+++ b/src/placing/VersionHistory.cpp
@@ -5,6 +5,7 @@
 void VersionHistory::onStarted(TimePoint now)
 {
     startedAt_ = now;
+    isPastKnown_ = false;
 }
 
 void VersionHistory::onSeen(const ServiceId &service, const SoftwareVersion &version, TimePoint now)
--- a/src/placing/VersionHistory.h
+++ b/src/placing/VersionHistory.h
@@ -13,7 +13,8 @@
 class VersionHistory
 {
 public:
-    /// The router starts to read registrations; what was registered before is unknown.
+    /// The router starts to read registrations, or has missed some; what was registered before and
+    /// is not any more is unknown.
     void onStarted(TimePoint now);
     /// The registrations of the time before the start have been passed to onSeen().
     void onHistoryRead() { isPastKnown_ = true; }
--- a/src/resuming/ResumableStreams.cpp
+++ b/src/resuming/ResumableStreams.cpp
@@ -30,9 +30,21 @@
 
 struct ResumableStreams::Impl : std::enable_shared_from_this<Impl>
 {
+    /// A take-up that is being decided.
+    struct TakeUp
+    {
+        std::string resumes;
+        ServiceId service;
+        std::function<void(const TakeUpDecision &)> onDecided;
+        ServerListState list = ServerListState::Unread;
+        bool isRecordRead = false;
+        TimePoint arrived;
+    };
+
     Impl(EventLoop &loop, const Clock &clock, Metrics &metrics, DaemonId self,
          std::function<std::size_t()> routerCount)
-        : clock(clock)
+        : loop(loop)
+        , clock(clock)
         , metrics(metrics)
         , self(std::move(self))
         , routerCount(std::move(routerCount))
@@ -47,7 +59,10 @@
     void readOn(unsigned reads);
     void onRecords(const KeyedResult &result, unsigned reads);
     void endRead();
+    void readServers(std::function<void(bool isCurrent)> onRead);
+    void decide(TakeUp takeUp);
 
+    EventLoop &loop;
     const Clock &clock;
     Metrics &metrics;
     DaemonId self;
@@ -66,6 +81,7 @@
     /// been appended since the one in progress began.
     std::vector<std::function<void()>> readers;
     std::vector<std::function<void()>> laterReaders;
+    ServersReader serversReader;
 };
 
 /// Queues origins for the store.
@@ -173,6 +189,66 @@
         onRead();
 }
 
+/// Brings the list of servers up to the present; gives up after readTimeout.
+void ResumableStreams::Impl::readServers(std::function<void(bool isCurrent)> onRead)
+{
+    if (!serversReader)
+        return onRead(false);
+    struct Wait
+    {
+        std::function<void(bool)> onRead;
+        std::unique_ptr<Timer> limit;
+    };
+    const auto wait = std::make_shared<Wait>();
+    wait->onRead = std::move(onRead);
+    const auto end = [impl = weak_from_this()](Wait &ending, bool isCurrent) {
+        ending.limit->stop();
+        const auto done = std::exchange(ending.onRead, nullptr);
+        const auto alive = impl.lock();
+        if (done && alive)
+            done(isCurrent);
+    };
+    wait->limit = std::make_unique<Timer>(loop, [weak = std::weak_ptr(wait), end] {
+        if (const auto waiting = weak.lock())
+            end(*waiting, false);
+    });
+    wait->limit->startOnce(readTimeout);
+    serversReader([wait, end](bool isCurrent) { end(*wait, isCurrent); });
+}
+
+void ResumableStreams::Impl::decide(TakeUp takeUp)
+{
+    const TimePoint now = clock.now();
+    TakeUpInput input;
+    if (!takeUp.resumes.empty())
+        input.origin = origins.find(attemptHash(takeUp.resumes), now);
+    input.soleVersion = versions.soleVersion(takeUp.service, now);
+    input.list = takeUp.list;
+    input.isRecordRead = takeUp.isRecordRead;
+    const TakeUpDecision decision = decideTakeUp(input);
+    metrics.count("lovagecourse_take_ups_total", toString(decision.action));
+    if (decision.action == TakeUpAction::GoOn || decision.action == TakeUpAction::Refuse)
+        metrics.count("lovagecourse_take_up_lists_total", toString(takeUp.list));
+    logInfo(LogPart::Routing, "event=take-up resumes=", takeUp.resumes, " service=", takeUp.service,
+            " action=", toString(decision.action), " origin_known=", input.origin.has_value(),
+            " sole_version=", input.soleVersion.has_value(), " list=", toString(takeUp.list),
+            " record_read=", takeUp.isRecordRead, " waited_ms=", toMs(now - takeUp.arrived),
+            " version=", decision.version);
+    if (decision.action == TakeUpAction::ReadServers) {
+        return readServers([this, takeUp = std::move(takeUp)](bool isCurrent) mutable {
+            takeUp.list = isCurrent ? ServerListState::Current : ServerListState::Unreadable;
+            decide(std::move(takeUp));
+        });
+    }
+    if (decision.action == TakeUpAction::ReadRecord) {
+        return read([this, takeUp = std::move(takeUp)]() mutable {
+            takeUp.isRecordRead = true;
+            decide(std::move(takeUp));
+        });
+    }
+    takeUp.onDecided(decision);
+}
+
 ResumableStreams::ResumableStreams(EventLoop &loop, const Clock &clock, Metrics &metrics,
                                    DaemonId self, std::function<std::size_t()> routerCount)
     : impl_(std::make_shared<Impl>(loop, clock, metrics, std::move(self), std::move(routerCount)))
@@ -185,6 +261,11 @@
     impl_->store = &store;
 }
 
+void ResumableStreams::setServersReader(ServersReader reader)
+{
+    impl_->serversReader = std::move(reader);
+}
+
 void ResumableStreams::onStarted()
 {
     impl_->versions.onStarted(impl_->clock.now());
@@ -235,26 +316,11 @@
 void ResumableStreams::decide(const std::string &resumes, const ServiceId &service,
                               std::function<void(const TakeUpDecision &)> onDecided)
 {
-    const auto decideNow = [impl = impl_.get(), resumes, service](bool isRecordRead) {
-        const TimePoint now = impl->clock.now();
-        TakeUpInput input;
-        if (!resumes.empty())
-            input.origin = impl->origins.find(attemptHash(resumes), now);
-        input.soleVersion = impl->versions.soleVersion(service, now);
-        input.isRecordRead = isRecordRead;
-        const TakeUpDecision decision = decideTakeUp(input);
-        impl->metrics.count("lovagecourse_take_ups_total", toString(decision.action));
-        logInfo(LogPart::Routing, "event=take-up resumes=", resumes, " service=", service,
-                " action=", toString(decision.action), " origin_known=", input.origin.has_value(),
-                " sole_version=", input.soleVersion.has_value(), " record_read=", isRecordRead,
-                " version=", decision.version);
-        return decision;
-    };
+    Impl::TakeUp takeUp{resumes, service, std::move(onDecided)};
     // An attempt that is not named can't be found.
-    const TakeUpDecision decision = decideNow(resumes.empty());
-    if (decision.action != TakeUpAction::ReadRecord)
-        return onDecided(decision);
-    impl_->read([decideNow, onDecided = std::move(onDecided)] { onDecided(decideNow(true)); });
+    takeUp.isRecordRead = resumes.empty();
+    takeUp.arrived = impl_->clock.now();
+    impl_->decide(std::move(takeUp));
 }
 
 } // namespace lovagecourse
--- a/src/resuming/ResumableStreams.h
+++ b/src/resuming/ResumableStreams.h
@@ -16,10 +16,15 @@
 ///
 /// A router remembers which version began each resumable stream. While a service has several
 /// versions, it also appends this to the store, in batches, so that other routers, and this one
-/// after a restart, can read it when a client takes such a stream up.
+/// after a restart, can read it when a client takes such a stream up. That a service has a single
+/// version counts only after a read of the servers' registrations that began after the take-up
+/// came.
 class ResumableStreams
 {
 public:
+    /// Calls onRead with true once all registrations from before the call are known, or with false.
+    using ServersReader = std::function<void(std::function<void(bool isCurrent)> onRead)>;
+
     /// routerCount: live routers in the fleet, among which the store's capacity is divided.
     ResumableStreams(EventLoop &loop, const Clock &clock, Metrics &metrics, DaemonId self,
                      std::function<std::size_t()> routerCount);
@@ -27,6 +32,9 @@
 
     /// Uses this store from now on; before, origins are only remembered.
     void setStore(FleetStore &store);
+    /// Without one, no version counts as the only one.
+    void setServersReader(ServersReader reader);
+    /// Reads of registrations start, or have missed some.
     void onStarted();
     /// A server was registered with this entry at some time before the start.
     void onPastEntry(const ServerEntry &entry);
--- a/tests/direct/DirectRouterFixture.h
+++ b/tests/direct/DirectRouterFixture.h
@@ -57,6 +57,7 @@
 
     DirectRouterFixture()
     {
+        streams.setServersReader([](const auto &onRead) { onRead(true); });
         makeRouter();
         HttpGateway::Handlers handlers;
         handlers.onRequest = [this](CallerRequest &&request) {
--- a/tests/direct/StoreFollowerTest.cpp
+++ b/tests/direct/StoreFollowerTest.cpp
@@ -540,3 +540,90 @@
         CHECK(heldStore.offsets == std::vector<std::uint64_t>{7, 7, 9});
     }
 }
+
+// Guards against a decision that rests on a read from before the question, and against one read for
+// each of those that ask at the same time.
+TEST_CASE_METHOD(StoreFollowerFixture,
+                 "store follower, asked to read now, answers after a read that began later")
+{
+    HeldStore heldStore;
+    constexpr PollTiming timing{.interval = seconds(5)};
+    std::size_t applied = 0;
+    StoreFollower::Handlers handlers = ignoringHandlers();
+    handlers.onRecords = [&](const auto &records, LogOffset, LogOffset) {
+        applied += records.size();
+    };
+    StoreFollower follower(loop, clock, heldStore, KeyedTopic::Servers, timing,
+                           std::move(handlers));
+    follower.start();
+    std::vector<std::string> answers;
+    const auto ask = [&](const std::string &name) {
+        follower.readNow([&, name](bool isCurrent) {
+            answers.push_back(name + (isCurrent ? " current " : " unknown ")
+                              + std::to_string(applied));
+        });
+    };
+    ask("first");
+    ask("second");
+    runFor(milliseconds(20));
+    REQUIRE(heldStore.offsets == std::vector<std::uint64_t>{7});
+    ask("third");
+    CHECK(answers.empty());
+    const KeyedBatch one{{KeyedRecord{"a", "1", LogOffset(7)}}, LogOffset(8)};
+    SECTION("the reads succeed")
+    {
+        std::exchange(heldStore.pending, nullptr)(one);
+        CHECK(answers == std::vector<std::string>{"first current 1", "second current 1"});
+        // Another router's news don't put the read off.
+        CHECK(follower.skipUnchanged(LogOffset(8), LogOffset(9), clock.now()));
+        runFor(milliseconds(20));
+        REQUIRE(heldStore.offsets == std::vector<std::uint64_t>{7, 9});
+        std::exchange(heldStore.pending, nullptr)(KeyedBatch{{}, LogOffset(9)});
+        CHECK(answers.back() == "third current 1");
+        runFor(milliseconds(20));
+        CHECK(heldStore.offsets.size() == 2);
+    }
+    SECTION("the answer has a part of the records, reads the rest first")
+    {
+        std::exchange(heldStore.pending, nullptr)(KeyedBatch{one.records, one.next, false});
+        CHECK(answers.empty());
+        runFor(milliseconds(20));
+        REQUIRE(heldStore.offsets == std::vector<std::uint64_t>{7, 8});
+        std::exchange(heldStore.pending,
+                      nullptr)(KeyedBatch{{KeyedRecord{"b", "1", LogOffset(8)}}, LogOffset(9)});
+        CHECK(answers
+              == std::vector<std::string>{"first current 2", "second current 2",
+                                          "third current 2"});
+    }
+    SECTION("the read fails, the next one is the retry")
+    {
+        const bool isExpired = GENERATE(false, true);
+        std::exchange(heldStore.pending,
+                      nullptr)(isExpired ? StoreFault::Expired : StoreFault::Unavailable);
+        CHECK(answers == std::vector<std::string>{"first unknown 0", "second unknown 0"});
+        runFor(milliseconds(20));
+        if (isExpired) {
+            CHECK(answers.back() == "third current 0");
+            return;
+        }
+        CHECK(heldStore.offsets.size() == 1);
+        runFor(milliseconds(120));
+        REQUIRE(heldStore.offsets.size() == 2);
+        std::exchange(heldStore.pending, nullptr)(one);
+        CHECK(answers.back() == "third current 1");
+    }
+    SECTION("the follower starts over, answers after the full read")
+    {
+        follower.startOver();
+        CHECK(answers.size() == 3);
+        CHECK(answers.back() == "third current 0");
+    }
+    SECTION("the follower is given up")
+    {
+        follower.cancelReaders();
+        CHECK(answers.size() == 3);
+        CHECK(answers.back() == "third unknown 0");
+        std::exchange(heldStore.pending, nullptr)(one);
+        CHECK(answers.size() == 3);
+    }
+}
--- a/tests/placing/VersionHistoryTest.cpp
+++ b/tests/placing/VersionHistoryTest.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <vector>
+
 using namespace lovagecourse;
 
 namespace {
@@ -80,6 +82,19 @@
     }
 }
 
+// Guards against a version that has come, begun streams and left between two reads.
+TEST_CASE_METHOD(VersionHistoryFixture,
+                 "version history, registrations were missed, knows no sole version for a time")
+{
+    add("a", "v1");
+    now += streamMemory;
+    CHECK(isSole("v1"));
+    history.onStarted(now);
+    CHECK_FALSE(history.soleVersion(service, now));
+    now += streamMemory;
+    CHECK(isSole("v1"));
+}
+
 // Guards against a server that comes back with another version under the same id.
 TEST_CASE_METHOD(VersionHistoryFixture, "version history, server changes its version, has both")
 {
@@ -94,11 +109,34 @@
 {
     const VersionHash first(1);
     const VersionHash second(2);
-    CHECK(decideTakeUp({first, second, false}).version == first);
-    CHECK(decideTakeUp({first, std::nullopt, true}).action == TakeUpAction::GoOn);
-    CHECK(decideTakeUp({std::nullopt, second, false}).version == second);
-    CHECK(decideTakeUp({std::nullopt, std::nullopt, false}).action == TakeUpAction::ReadRecord);
-    CHECK(decideTakeUp({std::nullopt, std::nullopt, true}).action == TakeUpAction::Refuse);
+    using enum TakeUpAction;
+    using enum ServerListState;
+    struct Case
+    {
+        TakeUpInput input;
+        TakeUpAction action;
+        VersionHash version{};
+    };
+    const std::vector<Case> cases{
+            {{first, second, Unread, false}, GoOn, first},
+            {{first, second, Unreadable, true}, GoOn, first},
+            {{first, {}, Current, true}, GoOn, first},
+            {{{}, second, Unread, false}, ReadServers},
+            {{{}, second, Unread, true}, ReadServers},
+            {{{}, second, Current, false}, GoOn, second},
+            {{{}, second, Unreadable, false}, ReadRecord},
+            {{{}, second, Unreadable, true}, Refuse},
+            {{{}, {}, Unread, false}, ReadRecord},
+            {{{}, {}, Unread, true}, Refuse},
+            {{{}, {}, Current, false}, ReadRecord},
+            {{{}, {}, Current, true}, Refuse},
+    };
+    for (std::size_t i = 0; i < cases.size(); ++i) {
+        CAPTURE(i);
+        const TakeUpDecision decision = decideTakeUp(cases[i].input);
+        CHECK(decision.action == cases[i].action);
+        CHECK(decision.version == cases[i].version);
+    }
 }
 
 // Guards against memory that grows with the number of streams.
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -135,6 +135,7 @@
 TEST_CASE_METHOD(StoreClientFixture,
                  "store client, beginning has expired, reads on from the first retained record")
 {
+    char end = '\x29';
     const auto readWith = [&](const std::string &gone, bool skipsExpired) {
         ScriptedServer store(loop, [&](auto &connection, const std::string &request) {
             if (request.find("&from=40 ") == std::string::npos) {
@@ -143,7 +144,7 @@
                 return;
             }
             // End and first offset, then a record of 4 bytes with the key "k" and the value "va".
-            connection.send(answer(std::string("\0\0\0\0\0\0\0\x29\0\0\0\0\0\0\0\x28", 16)
+            connection.send(answer(std::string(7, '\0') + end + std::string("\0\0\0\0\0\0\0\x28", 8)
                                    + std::string("\0\0\0\x04\x01kva", 8)));
         });
         client.emplace(http, urlOf(store));
@@ -162,6 +163,9 @@
     REQUIRE(batch.records.size() == 1);
     CHECK(batch.records[0].value == "va");
     CHECK(batch.next == LogOffset(41));
+    CHECK(batch.isAtEnd);
+    end = '\x2a';
+    CHECK_FALSE(std::get<KeyedBatch>(readWith(R"({"first":40})", true)).isAtEnd);
     CHECK(std::get<StoreFault>(readWith(R"({"first":40})", false)) == StoreFault::Expired);
     for (const char *gone : {R"({"first":0})", R"({"first":39})", R"({"first":"40"})", "[40]", ""})
         CHECK(std::get<StoreFault>(readWith(gone, true)) == StoreFault::Expired);
--- a/tests/resuming/ResumableStreamsTest.cpp
+++ b/tests/resuming/ResumableStreamsTest.cpp
@@ -50,6 +50,7 @@
     ManualClock clock;
     Metrics metrics;
     SharedStore store;
+    unsigned listReads = 0;
     const ServiceId service{"llm"};
     const SoftwareVersion older{"v1"};
     const SoftwareVersion newer{"v2"};
@@ -61,6 +62,10 @@
         auto streams = std::make_unique<ResumableStreams>(loop, clock, metrics, DaemonId("router"),
                                                           [] { return std::size_t(4); });
         streams->setStore(store);
+        streams->setServersReader([this](const auto &onRead) {
+            ++listReads;
+            onRead(true);
+        });
         streams->onStarted();
         return streams;
     }
@@ -142,7 +147,10 @@
     first->onRegistered(entry("b", older));
     first->onBegun("attempt", service, older);
     runFor(appendTime);
+    CHECK(goesOnAt(*first, "attempt", older));
+    CHECK(listReads == 0);
     CHECK(goesOnAt(*first, "other", older));
+    CHECK(listReads == 1);
     CHECK(store.records.empty());
     CHECK(store.reads == 0);
 }
@@ -183,6 +191,68 @@
     CHECK(goesOnAt(*second, "last", newer));
 }
 
+// Guards against a router that has been cut off or has stood still, with or without its clock, and
+// takes the only version that it knows for the only one that there is.
+TEST_CASE_METHOD(
+        ResumableStreamsFixture,
+        "resumable streams, newer version is not in the list yet, don't go on at the older")
+{
+    for (ResumableStreams *streams : {first.get(), second.get()}) {
+        streams->onPastRead();
+        streams->onRegistered(entry("a", older));
+    }
+    first->onRegistered(entry("b", newer));
+    first->onBegun("attempt", service, newer);
+    const bool isTold = GENERATE(true, false);
+    if (isTold)
+        runFor(appendTime);
+    clock.advance(GENERATE(seconds(0), seconds(1), streamMemory - seconds(1)));
+    second->setServersReader([this](const auto &onRead) {
+        second->onRegistered(entry("b", newer));
+        onRead(true);
+    });
+    if (isTold)
+        CHECK(goesOnAt(*second, "attempt", newer));
+    else
+        CHECK(decide(*second, "attempt").action == TakeUpAction::Refuse);
+}
+
+// Guards against a guess, and against a client that waits for long or is answered twice, because
+// the router's read of the list fails or gets no answer.
+TEST_CASE_METHOD(ResumableStreamsFixture,
+                 "resumable streams, list can't be read, go on only at an origin in the record")
+{
+    second->onPastRead();
+    second->onRegistered(entry("a", older));
+    first->onRegistered(entry("a", older));
+    first->onRegistered(entry("b", newer));
+    first->onBegun("attempt", service, newer);
+    runFor(appendTime);
+    store.isAway = GENERATE(false, true);
+    const bool isSilent = GENERATE(false, true);
+    std::function<void(bool)> silent;
+    second->setServersReader([&](const auto &onRead) {
+        if (isSilent)
+            silent = onRead;
+        else
+            onRead(false);
+    });
+    std::vector<TakeUpDecision> decisions;
+    second->decide("attempt", service, [&](const auto &decision) {
+        decisions.push_back(decision);
+        loop.stop();
+    });
+    if (isSilent) {
+        CHECK(decisions.empty());
+        runFor(seconds(5));
+        silent(true);
+    }
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].action == (store.isAway ? TakeUpAction::Refuse : TakeUpAction::GoOn));
+    if (!store.isAway)
+        CHECK(decisions[0].version == versionHash(service, newer));
+}
+
 // Guards against a record of another writer that ends the process or names origins that it lacks.
 TEST_CASE("stream origin record, cut off, keeps the whole origins")
 {
