Tell the origin of a stream at once after a pause

Callers saw: streams that began shortly before all routers were killed during a release were refused when their clients took them up (origin-unknown).

Each batch waited 100 ms or more before its append, also after a long pause.

Change: an append begins at once if none has begun within the interval; those that follow wait for the rest of it. The interval counts from the start of an append, not from its end.

--- a/src/resuming/ResumableStreams.cpp
+++ b/src/resuming/ResumableStreams.cpp
@@ -73,6 +73,8 @@
     /// Own origins that are not in the store yet.
     std::vector<StreamOrigin> untold;
     bool isAppending = false;
+    /// Start of the last append.
+    TimePoint lastAppend;
     Timer appendTimer;
     /// Where the next read begins; 0 before the first one.
     LogOffset next;
@@ -94,8 +96,11 @@
     }
     if (!store || untold.empty() || isAppending || appendTimer.isActive())
         return;
+    // At once after a pause: what is not in the store when this router is killed is lost.
     const auto routers = static_cast<int>(routerCount());
-    appendTimer.startOnce(std::max(minAppendInterval, appendIntervalPerRouter * routers));
+    const milliseconds interval = std::max(minAppendInterval, appendIntervalPerRouter * routers);
+    const auto delay = interval - (clock.now() - lastAppend);
+    appendTimer.startOnce(std::max<std::chrono::nanoseconds>(delay, milliseconds(0)));
 }
 
 void ResumableStreams::Impl::append()
@@ -105,6 +110,7 @@
     std::vector<StreamOrigin> batch(untold.begin(), end);
     untold.erase(untold.begin(), end);
     isAppending = true;
+    lastAppend = clock.now();
     store->append(KeyedTopic::StreamOrigins, self.value, formatStreamOrigins(batch), appendTimeout,
                   [impl = weak_from_this(), batch](const WriteResult &fault) {
                       if (const auto alive = impl.lock())
