--- a/src/resuming/ResumableStreams.cpp
+++ b/src/resuming/ResumableStreams.cpp
@@ -73,8 +73,6 @@
     /// Own origins that are not in the store yet.
     std::vector<StreamOrigin> untold;
     bool isAppending = false;
-    /// Start of the last append.
-    TimePoint lastAppend;
     Timer appendTimer;
     /// Where the next read begins; 0 before the first one.
     LogOffset next;
@@ -96,11 +94,8 @@
     }
     if (!store || untold.empty() || isAppending || appendTimer.isActive())
         return;
-    // At once after a pause: what is not in the store when this router is killed is lost.
     const auto routers = static_cast<int>(routerCount());
-    const milliseconds interval = std::max(minAppendInterval, appendIntervalPerRouter * routers);
-    const auto delay = interval - (clock.now() - lastAppend);
-    appendTimer.startOnce(std::max<std::chrono::nanoseconds>(delay, milliseconds(0)));
+    appendTimer.startOnce(std::max(minAppendInterval, appendIntervalPerRouter * routers));
 }
 
 void ResumableStreams::Impl::append()
@@ -110,7 +105,6 @@
     std::vector<StreamOrigin> batch(untold.begin(), end);
     untold.erase(untold.begin(), end);
     isAppending = true;
-    lastAppend = clock.now();
     store->append(KeyedTopic::StreamOrigins, self.value, formatStreamOrigins(batch), appendTimeout,
                   [impl = weak_from_this(), batch](const WriteResult &fault) {
                       if (const auto alive = impl.lock())
