Count the versions of all services of a split route at a take-up

Callers saw: nothing yet; found by reading. On a route that is split among services with a version each, a stream that a router did not begin could go on at a server of another service than the one that began it.

Cause: a take-up asked for the sole version of the service that was drawn for it, and origins were told only while that service itself had several versions.

Change: the versions of all services to which the route sends count, for the sole version and for telling origins. A split route appends origins at all times.

Result: ResumableStreamsTest "route is split among services" failed with the drawn service only (went on at it; an unknown stream, too), and passes. 67 of 67 tests of take-ups, resumed streams, followers, histories and direct routers pass. The price of the appends on split routes was not measured.

--- a/src/direct/DirectRouter.cpp
+++ b/src/direct/DirectRouter.cpp
@@ -84,6 +84,16 @@
     return kind == RequestKind::Safe || kind == RequestKind::ResumableStream;
 }
 
+std::vector<ServiceId> servicesOf(const DirectExchange &exchange)
+{
+    std::vector<ServiceId> services{exchange.service};
+    for (const ServiceShare &share : exchange.route->services) {
+        if (share.weight > 0 && share.service != exchange.service)
+            services.push_back(share.service);
+    }
+    return services;
+}
+
 DirectExchange *DirectRouter::Impl::find(CallerId caller)
 {
     const auto found = exchanges.find(caller);
@@ -151,7 +161,7 @@
 void DirectRouter::Impl::dispatchTakeUp(DirectExchange &exchange)
 {
     const CallerId caller = exchange.caller;
-    context.streams.decide(exchange.client.resumes, exchange.service,
+    context.streams.decide(exchange.client.resumes, servicesOf(exchange),
                            [this, caller](const TakeUpDecision &decision) {
                                DirectExchange *found = find(caller);
                                if (!found)
--- a/src/direct/DirectRouterAnswers.cpp
+++ b/src/direct/DirectRouterAnswers.cpp
@@ -293,7 +293,8 @@
         return;
     const SoftwareVersion &version = exchange.attempt->placement.version;
     exchange.version = versionHash(exchange.service, version);
-    context.streams.onBegun(exchange.client.attemptId, exchange.service, version);
+    context.streams.onBegun(exchange.client.attemptId, exchange.service, version,
+                            servicesOf(exchange));
 }
 
 void DirectRouter::Impl::onDone(CallerId caller, AttemptKey key,
--- a/src/direct/DirectRouterImpl.h
+++ b/src/direct/DirectRouterImpl.h
@@ -31,6 +31,8 @@
 
 /// Returns whether the request may be sent again once a server may have started it.
 bool isRetryable(RequestKind kind);
+/// The service that was drawn for the exchange, then the others to which its route sends.
+std::vector<ServiceId> servicesOf(const DirectExchange &exchange);
 
 /// Returns whether the status promises that the request has not run and never will.
 bool promisesNotRun(int status);
--- a/src/placing/VersionHistory.cpp
+++ b/src/placing/VersionHistory.cpp
@@ -55,30 +55,33 @@
     return std::nullopt;
 }
 
-std::vector<VersionHash> VersionHistory::versionsOf(const ServiceId &service, TimePoint now) const
+std::vector<VersionHash> VersionHistory::versionsOf(std::span<const ServiceId> services,
+                                                    TimePoint now) const
 {
     std::vector<VersionHash> found;
-    const auto versions = services_.find(service);
-    if (versions == services_.end())
-        return found;
-    for (const auto &[hash, version] : versions->second) {
-        if (!version.servers.empty() || now - version.lastSeen < streamMemory)
-            found.push_back(hash);
+    for (const ServiceId &service : services) {
+        const auto versions = services_.find(service);
+        if (versions == services_.end())
+            continue;
+        for (const auto &[hash, version] : versions->second) {
+            if (!version.servers.empty() || now - version.lastSeen < streamMemory)
+                found.push_back(hash);
+        }
     }
     return found;
 }
 
-bool VersionHistory::isMixed(const ServiceId &service, TimePoint now) const
+bool VersionHistory::isMixed(std::span<const ServiceId> services, TimePoint now) const
 {
-    return versionsOf(service, now).size() > 1;
+    return versionsOf(services, now).size() > 1;
 }
 
-std::optional<VersionHash> VersionHistory::soleVersion(const ServiceId &service,
+std::optional<VersionHash> VersionHistory::soleVersion(std::span<const ServiceId> services,
                                                        TimePoint now) const
 {
     if (!isPastKnown_ && now - startedAt_ < streamMemory)
         return std::nullopt;
-    const std::vector<VersionHash> versions = versionsOf(service, now);
+    const std::vector<VersionHash> versions = versionsOf(services, now);
     return versions.size() == 1 ? std::optional(versions.front()) : std::nullopt;
 }
 
--- a/src/placing/VersionHistory.h
+++ b/src/placing/VersionHistory.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 
 namespace lovagecourse {
 
@@ -25,11 +26,20 @@
                       const SoftwareVersion &version, TimePoint now);
     void onRemoved(const ServerId &server, TimePoint now);
 
-    /// More than one version of the service may have begun streams.
-    bool isMixed(const ServiceId &service, TimePoint now) const;
-    /// The only version that can have begun a stream of the service; empty if there are several, or
-    /// if it is not known.
-    std::optional<VersionHash> soleVersion(const ServiceId &service, TimePoint now) const;
+    /// More than one version of the services may have begun streams.
+    bool isMixed(std::span<const ServiceId> services, TimePoint now) const;
+    bool isMixed(const ServiceId &service, TimePoint now) const
+    {
+        return isMixed(std::span(&service, 1), now);
+    }
+    /// The only version that can have begun a stream of one of the services; empty if there are
+    /// several, or if it is not known.
+    std::optional<VersionHash> soleVersion(std::span<const ServiceId> services,
+                                           TimePoint now) const;
+    std::optional<VersionHash> soleVersion(const ServiceId &service, TimePoint now) const
+    {
+        return soleVersion(std::span(&service, 1), now);
+    }
     /// Service of a version that was seen within streamMemory.
     std::optional<ServiceId> serviceOf(VersionHash version) const;
 
@@ -45,7 +55,7 @@
         VersionHash version;
     };
 
-    std::vector<VersionHash> versionsOf(const ServiceId &service, TimePoint now) const;
+    std::vector<VersionHash> versionsOf(std::span<const ServiceId> services, TimePoint now) const;
 
     std::map<ServiceId, std::map<VersionHash, Version>> services_;
     std::map<ServerId, Registered> registered_;
--- a/src/resuming/ResumableStreams.cpp
+++ b/src/resuming/ResumableStreams.cpp
@@ -34,7 +34,7 @@
     struct TakeUp
     {
         std::string resumes;
-        ServiceId service;
+        std::vector<ServiceId> services;
         std::function<void(const TakeUpDecision &)> onDecided;
         ServerListState list = ServerListState::Unread;
         bool isRecordRead = false;
@@ -222,14 +222,15 @@
     TakeUpInput input;
     if (!takeUp.resumes.empty())
         input.origin = origins.find(attemptHash(takeUp.resumes), now);
-    input.soleVersion = versions.soleVersion(takeUp.service, now);
+    input.soleVersion = versions.soleVersion(takeUp.services, now);
     input.list = takeUp.list;
     input.isRecordRead = takeUp.isRecordRead;
     const TakeUpDecision decision = decideTakeUp(input);
     metrics.count("lovagecourse_take_ups_total", toString(decision.action));
     if (decision.action == TakeUpAction::GoOn || decision.action == TakeUpAction::Refuse)
         metrics.count("lovagecourse_take_up_lists_total", toString(takeUp.list));
-    logInfo(LogPart::Routing, "event=take-up resumes=", takeUp.resumes, " service=", takeUp.service,
+    logInfo(LogPart::Routing, "event=take-up resumes=", takeUp.resumes,
+            " service=", takeUp.services.front(), " services=", takeUp.services.size(),
             " action=", toString(decision.action), " origin_known=", input.origin.has_value(),
             " sole_version=", input.soleVersion.has_value(), " list=", toString(takeUp.list),
             " record_read=", takeUp.isRecordRead, " waited_ms=", toMs(now - takeUp.arrived),
@@ -297,14 +298,15 @@
 }
 
 void ResumableStreams::onBegun(const std::string &attemptId, const ServiceId &service,
-                               const SoftwareVersion &version)
+                               const SoftwareVersion &version,
+                               std::span<const ServiceId> routeServices)
 {
     if (attemptId.empty())
         return;
     const TimePoint now = impl_->clock.now();
     const StreamOrigin origin{attemptHash(attemptId), versionHash(service, version)};
     impl_->origins.add(origin, now);
-    if (impl_->versions.isMixed(service, now))
+    if (impl_->versions.isMixed(routeServices, now))
         impl_->tell({origin});
 }
 
@@ -313,10 +315,10 @@
     return impl_->versions.serviceOf(version);
 }
 
-void ResumableStreams::decide(const std::string &resumes, const ServiceId &service,
+void ResumableStreams::decide(const std::string &resumes, const std::vector<ServiceId> &services,
                               std::function<void(const TakeUpDecision &)> onDecided)
 {
-    Impl::TakeUp takeUp{resumes, service, std::move(onDecided)};
+    Impl::TakeUp takeUp{resumes, services, std::move(onDecided)};
     // An attempt that is not named can't be found.
     takeUp.isRecordRead = resumes.empty();
     takeUp.arrived = impl_->clock.now();
--- a/src/resuming/ResumableStreams.h
+++ b/src/resuming/ResumableStreams.h
@@ -8,7 +8,9 @@
 
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
+#include <vector>
 
 namespace lovagecourse {
 
@@ -43,12 +45,14 @@
     void onRegistered(const ServerEntry &entry);
     void onRemoved(const ServerId &server);
 
-    /// The first event of a stream that a client's attempt began was forwarded.
+    /// The first event of a stream that a client's attempt began was forwarded. routeServices: all
+    /// to which its route sends.
     void onBegun(const std::string &attemptId, const ServiceId &service,
-                 const SoftwareVersion &version);
+                 const SoftwareVersion &version, std::span<const ServiceId> routeServices);
     /// Decides about an attempt that takes up the stream of another one; empty if it names none.
-    /// onDecided is called once with GoOn or Refuse, at once or later.
-    void decide(const std::string &resumes, const ServiceId &service,
+    /// services: all to which its route sends, any of which may have begun the stream. onDecided is
+    /// called once with GoOn or Refuse, at once or later.
+    void decide(const std::string &resumes, const std::vector<ServiceId> &services,
                 std::function<void(const TakeUpDecision &)> onDecided);
     /// Service whose servers have or had the version; empty if it is not known.
     std::optional<ServiceId> serviceOf(VersionHash version) const;
--- a/tests/resuming/ResumableStreamsTest.cpp
+++ b/tests/resuming/ResumableStreamsTest.cpp
@@ -52,6 +52,7 @@
     SharedStore store;
     unsigned listReads = 0;
     const ServiceId service{"llm"};
+    std::vector<ServiceId> services{service};
     const SoftwareVersion older{"v1"};
     const SoftwareVersion newer{"v2"};
     std::unique_ptr<ResumableStreams> first = start();
@@ -86,7 +87,7 @@
     TakeUpDecision decide(ResumableStreams &streams, const std::string &resumes)
     {
         std::optional<TakeUpDecision> decided;
-        streams.decide(resumes, service, [&](const TakeUpDecision &got) { decided = got; });
+        streams.decide(resumes, services, [&](const TakeUpDecision &got) { decided = got; });
         REQUIRE(decided);
         return *decided;
     }
@@ -117,7 +118,7 @@
 {
     mix(*first);
     mix(*second);
-    first->onBegun("attempt", service, newer);
+    first->onBegun("attempt", service, newer, services);
     runFor(appendTime);
     CHECK(store.records.size() == 1);
     first.reset();
@@ -135,7 +136,7 @@
     CHECK(decide(*first, "").action == TakeUpAction::Refuse);
     store.isAway = true;
     CHECK(decide(*first, "unknown").action == TakeUpAction::Refuse);
-    first->onBegun("attempt", service, older);
+    first->onBegun("attempt", service, older, services);
     CHECK(goesOnAt(*first, "attempt", older));
 }
 
@@ -145,7 +146,7 @@
     first->onPastRead();
     first->onRegistered(entry("a", older));
     first->onRegistered(entry("b", older));
-    first->onBegun("attempt", service, older);
+    first->onBegun("attempt", service, older, services);
     runFor(appendTime);
     CHECK(goesOnAt(*first, "attempt", older));
     CHECK(listReads == 0);
@@ -161,7 +162,7 @@
 {
     first->onPastRead();
     first->onRegistered(entry("a", older));
-    first->onBegun("attempt", service, older);
+    first->onBegun("attempt", service, older, services);
     first->onRegistered(entry("b", newer));
     runFor(appendTime);
     mix(*second);
@@ -175,18 +176,18 @@
     mix(*first);
     mix(*second);
     store.isAway = true;
-    first->onBegun("attempt", service, older);
+    first->onBegun("attempt", service, older, services);
     runFor(appendTime);
     store.isAway = false;
     // Appends are repeated after half a second.
     runFor(milliseconds(500) + appendTime);
     CHECK(goesOnAt(*second, "attempt", older));
     store.records.clear();
-    first->onBegun("later", service, newer);
+    first->onBegun("later", service, newer, services);
     runFor(appendTime);
     store.records.clear();
     CHECK(decide(*second, "later").action == TakeUpAction::Refuse);
-    first->onBegun("last", service, newer);
+    first->onBegun("last", service, newer, services);
     runFor(appendTime);
     CHECK(goesOnAt(*second, "last", newer));
 }
@@ -202,7 +203,7 @@
         streams->onRegistered(entry("a", older));
     }
     first->onRegistered(entry("b", newer));
-    first->onBegun("attempt", service, newer);
+    first->onBegun("attempt", service, newer, services);
     const bool isTold = GENERATE(true, false);
     if (isTold)
         runFor(appendTime);
@@ -226,7 +227,7 @@
     second->onRegistered(entry("a", older));
     first->onRegistered(entry("a", older));
     first->onRegistered(entry("b", newer));
-    first->onBegun("attempt", service, newer);
+    first->onBegun("attempt", service, newer, services);
     runFor(appendTime);
     store.isAway = GENERATE(false, true);
     const bool isSilent = GENERATE(false, true);
@@ -238,7 +239,7 @@
             onRead(false);
     });
     std::vector<TakeUpDecision> decisions;
-    second->decide("attempt", service, [&](const auto &decision) {
+    second->decide("attempt", services, [&](const auto &decision) {
         decisions.push_back(decision);
         loop.stop();
     });
@@ -253,6 +254,28 @@
         CHECK(decisions[0].version == versionHash(service, newer));
 }
 
+// Guards against a stream that goes on at another service of a split route, whose only version it
+// is.
+TEST_CASE_METHOD(ResumableStreamsFixture,
+                 "resumable streams, route is split among services, go on at the one that began")
+{
+    const ServiceId other("other");
+    ServerEntry otherEntry = entry("b", older);
+    otherEntry.service = other;
+    for (ResumableStreams *streams : {first.get(), second.get()}) {
+        streams->onPastRead();
+        streams->onRegistered(entry("a", older));
+        streams->onRegistered(otherEntry);
+    }
+    services.push_back(other);
+    first->onBegun("attempt", other, older, services);
+    runFor(appendTime);
+    const TakeUpDecision decision = decide(*second, "attempt");
+    CHECK(decision.action == TakeUpAction::GoOn);
+    CHECK(decision.version == versionHash(other, older));
+    CHECK(decide(*second, "unknown").action == TakeUpAction::Refuse);
+}
+
 // Guards against a record of another writer that ends the process or names origins that it lacks.
 TEST_CASE("stream origin record, cut off, keeps the whole origins")
 {
