--- a/tests/resuming/ResumableStreamsTest.cpp
+++ b/tests/resuming/ResumableStreamsTest.cpp
@@ -50,7 +50,9 @@
     ManualClock clock;
     Metrics metrics;
     SharedStore store;
+    unsigned listReads = 0;
     const ServiceId service{"llm"};
+    std::vector<ServiceId> services{service};
     const SoftwareVersion older{"v1"};
     const SoftwareVersion newer{"v2"};
     std::unique_ptr<ResumableStreams> first = start();
@@ -61,6 +63,10 @@
         auto streams = std::make_unique<ResumableStreams>(loop, clock, metrics, DaemonId("router"),
                                                           [] { return std::size_t(4); });
         streams->setStore(store);
+        streams->setServersReader([this](const auto &onRead) {
+            ++listReads;
+            onRead(true);
+        });
         streams->onStarted();
         return streams;
     }
@@ -81,7 +87,7 @@
     TakeUpDecision decide(ResumableStreams &streams, const std::string &resumes)
     {
         std::optional<TakeUpDecision> decided;
-        streams.decide(resumes, service, [&](const TakeUpDecision &got) { decided = got; });
+        streams.decide(resumes, services, [&](const TakeUpDecision &got) { decided = got; });
         REQUIRE(decided);
         return *decided;
     }
@@ -112,7 +118,7 @@
 {
     mix(*first);
     mix(*second);
-    first->onBegun("attempt", service, newer);
+    first->onBegun("attempt", service, newer, services);
     runFor(appendTime);
     CHECK(store.records.size() == 1);
     first.reset();
@@ -130,7 +136,7 @@
     CHECK(decide(*first, "").action == TakeUpAction::Refuse);
     store.isAway = true;
     CHECK(decide(*first, "unknown").action == TakeUpAction::Refuse);
-    first->onBegun("attempt", service, older);
+    first->onBegun("attempt", service, older, services);
     CHECK(goesOnAt(*first, "attempt", older));
 }
 
@@ -140,9 +146,12 @@
     first->onPastRead();
     first->onRegistered(entry("a", older));
     first->onRegistered(entry("b", older));
-    first->onBegun("attempt", service, older);
+    first->onBegun("attempt", service, older, services);
     runFor(appendTime);
+    CHECK(goesOnAt(*first, "attempt", older));
+    CHECK(listReads == 0);
     CHECK(goesOnAt(*first, "other", older));
+    CHECK(listReads == 1);
     CHECK(store.records.empty());
     CHECK(store.reads == 0);
 }
@@ -153,7 +162,7 @@
 {
     first->onPastRead();
     first->onRegistered(entry("a", older));
-    first->onBegun("attempt", service, older);
+    first->onBegun("attempt", service, older, services);
     first->onRegistered(entry("b", newer));
     runFor(appendTime);
     mix(*second);
@@ -167,22 +176,106 @@
     mix(*first);
     mix(*second);
     store.isAway = true;
-    first->onBegun("attempt", service, older);
+    first->onBegun("attempt", service, older, services);
     runFor(appendTime);
     store.isAway = false;
     // Appends are repeated after half a second.
     runFor(milliseconds(500) + appendTime);
     CHECK(goesOnAt(*second, "attempt", older));
     store.records.clear();
-    first->onBegun("later", service, newer);
+    first->onBegun("later", service, newer, services);
     runFor(appendTime);
     store.records.clear();
     CHECK(decide(*second, "later").action == TakeUpAction::Refuse);
-    first->onBegun("last", service, newer);
+    first->onBegun("last", service, newer, services);
     runFor(appendTime);
     CHECK(goesOnAt(*second, "last", newer));
 }
 
+// Guards against a router that has been cut off or has stood still, with or without its clock, and
+// takes the only version that it knows for the only one that there is.
+TEST_CASE_METHOD(
+        ResumableStreamsFixture,
+        "resumable streams, newer version is not in the list yet, don't go on at the older")
+{
+    for (ResumableStreams *streams : {first.get(), second.get()}) {
+        streams->onPastRead();
+        streams->onRegistered(entry("a", older));
+    }
+    first->onRegistered(entry("b", newer));
+    first->onBegun("attempt", service, newer, services);
+    const bool isTold = GENERATE(true, false);
+    if (isTold)
+        runFor(appendTime);
+    clock.advance(GENERATE(seconds(0), seconds(1), streamMemory - seconds(1)));
+    second->setServersReader([this](const auto &onRead) {
+        second->onRegistered(entry("b", newer));
+        onRead(true);
+    });
+    if (isTold)
+        CHECK(goesOnAt(*second, "attempt", newer));
+    else
+        CHECK(decide(*second, "attempt").action == TakeUpAction::Refuse);
+}
+
+// Guards against a guess, and against a client that waits for long or is answered twice, because
+// the router's read of the list fails or gets no answer.
+TEST_CASE_METHOD(ResumableStreamsFixture,
+                 "resumable streams, list can't be read, go on only at an origin in the record")
+{
+    second->onPastRead();
+    second->onRegistered(entry("a", older));
+    first->onRegistered(entry("a", older));
+    first->onRegistered(entry("b", newer));
+    first->onBegun("attempt", service, newer, services);
+    runFor(appendTime);
+    store.isAway = GENERATE(false, true);
+    const bool isSilent = GENERATE(false, true);
+    std::function<void(bool)> silent;
+    second->setServersReader([&](const auto &onRead) {
+        if (isSilent)
+            silent = onRead;
+        else
+            onRead(false);
+    });
+    std::vector<TakeUpDecision> decisions;
+    second->decide("attempt", services, [&](const auto &decision) {
+        decisions.push_back(decision);
+        loop.stop();
+    });
+    if (isSilent) {
+        CHECK(decisions.empty());
+        runFor(seconds(5));
+        silent(true);
+    }
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].action == (store.isAway ? TakeUpAction::Refuse : TakeUpAction::GoOn));
+    if (!store.isAway)
+        CHECK(decisions[0].version == versionHash(service, newer));
+}
+
+// Guards against a stream that goes on at another service of a split route, whose only version it
+// is.
+TEST_CASE_METHOD(ResumableStreamsFixture,
+                 "resumable streams, route is split among services, go on at the one that began")
+{
+    const ServiceId other("other");
+    ServerEntry otherEntry = entry("b", older);
+    otherEntry.service = other;
+    for (ResumableStreams *streams : {first.get(), second.get()}) {
+        streams->onPastRead();
+        streams->onRegistered(entry("a", older));
+        streams->onRegistered(otherEntry);
+    }
+    services.push_back(other);
+    first->onBegun("attempt", other, older, services);
+    runFor(appendTime);
+    const TakeUpDecision decision = decide(*second, "attempt");
+    CHECK(decision.action == TakeUpAction::GoOn);
+    CHECK(decision.version == versionHash(other, older));
+    CHECK(decide(*second, "unknown").action == TakeUpAction::Refuse);
+}
+
 // Guards against a record of another writer that ends the process or names origins that it lacks.
 TEST_CASE("stream origin record, cut off, keeps the whole origins")
 {
