Count no version as the only one after the store has lost registrations

After the store comes back from an older copy its offsets are given out again. A router that asks beyond the end keeps its offset, so it never reads the records between the copy's end and that offset; a version among them may be missing until its servers renew, and a take-up could take the other one for the only one.

StoreFollowerTest counts the losses (two of two); the handler is new, so the test could not run before.

--- a/src/direct/RouterNodeSync.cpp
+++ b/src/direct/RouterNodeSync.cpp
@@ -71,6 +71,7 @@
         updateListTime();
         announceUnchanged(next, next);
     };
+    forServers.onHistoryLost = [this] { streams.onStarted(); };
     forServers.onAnswer = [this] { storeContact.onAnswer(clock.now()); };
     forServers.onStoreReturned = [this](std::chrono::nanoseconds unread) {
         onServersReadAgain(unread);
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -254,6 +254,8 @@
 
 void StoreFollower::onFault(StoreFault fault)
 {
+    if (fault == StoreFault::HistoryLost)
+        handlers_.onHistoryLost();
     // A store without history has no servers' records either until the servers register again, so
     // the servers that are known stay in use.
     const bool isHistoryLost =
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -31,6 +31,9 @@
         /// A read succeeded after failures; called before the handler for its records. unread: from
         /// the start of the last read before the failures to the start of this one.
         std::function<void(std::chrono::nanoseconds unread)> onStoreReturned;
+        /// The store has lost records that were read; it may give their offsets to other records,
+        /// of which some are never read.
+        std::function<void()> onHistoryLost = [] {};
     };
 
     StoreFollower(EventLoop &loop, const Clock &clock, FleetStore &store, KeyedTopic topic,
--- a/tests/direct/StoreFollowerTest.cpp
+++ b/tests/direct/StoreFollowerTest.cpp
@@ -152,6 +152,7 @@
     int fullReads = 0;
     int recordReads = 0;
     int recoveries = 0;
+    int historyLosses = 0;
 
     /// Handlers that ignore everything.
     static StoreFollower::Handlers ignoringHandlers()
@@ -177,6 +178,7 @@
         handlers.onFullRead = [this](const auto &) { ++fullReads; };
         handlers.onRecords = [this](const auto &, LogOffset, LogOffset) { ++recordReads; };
         handlers.onStoreReturned = [this](auto) { ++recoveries; };
+        handlers.onHistoryLost = [this] { ++historyLosses; };
         StoreFollower follower(loop, clock, store, topic, everyMillisecond, std::move(handlers));
         follower.start();
         runFor(time);
@@ -223,6 +225,8 @@
     store.results = {batch(7, 1), StoreFault::HistoryLost, batch(9, 1)};
     follow(milliseconds(600));
     CHECK(store.calls == std::vector<std::string>{"all", "from 7", "from 7", "from 9"});
+    // Records between 7 and 9 may be others than the lost ones.
+    CHECK(historyLosses == 2);
 }
 
 // Guards against a follower that stops, or loses its offset, after a failed read.
