Bound the time that a take-up waits for the record of origins

The record is read page by page, each with a timeout of 300 ms, and a take-up that comes during a read waits for the next one, so a client could wait for seconds before it was refused. Both reads of a take-up end after 300 ms now, with the same timer.

The new test failed before (no decision within 5 s) and passes.

--- a/src/resuming/ResumableStreams.cpp
+++ b/src/resuming/ResumableStreams.cpp
@@ -59,7 +59,7 @@
     void readOn(unsigned reads);
     void onRecords(const KeyedResult &result, unsigned reads);
     void endRead();
-    void readServers(std::function<void(bool isCurrent)> onRead);
+    void readInTime(const ServersReader &reader, std::function<void(bool isRead)> onRead);
     void decide(TakeUp takeUp);
 
     EventLoop &loop;
@@ -189,10 +189,11 @@
         onRead();
 }
 
-/// Brings the list of servers up to the present; gives up after readTimeout.
-void ResumableStreams::Impl::readServers(std::function<void(bool isCurrent)> onRead)
+/// Calls a reader; calls onRead with its result, or with false after readTimeout.
+void ResumableStreams::Impl::readInTime(const ServersReader &reader,
+                                        std::function<void(bool isRead)> onRead)
 {
-    if (!serversReader)
+    if (!reader)
         return onRead(false);
     struct Wait
     {
@@ -201,19 +202,19 @@
     };
     const auto wait = std::make_shared<Wait>();
     wait->onRead = std::move(onRead);
-    const auto end = [impl = weak_from_this()](Wait &ending, bool isCurrent) {
+    const auto end = [impl = weak_from_this()](Wait &ending, bool isRead) {
         ending.limit->stop();
         const auto done = std::exchange(ending.onRead, nullptr);
         const auto alive = impl.lock();
         if (done && alive)
-            done(isCurrent);
+            done(isRead);
     };
     wait->limit = std::make_unique<Timer>(loop, [weak = std::weak_ptr(wait), end] {
         if (const auto waiting = weak.lock())
             end(*waiting, false);
     });
     wait->limit->startOnce(readTimeout);
-    serversReader([wait, end](bool isCurrent) { end(*wait, isCurrent); });
+    reader([wait, end](bool isRead) { end(*wait, isRead); });
 }
 
 void ResumableStreams::Impl::decide(TakeUp takeUp)
@@ -236,16 +237,21 @@
             " record_read=", takeUp.isRecordRead, " waited_ms=", toMs(now - takeUp.arrived),
             " version=", decision.version);
     if (decision.action == TakeUpAction::ReadServers) {
-        return readServers([this, takeUp = std::move(takeUp)](bool isCurrent) mutable {
+        const auto onRead = [this, takeUp = std::move(takeUp)](bool isCurrent) mutable {
             takeUp.list = isCurrent ? ServerListState::Current : ServerListState::Unreadable;
             decide(std::move(takeUp));
-        });
+        };
+        return readInTime(serversReader, onRead);
     }
     if (decision.action == TakeUpAction::ReadRecord) {
-        return read([this, takeUp = std::move(takeUp)]() mutable {
+        const auto readRecord = [this](std::function<void(bool)> onRead) {
+            read([onRead = std::move(onRead)] { onRead(true); });
+        };
+        const auto onRead = [this, takeUp = std::move(takeUp)](bool) mutable {
             takeUp.isRecordRead = true;
             decide(std::move(takeUp));
-        });
+        };
+        return readInTime(readRecord, onRead);
     }
     takeUp.onDecided(decision);
 }
--- a/tests/resuming/ResumableStreamsTest.cpp
+++ b/tests/resuming/ResumableStreamsTest.cpp
@@ -19,6 +19,8 @@
                   std::function<void(const KeyedResult &)> onDone) override
     {
         ++reads;
+        if (isSilent)
+            return;
         if (isAway)
             return onDone(StoreFault::Unavailable);
         if (from.value > records.size())
@@ -42,6 +44,8 @@
     std::vector<std::string> records;
     unsigned reads = 0;
     bool isAway = false;
+    /// Reads get no answer.
+    bool isSilent = false;
 };
 
 struct ResumableStreamsFixture
@@ -254,6 +258,23 @@
         CHECK(decisions[0].version == versionHash(service, newer));
 }
 
+// Guards against a client that waits for its deadline, because the record is read page by page and
+// each page may take as long as the whole.
+TEST_CASE_METHOD(ResumableStreamsFixture,
+                 "resumable streams, record gets no answer, take-up is refused in time")
+{
+    mix(*second);
+    store.isSilent = true;
+    std::optional<TakeUpDecision> decided;
+    second->decide("attempt", services, [&](const TakeUpDecision &decision) {
+        decided = decision;
+        loop.stop();
+    });
+    runFor(seconds(5));
+    REQUIRE(decided);
+    CHECK(decided->action == TakeUpAction::Refuse);
+}
+
 // Guards against a stream that goes on at another service of a split route, whose only version it
 // is.
 TEST_CASE_METHOD(ResumableStreamsFixture,
