--- a/tests/integration/StoredTopic.cpp
+++ b/tests/integration/StoredTopic.cpp
@@ -69,7 +69,9 @@
     const std::size_t empty = body.size();
     for (std::size_t offset = from; offset < records_.size(); ++offset) {
         const auto &[key, value] = records_[offset];
-        const std::string record = static_cast<char>(key.size()) + key + value;
+        std::string record(1, static_cast<char>(key.size()));
+        record += key;
+        record += value;
         if (body.size() > empty && body.size() + record.size() > maxAnswerBytes)
             break;
         body += bigEndian(record.size(), 4) + record;
