Log the unreadable records of servers of a read as one line

What callers saw: a store with very many small unreadable records of servers made the router format a log line for each in one callback, so that all else waited, and other lines were dropped.

Cause: decodeServer() logged each fault, in loops over whole answers.

Change: the four readers collect the faults and report them after the read: event=server-unreadable count=N server=FIRST_KEY field=FIRST_FIELD, and lovagecourse_server_entry_faults_total grows by N. No test looked for the old line. onServerRecords() already decoded each record once only.

The time that a read of 1 MB takes was not measured.

--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -18,6 +18,15 @@
 /// Interval of full load reports to the other routers; longer with many peers.
 constexpr milliseconds fullReportInterval{100};
 
+/// Records of servers that can't be decoded, of one read. They are logged as one line, since a read
+/// may hold more than 100,000.
+struct UnreadableServers
+{
+    std::size_t count = 0;
+    std::string firstKey;
+    std::string firstField;
+};
+
 /// Implementation of RouterNode. RouterNode.cpp contains sockets, settings and lifecycle,
 /// RouterNodeSync.cpp what is read from the store, RouterNodePeers.cpp the exchange of state with
 /// the other routers, RouterNodeTraits.cpp of it what concerns requests that crash servers,
@@ -49,7 +58,9 @@
     std::vector<Endpoint> fleetTargets();
     void announceUnchanged(LogOffset from, LogOffset to);
     void announceChanges(const std::vector<KeyedRecord> &changes, LogOffset from, LogOffset to);
-    std::optional<ServerEntry> decodeServer(const KeyedRecord &record);
+    std::optional<ServerEntry> decodeServer(const KeyedRecord &record,
+                                            UnreadableServers &unreadable);
+    void reportUnreadable(const UnreadableServers &unreadable);
     void applyChanges(const std::vector<RegistrationChange> &changes);
     void onServersReadAgain(std::chrono::nanoseconds unread);
     void applyServerRecord(const ServerId &id, const std::optional<ServerEntry> &entry,
--- a/src/direct/RouterNodePeers.cpp
+++ b/src/direct/RouterNodePeers.cpp
@@ -361,12 +361,14 @@
     logInfo(LogPart::Membership, "event=servers-passed-on by=", sender,
             " from=", changed.from.value, " to=", changed.to.value,
             " changes=", changed.records.size());
+    UnreadableServers unreadable;
     for (const ForwardedRecord &forwarded : changed.records) {
         KeyedRecord record{forwarded.key, std::nullopt, {}};
         if (!forwarded.isDeleted)
             record.value = forwarded.value;
-        applyServerRecord(ServerId(record.key), decodeServer(record), std::nullopt);
+        applyServerRecord(ServerId(record.key), decodeServer(record, unreadable), std::nullopt);
     }
+    reportUnreadable(unreadable);
     updateListTime();
 }
 
--- a/src/direct/RouterNodeSync.cpp
+++ b/src/direct/RouterNodeSync.cpp
@@ -127,20 +127,32 @@
     }
 }
 
-std::optional<ServerEntry> RouterNode::Impl::decodeServer(const KeyedRecord &record)
+std::optional<ServerEntry> RouterNode::Impl::decodeServer(const KeyedRecord &record,
+                                                          UnreadableServers &unreadable)
 {
     if (!record.value)
         return std::nullopt;
     auto decoded = platform.decodeServer(record.key, *record.value);
     if (const auto *fault = std::get_if<DecodeFault>(&decoded)) {
-        metrics.count("lovagecourse_server_entry_faults_total");
-        logWarning(LogPart::Membership, "event=server-unreadable server=", record.key,
-                   " field=", fault->field);
+        if (unreadable.count++ == 0) {
+            unreadable.firstKey = record.key;
+            unreadable.firstField = fault->field;
+        }
         return std::nullopt;
     }
     return std::get<ServerEntry>(std::move(decoded));
 }
 
+void RouterNode::Impl::reportUnreadable(const UnreadableServers &unreadable)
+{
+    if (unreadable.count == 0)
+        return;
+    metrics.count("lovagecourse_server_entry_faults_total", {},
+                  static_cast<double>(unreadable.count));
+    logWarning(LogPart::Membership, "event=server-unreadable count=", unreadable.count,
+               " server=", unreadable.firstKey, " field=", unreadable.firstField);
+}
+
 /// Reads the retained records of servers, from which it follows which software versions served
 /// before this router started.
 void RouterNode::Impl::readServerHistory(LogOffset from, unsigned reads)
@@ -156,13 +168,15 @@
             return;
         }
         std::set<std::string> decoded;
+        UnreadableServers unreadable;
         for (const KeyedRecord &record : batch->records) {
             // Further records of a server are renewals.
             if (!record.value || !decoded.insert(record.key).second)
                 continue;
-            if (const auto entry = decodeServer(record))
+            if (const auto entry = decodeServer(record, unreadable))
                 streams.onPastEntry(*entry);
         }
+        reportUnreadable(unreadable);
         if (batch->records.empty())
             return streams.onPastRead();
         if (reads < maxHistoryReads)
@@ -173,10 +187,12 @@
 void RouterNode::Impl::onAllServers(const std::vector<KeyedRecord> &records)
 {
     std::map<ServerId, ServerEntry> entries;
+    UnreadableServers unreadable;
     for (const KeyedRecord &record : records) {
-        if (auto entry = decodeServer(record))
+        if (auto entry = decodeServer(record, unreadable))
             entries.emplace(entry->id, std::move(*entry));
     }
+    reportUnreadable(unreadable);
     serversLoaded = true;
     applyChanges(directory.applyAll(entries, clock.now()));
     updateListTime();
@@ -186,13 +202,15 @@
                                        LogOffset to)
 {
     std::vector<KeyedRecord> changes;
+    UnreadableServers unreadable;
     for (const KeyedRecord &record : records) {
         const ServerId id(record.key);
-        const auto entry = decodeServer(record);
+        const auto entry = decodeServer(record, unreadable);
         if (directory.isChange(id, entry))
             changes.push_back(record);
         applyServerRecord(id, entry, serversFollower->writtenAfter());
     }
+    reportUnreadable(unreadable);
     updateListTime();
     if (changes.empty())
         announceUnchanged(from, to);
