Leave out the rejections of the interval after one with answers of the store

Found in the read-through: the interval with the store's answers was not remembered, as the condition ended before it, so only that interval's own rejections were left out of the pause.

--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -351,7 +351,8 @@
     // Callers that waited for the handling of the store's answers show no load above the host's
     // size. They are rejected in the same interval or in the next one.
     const bool hasStoreWork = load.storeMs > longStoreWorkMs;
-    const bool isCallersLoad = !hasStoreWork && !std::exchange(hadStoreWork, hasStoreWork);
+    const bool followsStoreWork = std::exchange(hadStoreWork, hasStoreWork);
+    const bool isCallersLoad = !hasStoreWork && !followsStoreWork;
     if (rotationPause.onInterval(isCallersLoad ? rejected : 0, load.received, now))
         logWarning(LogPart::Gateway, "event=rotation-paused rejected=", rejected,
                    " pause_ms=", toMs(rotationPause.pause()), " late_ms=", load.loopDelayMs,
