Let the tests' store come back from an older copy

The scripted store of RouterHost had no appends, no era and could not lose records. LoopbackStore takes its place: it can be away, come back from a copy, give offsets out again, answer 410 for those that it does not have, and names its era in all answers, refusals too. RouterProcess is what RouterHost held of the process, so that a test can have several routers at one store. Tests that use RouterHost are unchanged.

--- a/tests/integration/RouterHost.h
+++ b/tests/integration/RouterHost.h
@@ -2,8 +2,8 @@
 
 #include "integration/CallerCrowd.h"
 #include "integration/LoopbackConnection.h"
-#include "integration/Process.h"
-#include "integration/StoredTopic.h"
+#include "integration/LoopbackStore.h"
+#include "integration/RouterProcess.h"
 
 #include <atomic>
 #include <functional>
@@ -24,56 +24,52 @@
     RouterHost(const RouterHost &) = delete;
     RouterHost &operator=(const RouterHost &) = delete;
 
-    std::string callers() const { return callers_; }
-    Process &process() { return *process_; }
-    bool isRunning() { return process_->isRunning(); }
+    std::string callers() const { return router_->callers(); }
+    Process &process() { return router_->process(); }
+    bool isRunning() { return process().isRunning(); }
     /// Sends small requests, each on a connection of its own, until one is answered by the server.
     bool servesRequest() const;
     /// The server is about to stop; handlers that wait return.
     bool isStopping() const { return isStopping_; }
     /// Address of the router's datagrams, and the secret of its fleet.
-    const std::string &datagrams() const { return datagrams_; }
-    static constexpr const char *fleetKey = "a-key-of-the-memory-tests";
-    double metric(const std::string &name) const;
+    const std::string &datagrams() const { return router_->datagrams(); }
+    static constexpr const char *fleetKey = RouterProcess::fleetKey;
+    double metric(const std::string &name) const { return router_->metric(name); }
     /// Whether the router says at this moment that it may get callers.
-    bool isReady() const;
+    bool isReady() const { return router_->isReady(); }
     /// Kills the router.
-    void kill() { process_->kill(); }
+    void kill() { router_->kill(); }
     /// Starts the router again after a kill.
-    void start();
+    void start() { router_->start(); }
+    LoopbackStore &store() { return store_; }
     /// Adds a record to the topic of the configuration; one without a value deletes its key.
     void writeOperatorRecord(const std::string &key, const std::string &value)
     {
-        operatorTopic_.write(key, value);
+        store_.write(LoopbackStore::operatorTopic, key, value);
     }
     /// Adds a record to the topic of the servers.
     void writeServerRecord(const std::string &key, const std::string &value)
     {
-        serverTopic_.write(key, value);
+        store_.write(LoopbackStore::serversTopic, key, value);
     }
     /// Registration of the server. furtherFields: each after a comma.
     std::string serverEntry(const std::string &furtherFields = {}) const;
     /// The router's log so far.
-    std::string log() const;
+    std::string log() const { return router_->log(); }
 
 private:
-    void answerStore(LoopbackConnection &connection);
     void answerRequests(LoopbackConnection &connection);
 
     ServerAnswer answer_;
     std::atomic<bool> isStopping_ = false;
-    StoredTopic operatorTopic_;
-    StoredTopic serverTopic_;
-    std::string folder_;
-    std::string callers_;
-    std::string ready_;
-    std::string admin_;
-    std::string datagrams_;
+    LoopbackStore store_;
     std::unique_ptr<LoopbackServer> server_;
-    std::unique_ptr<LoopbackServer> store_;
-    std::unique_ptr<Process> process_;
+    std::unique_ptr<RouterProcess> router_;
 };
 
+/// Configuration with the routes "/plain/" and "/stream/" to the service "pool". serviceFields: as
+/// for RouterHost.
+std::string poolConfiguration(const std::string &serviceFields = {});
 /// Request head without the blank line at its end.
 std::string requestHead(const std::string &path);
 /// Head of a server's answer to the request, without the blank line at its end.
--- a/tests/integration/StoredTopic.cpp
+++ b/tests/integration/StoredTopic.cpp
@@ -79,6 +79,12 @@
     return body;
 }
 
+void StoredTopic::dropFrom(std::size_t offset)
+{
+    const std::lock_guard lock(mutex_);
+    records_.resize(std::min(records_.size(), offset));
+}
+
 std::size_t StoredTopic::end() const
 {
     const std::lock_guard lock(mutex_);
--- a/tests/integration/StoredTopic.h
+++ b/tests/integration/StoredTopic.h
@@ -19,6 +19,8 @@
     /// Body of a read of the records from an offset on.
     std::string read(std::size_t from) const;
     std::size_t end() const;
+    /// Drops the records from an offset on.
+    void dropFrom(std::size_t offset);
 
 private:
     mutable std::mutex mutex_;
