--- a/src/core/Ids.h
+++ b/src/core/Ids.h
@@ -59,6 +59,9 @@
 using GrantId = StrongId<struct GrantTag, std::uint64_t>;
 /// Offset of a record in a stream of the platform's log.
 using LogOffset = StrongId<struct LogOffsetTag, std::uint64_t>;
+/// Counts how often the platform's store has come back from an older copy. Each time, the records
+/// written since the copy are lost, and their offsets are given to other records.
+using StoreEra = StrongId<struct StoreEraTag, std::uint64_t>;
 /// Fencing token: the log offset of the record that granted a right. The holder with the greatest
 /// number supersedes all others.
 using FencingNumber = StrongId<struct FencingTag, std::uint64_t>;
--- a/src/direct/FleetStore.h
+++ b/src/direct/FleetStore.h
@@ -2,6 +2,7 @@
 
 #include "core/Clock.h"
 #include "core/Ids.h"
+#include "store/StoreEras.h"
 
 #include <cstdint>
 #include <functional>
@@ -27,11 +28,11 @@
     LogOffset offset;
 };
 
-/// Records in order, and the offset at which the next read begins.
+/// Records in order, and the position at which the next read begins.
 struct KeyedBatch
 {
     std::vector<KeyedRecord> records;
-    LogOffset next;
+    StorePosition next;
     /// False if the topic had further records when the store answered.
     bool isAtEnd = true;
 };
@@ -49,7 +50,10 @@
     /// The store ends before the offset of the read: it has lost the records that were read.
     HistoryLost,
     /// The answer can't be decoded or has an unknown status.
-    Malformed
+    Malformed,
+    /// The store has come back from an older copy: the position of the read is of another era, or
+    /// the era has changed since the read began.
+    EraChanged
 };
 
 std::string_view toString(StoreFault fault);
@@ -78,11 +82,11 @@
 {
 public:
     virtual ~FleetStore() = default;
-    /// Reads the newest record of every key.
-    virtual void readNewest(KeyedTopic topic, milliseconds timeout,
+    /// Reads the newest record of every key. Of the options, wait and skipsExpired have no effect.
+    virtual void readNewest(KeyedTopic topic, const ReadOptions &options,
                             std::function<void(const KeyedResult &)> onDone) = 0;
-    /// Reads the records from an offset on.
-    virtual void readFrom(KeyedTopic topic, LogOffset from, const ReadOptions &options,
+    /// Reads the records from a position on. Offset 0 is the beginning of the topic in any era.
+    virtual void readFrom(KeyedTopic topic, const StorePosition &from, const ReadOptions &options,
                           std::function<void(const KeyedResult &)> onDone) = 0;
     /// Appends a record to Daemons or StreamOrigins; routers may not write to the other topics.
     virtual void append(KeyedTopic topic, const std::string &key, const std::string &value,
--- a/src/direct/PlatformBinding.h
+++ b/src/direct/PlatformBinding.h
@@ -31,7 +31,9 @@
 struct PlatformBinding
 {
     std::unique_ptr<RequestCodec> requests;
-    std::function<std::unique_ptr<FleetStore>(HttpClient &, const std::string &baseUrl)> openStore;
+    std::function<std::unique_ptr<FleetStore>(HttpClient &, const std::string &baseUrl,
+                                              std::shared_ptr<StoreEras>)>
+            openStore;
     std::function<std::variant<DirectConfiguration, DecodeFault>(std::string_view)>
             decodeConfiguration;
     std::function<std::variant<ServerEntry, DecodeFault>(const std::string &id, std::string_view)>
--- a/src/direct/PollTiming.cpp
+++ b/src/direct/PollTiming.cpp
@@ -22,34 +22,38 @@
 // Long enough for the store's answer to all routers, which are told of a change at about the same
 // time, to arrive and be handled.
 constexpr double catchUpShare = 0.1;
+// All routers learn of the store's return from an older copy within its first retries, and each
+// reads two topics anew. The retry and this delay together stay below longPollShare.
+constexpr double fullReadShare = 0.1;
 
 milliseconds part(milliseconds whole, double share)
 {
     return std::chrono::duration_cast<milliseconds>(whole * share);
 }
 
-PollTiming commonTiming(milliseconds maxDelay)
+PollTiming commonTiming(milliseconds maxDelay, double stagger)
 {
     PollTiming timing;
     timing.answerTimeout = part(maxDelay, answerTimeoutShare);
     timing.firstRetryDelay = part(maxDelay, firstRetryShare);
     timing.maxRetryDelay = part(maxDelay, maxRetryShare);
     timing.catchUpDelay = part(maxDelay, catchUpShare);
+    timing.fullReadDelay = part(maxDelay, fullReadShare * stagger);
     return timing;
 }
 
 } // namespace
 
-PollTiming configurationPollTiming(milliseconds maxDelay)
+PollTiming configurationPollTiming(milliseconds maxDelay, double stagger)
 {
-    PollTiming timing = commonTiming(maxDelay);
+    PollTiming timing = commonTiming(maxDelay, stagger);
     timing.longPollWait = part(maxDelay, longPollShare);
     return timing;
 }
 
 PollTiming serversPollTiming(milliseconds maxDelay, double stagger)
 {
-    PollTiming timing = commonTiming(maxDelay);
+    PollTiming timing = commonTiming(maxDelay, stagger);
     timing.interval = part(maxDelay, intervalShare + staggerShare * stagger);
     timing.leastInterval = std::min(timing.interval, leastServersInterval);
     return timing;
--- a/src/direct/PollTiming.h
+++ b/src/direct/PollTiming.h
@@ -23,12 +23,14 @@
     milliseconds answerTimeout{800};
     /// Time from another router's news of records that this one has not read to a read of its own.
     milliseconds catchUpDelay{200};
+    /// Time from a change of the store's era to the full read.
+    milliseconds fullReadDelay{0};
 };
 
 /// Timing for the configuration: a long poll, which returns changes at once. A change is read
 /// within maxDelay of its write, also when one read gets no answer, and within maxDelay of the
-/// return of a store that was silent.
-PollTiming configurationPollTiming(milliseconds maxDelay);
+/// return of a store that was silent. stagger, from 0 to 1, spreads the full reads of routers.
+PollTiming configurationPollTiming(milliseconds maxDelay, double stagger);
 /// Timing for the registrations of servers: reads at an interval, because the heartbeats of all
 /// servers would end a long poll many times a second. A change is read within maxDelay of its
 /// write, also when one read gets no answer. stagger, from 0 to 1, spreads the reads of routers.
--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -207,7 +207,7 @@
     restartFollowers();
     registry.start(*store);
     streams.onStarted();
-    readServerHistory(LogOffset(0), 1);
+    readServerHistory(StorePosition(), 1);
     startedAt = clock.now();
     lastTick = startedAt;
     tickTimer.startRepeating(tickInterval);
--- a/src/direct/RouterNodeEvacuations.cpp
+++ b/src/direct/RouterNodeEvacuations.cpp
@@ -31,18 +31,19 @@
             evacuated.insert(*dataCentre);
     }
     const TimePoint now = clock.now();
-    const LogOffset next = configurationFollower->next().value_or(LogOffset(0));
+    const auto next = configurationFollower->next().value_or(StorePosition());
     const TimePoint startedAt = configurationFollower->asOf().value_or(now);
     if (evacuationReads.onFullRead(std::move(evacuated), next, startedAt, now)) {
         logWarning(LogPart::Platform, "event=store-history-lost next=", next,
                    " history=", evacuationReads.newest().position.history);
         // It is an offset of the earlier history.
-        announcedConfiguration = LogOffset(0);
+        announcedConfiguration.reset();
     }
     applyEvacuations();
 }
 
-void RouterNode::Impl::onEvacuationRecords(const std::vector<KeyedRecord> &records, LogOffset next)
+void RouterNode::Impl::onEvacuationRecords(const std::vector<KeyedRecord> &records,
+                                           const StorePosition &next)
 {
     std::vector<EvacuationChange> changes;
     for (const KeyedRecord &record : records) {
@@ -86,8 +87,8 @@
 
 void RouterNode::Impl::onMessage(const DaemonId &sender, EvacuatedDataCentres &&report)
 {
-    const StorePosition before = evacuationReads.newest().position;
-    const StorePosition position{report.history, report.next};
+    const HistoryPosition before = evacuationReads.newest().position;
+    const HistoryPosition position{report.history, report.next};
     const auto outcome = evacuationReads.onTold(
             EvacuatedSet{position, {report.dataCentres.begin(), report.dataCentres.end()}},
             clock.now());
--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -47,17 +47,22 @@
 
     void onConfigurationRecords(const std::vector<KeyedRecord> &records);
     void onAllEvacuationRecords(const std::vector<KeyedRecord> &records);
-    void onEvacuationRecords(const std::vector<KeyedRecord> &records, LogOffset next);
+    void onEvacuationRecords(const std::vector<KeyedRecord> &records, const StorePosition &next);
     void applyEvacuations();
     void sendEvacuations(const std::vector<Endpoint> &targets);
-    void readServerHistory(LogOffset from, unsigned reads);
+    void readServerHistory(const StorePosition &from, unsigned reads);
     void onAllServers(const std::vector<KeyedRecord> &records);
-    void onServerRecords(const std::vector<KeyedRecord> &records, LogOffset from, LogOffset to);
+    void onServerRecords(const std::vector<KeyedRecord> &records, const StorePosition &from,
+                         const StorePosition &to);
+    void onEraChanged(std::optional<StoreEra> before, std::optional<StoreEra> era);
     void onConfigurationRead();
     void announceConfiguration();
     std::vector<Endpoint> fleetTargets();
-    void announceUnchanged(LogOffset from, LogOffset to);
-    void announceChanges(const std::vector<KeyedRecord> &changes, LogOffset from, LogOffset to);
+    void sendInEra(const std::vector<Endpoint> &targets, std::optional<StoreEra> era,
+                   StoreNews news);
+    void announceUnchanged(const StorePosition &from, const StorePosition &to);
+    void announceChanges(const std::vector<KeyedRecord> &changes, const StorePosition &from,
+                         const StorePosition &to);
     std::optional<ServerEntry> decodeServer(const KeyedRecord &record,
                                             UnreadableServers &unreadable);
     void reportUnreadable(const UnreadableServers &unreadable);
@@ -90,10 +95,15 @@
     void onMessage(const DaemonId &sender, RouterAccountReport &&report);
     void onMessage(const DaemonId &sender, DataCentreReport &&report);
     void onMessage(const DaemonId &sender, DataCentreAccountReport &&report);
-    void onMessage(const DaemonId &sender, ServersUnchanged &&unchanged);
-    void onMessage(const DaemonId &sender, ServersChanged &&changed);
+    void onMessage(const DaemonId &sender, InStoreEra &&message);
+    /// era: empty if the message names none.
+    void onMessage(const DaemonId &sender, ServersUnchanged &&unchanged,
+                   std::optional<StoreEra> era = {});
+    void onMessage(const DaemonId &sender, ServersChanged &&changed,
+                   std::optional<StoreEra> era = {});
+    void onMessage(const DaemonId &sender, ConfigurationRead &&read,
+                   std::optional<StoreEra> era = {});
     void onMessage(const DaemonId &sender, CrashTraitReport &&report);
-    void onMessage(const DaemonId &sender, ConfigurationRead &&read);
     void onMessage(const DaemonId &sender, RouterLimitReport &&report);
     void onMessage(const DaemonId &sender, EvacuatedDataCentres &&report);
     RouterCounts limitCounts() const;
@@ -140,6 +150,8 @@
     /// Of the store; its answers are handled before callers' requests.
     HttpClient storeHttp;
     std::unique_ptr<FleetStore> store;
+    /// Of that store.
+    std::shared_ptr<StoreEras> storeEras;
     std::shared_ptr<const DirectConfiguration> configuration;
     ServerDirectory directory;
     StoreContact storeContact;
@@ -163,7 +175,7 @@
     std::unique_ptr<DirectRouter> router;
     std::unique_ptr<StoreFollower> configurationFollower;
     /// Up to where some router has announced that it has read the configuration.
-    LogOffset announcedConfiguration;
+    std::optional<StorePosition> announcedConfiguration;
     Timer configurationAnnouncement;
     EvacuationReads evacuationReads;
     std::unique_ptr<StoreFollower> serversFollower;
--- a/src/direct/RouterNodePeers.cpp
+++ b/src/direct/RouterNodePeers.cpp
@@ -208,24 +208,34 @@
     return targets;
 }
 
+/// Sends news whose offsets are of this era.
+void RouterNode::Impl::sendInEra(const std::vector<Endpoint> &targets, std::optional<StoreEra> era,
+                                 StoreNews news)
+{
+    if (era)
+        return datagramSocket->sendToAll(targets, InStoreEra{*era, std::move(news)});
+    std::visit([&](auto &content) { datagramSocket->sendToAll(targets, std::move(content)); },
+               news);
+}
+
 /// Announces that the records of this range change nothing, which saves the other routers a read of
 /// the store.
-void RouterNode::Impl::announceUnchanged(LogOffset from, LogOffset to)
+void RouterNode::Impl::announceUnchanged(const StorePosition &from, const StorePosition &to)
 {
-    datagramSocket->sendToAll(fleetTargets(), ServersUnchanged{from, to, listAgeMs()});
+    sendInEra(fleetTargets(), to.era, ServersUnchanged{from.offset, to.offset, listAgeMs()});
 }
 
 /// Passes on the changes in this range of records, in as many datagrams as they need. A router that
 /// misses one of them reads the rest itself.
-void RouterNode::Impl::announceChanges(const std::vector<KeyedRecord> &changes, LogOffset from,
-                                       LogOffset to)
+void RouterNode::Impl::announceChanges(const std::vector<KeyedRecord> &changes,
+                                       const StorePosition &from, const StorePosition &to)
 {
     // An empty range follows a full read, whose records other routers may not have.
     if (from == to)
         return;
     const std::vector<Endpoint> targets = fleetTargets();
     // Before the last part, a receiver does not know all changes from before the read.
-    ServersChanged part{from, to, unknownAgeMs, {}};
+    ServersChanged part{from.offset, to.offset, unknownAgeMs, {}};
     std::size_t partBytes = 0;
     for (const KeyedRecord &record : changes) {
         const std::size_t bytes =
@@ -234,15 +244,15 @@
             return;
         if (partBytes + bytes > maxForwardedBytes) {
             part.to = record.offset;
-            datagramSocket->sendToAll(targets, part);
-            part = ServersChanged{record.offset, to, unknownAgeMs, {}};
+            sendInEra(targets, to.era, part);
+            part = ServersChanged{record.offset, to.offset, unknownAgeMs, {}};
             partBytes = 0;
         }
         part.records.push_back({record.key, record.value.value_or(""), !record.value.has_value()});
         partBytes += bytes;
     }
     part.ageMs = listAgeMs();
-    datagramSocket->sendToAll(targets, part);
+    sendInEra(targets, to.era, std::move(part));
 }
 
 void RouterNode::Impl::onDatagram(const DaemonId &sender, Message &&message)
@@ -336,30 +346,39 @@
     return ageMs(serversFollower->asOf().value_or(clock.now()));
 }
 
-void RouterNode::Impl::onMessage(const DaemonId &sender, ServersUnchanged &&unchanged)
+void RouterNode::Impl::onMessage(const DaemonId &sender, InStoreEra &&message)
+{
+    std::visit([&](auto &content) { onMessage(sender, std::move(content), message.era); },
+               message.content);
+}
+
+void RouterNode::Impl::onMessage(const DaemonId &sender, ServersUnchanged &&unchanged,
+                                 std::optional<StoreEra> era)
 {
     metrics.count("lovagecourse_store_reads_saved_total");
     const TimePoint asOf = timeOf(unchanged.ageMs);
     unchanged.ageMs = ageMs(asOf);
     storeContact.onAnswer(asOf);
-    if (serversFollower->skipUnchanged(unchanged.from, unchanged.to, asOf))
+    if (serversFollower->skipUnchanged({era, unchanged.from}, {era, unchanged.to}, asOf))
         updateListTime();
     if (peers.isInOtherDataCentre(sender))
-        datagramSocket->sendToAll(peers.activePeers(clock.now()), unchanged);
+        sendInEra(peers.activePeers(clock.now()), era, unchanged);
 }
 
-void RouterNode::Impl::onMessage(const DaemonId &sender, ServersChanged &&changed)
+void RouterNode::Impl::onMessage(const DaemonId &sender, ServersChanged &&changed,
+                                 std::optional<StoreEra> era)
 {
     const TimePoint asOf = timeOf(changed.ageMs);
     changed.ageMs = ageMs(asOf);
     if (peers.isInOtherDataCentre(sender))
-        datagramSocket->sendToAll(peers.activePeers(clock.now()), changed);
+        sendInEra(peers.activePeers(clock.now()), era, changed);
     storeContact.onAnswer(asOf);
-    if (!serversFollower->takeOver(changed.from, changed.to, asOf))
+    const StorePosition from{era, changed.from};
+    const StorePosition to{era, changed.to};
+    if (!serversFollower->takeOver(from, to, asOf))
         return;
     metrics.count("lovagecourse_store_reads_saved_total");
-    logInfo(LogPart::Membership, "event=servers-passed-on by=", sender,
-            " from=", changed.from.value, " to=", changed.to.value,
+    logInfo(LogPart::Membership, "event=servers-passed-on by=", sender, " from=", from, " to=", to,
             " changes=", changed.records.size());
     UnreadableServers unreadable;
     for (const ForwardedRecord &forwarded : changed.records) {
@@ -372,12 +391,15 @@
     updateListTime();
 }
 
-void RouterNode::Impl::onMessage(const DaemonId &sender, ConfigurationRead &&read)
+void RouterNode::Impl::onMessage(const DaemonId &sender, ConfigurationRead &&read,
+                                 std::optional<StoreEra> era)
 {
-    announcedConfiguration = std::max(announcedConfiguration, read.next);
-    configurationFollower->onReadElsewhere(read.next);
+    const StorePosition next{era, read.next};
+    if (!announcedConfiguration || isAheadOf(next, *announcedConfiguration))
+        announcedConfiguration = next;
+    configurationFollower->onReadElsewhere(next);
     if (peers.isInOtherDataCentre(sender))
-        datagramSocket->sendToAll(peers.activePeers(clock.now()), read);
+        sendInEra(peers.activePeers(clock.now()), era, read);
 }
 
 void RouterNode::Impl::onRequest(CallerRequest &&request)
--- a/src/direct/RouterNodeSync.cpp
+++ b/src/direct/RouterNodeSync.cpp
@@ -35,10 +35,14 @@
     // Both refer to the store that is replaced.
     configurationFollower.reset();
     serversFollower.reset();
-    store = platform.openStore(storeHttp, settings.platformUrl);
+    if (storeEras)
+        storeEras->stop();
+    storeEras = std::make_shared<StoreEras>(
+            [this](auto before, auto era) { onEraChanged(before, era); });
+    store = platform.openStore(storeHttp, settings.platformUrl, storeEras);
     registry.setStore(*store);
     streams.setStore(*store);
-    announcedConfiguration = LogOffset(0);
+    announcedConfiguration.reset();
     StoreFollower::Handlers forConfiguration;
     forConfiguration.onFullRead = [this](const auto &records) {
         // Before the configuration, after which the router sends requests.
@@ -46,17 +50,18 @@
         onConfigurationRecords(records);
         onConfigurationRead();
     };
-    forConfiguration.onRecords = [this](const auto &records, LogOffset, LogOffset to) {
+    forConfiguration.onRecords = [this](const auto &records, const auto &, const auto &to) {
         onEvacuationRecords(records, to);
         onConfigurationRecords(records);
         onConfigurationRead();
     };
-    forConfiguration.onEmptyRead = [this](LogOffset next) { onEvacuationRecords({}, next); };
+    forConfiguration.onEmptyRead = [this](const auto &next) { onEvacuationRecords({}, next); };
     forConfiguration.onAnswer = [this] { storeContact.onAnswer(clock.now()); };
     forConfiguration.onStoreReturned = [](std::chrono::nanoseconds) {};
     configurationFollower = std::make_unique<StoreFollower>(
             loop, clock, *store, KeyedTopic::Configuration,
-            configurationPollTiming(settings.maxConfigurationDelay), std::move(forConfiguration));
+            configurationPollTiming(settings.maxConfigurationDelay, pollStagger()),
+            std::move(forConfiguration));
     StoreFollower::Handlers forServers;
     forServers.onFullRead = [this](const auto &records) {
         // Servers may have come and left since the last read.
@@ -64,10 +69,10 @@
             streams.onStarted();
         onAllServers(records);
     };
-    forServers.onRecords = [this](const auto &records, LogOffset from, LogOffset to) {
+    forServers.onRecords = [this](const auto &records, const auto &from, const auto &to) {
         onServerRecords(records, from, to);
     };
-    forServers.onEmptyRead = [this](LogOffset next) {
+    forServers.onEmptyRead = [this](const auto &next) {
         updateListTime();
         announceUnchanged(next, next);
     };
@@ -83,6 +88,25 @@
     serversFollower->start();
 }
 
+/// The store has come back from an older copy: what it has returned so far may be lost, and the
+/// offsets of lost records are given to others.
+void RouterNode::Impl::onEraChanged(std::optional<StoreEra> before, std::optional<StoreEra> era)
+{
+    const auto text = [](std::optional<StoreEra> named) {
+        return named ? std::to_string(named->value) : "none";
+    };
+    const auto nextOf = [](const StoreFollower &follower) {
+        return follower.next().value_or(StorePosition());
+    };
+    metrics.count("lovagecourse_store_era_changes_total");
+    logWarning(LogPart::Platform, "event=store-era-changed before=", text(before),
+               " era=", text(era), " configuration_next=", nextOf(*configurationFollower),
+               " servers_next=", nextOf(*serversFollower), " reads_again=configuration,servers");
+    announcedConfiguration.reset();
+    configurationFollower->onEraChanged(era);
+    serversFollower->onEraChanged(era);
+}
+
 /// Tells the other routers what this one has read, unless one of them has done so meanwhile.
 /// Without it, a router whose connection to the store has gone silent learns of a change late.
 void RouterNode::Impl::onConfigurationRead()
@@ -95,12 +119,12 @@
 
 void RouterNode::Impl::announceConfiguration()
 {
-    const LogOffset next = configurationFollower->next().value_or(LogOffset(0));
-    if (next <= announcedConfiguration)
+    const auto next = configurationFollower->next();
+    if (!next || (announcedConfiguration && covers(*announcedConfiguration, *next)))
         return;
     announcedConfiguration = next;
     const std::vector<Endpoint> targets = fleetTargets();
-    datagramSocket->sendToAll(targets, ConfigurationRead{next});
+    sendInEra(targets, next->era, ConfigurationRead{next->offset});
     sendEvacuations(targets);
 }
 
@@ -163,13 +187,16 @@
 
 /// Reads the retained records of servers, from which it follows which software versions served
 /// before this router started.
-void RouterNode::Impl::readServerHistory(LogOffset from, unsigned reads)
+void RouterNode::Impl::readServerHistory(const StorePosition &from, unsigned reads)
 {
     ReadOptions options;
     options.timeout = historyTimeout;
     options.skipsExpired = true;
     store->readFrom(KeyedTopic::Servers, from, options, [this, reads](const KeyedResult &result) {
         const auto *batch = std::get_if<KeyedBatch>(&result);
+        const bool isEraChanged = !batch && std::get<StoreFault>(result) == StoreFault::EraChanged;
+        if (isEraChanged && reads < maxHistoryReads)
+            return readServerHistory(StorePosition(), reads + 1);
         if (!batch) {
             logWarning(LogPart::Membership, "event=server-history-unread fault=",
                        toString(std::get<StoreFault>(result)));
@@ -209,8 +236,8 @@
     updateListTime();
 }
 
-void RouterNode::Impl::onServerRecords(const std::vector<KeyedRecord> &records, LogOffset from,
-                                       LogOffset to)
+void RouterNode::Impl::onServerRecords(const std::vector<KeyedRecord> &records,
+                                       const StorePosition &from, const StorePosition &to)
 {
     std::vector<KeyedRecord> changes;
     UnreadableServers unreadable;
--- a/src/direct/RouterRegistry.cpp
+++ b/src/direct/RouterRegistry.cpp
@@ -56,7 +56,7 @@
 
 void RouterRegistry::Impl::read()
 {
-    store->readNewest(KeyedTopic::Daemons, callTimeout,
+    store->readNewest(KeyedTopic::Daemons, ReadOptions{milliseconds(0), callTimeout},
                       [impl = weak_from_this()](const KeyedResult &result) {
                           if (const auto alive = impl.lock())
                               alive->onRecords(result);
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -12,8 +12,9 @@
 namespace {
 
 constexpr std::array<std::string_view, 3> topicNames{"configuration", "servers", "daemons"};
-constexpr std::array<std::string_view, 6> faultNames{"no-answer", "overloaded",   "unavailable",
-                                                     "expired",   "history-lost", "malformed"};
+constexpr std::array<std::string_view, 7> faultNames{"no-answer",  "overloaded",   "unavailable",
+                                                     "expired",    "history-lost", "malformed",
+                                                     "era-changed"};
 
 } // namespace
 
@@ -53,18 +54,43 @@
     read();
 }
 
-void StoreFollower::onReadElsewhere(LogOffset next)
+void StoreFollower::onEraChanged(std::optional<StoreEra> era)
+{
+    if (next_ && next_->era == era)
+        return;
+    next_.reset();
+    // A retry keeps its time: the store may have refused a call. One in progress may wait on a
+    // silent connection.
+    if (failures_ == 0 || isReading_)
+        scheduleFullRead();
+}
+
+/// Routers read at different times, and a store whose era changes during each read is not called
+/// without a pause.
+void StoreFollower::scheduleFullRead()
+{
+    catchUpTimer_.stop();
+    readElsewhere_.reset();
+    caughtUp_.reset();
+    timer_.startOnce(timing_.fullReadDelay
+                     + std::min(timing_.maxRetryDelay,
+                                timing_.firstRetryDelay * static_cast<int>(endedFullReads_)));
+}
+
+void StoreFollower::onReadElsewhere(const StorePosition &next)
 {
     // The first read returns what there is.
     if (!next_)
         return;
-    readElsewhere_ = std::max(readElsewhere_, next);
+    if (!readElsewhere_ || isAheadOf(next, *readElsewhere_))
+        readElsewhere_ = next;
     scheduleCatchUp();
 }
 
 void StoreFollower::scheduleCatchUp()
 {
-    const bool isBehind = next_ && *next_ < readElsewhere_ && caughtUp_ < readElsewhere_;
+    const bool isBehind = next_ && readElsewhere_ && isAheadOf(*readElsewhere_, *next_)
+                          && caughtUp_ != readElsewhere_;
     // Changes may follow each other faster than a busy process handles a read.
     const bool isCatchingUp = isReading_ && isCatchingUp_;
     if (isBehind && !isCatchingUp && !catchUpTimer_.isActive())
@@ -73,10 +99,10 @@
 
 void StoreFollower::catchUp()
 {
-    if (!next_ || *next_ >= readElsewhere_)
+    if (!next_ || !readElsewhere_ || !isAheadOf(*readElsewhere_, *next_))
         return;
-    logInfo(LogPart::Platform, "event=store-read-behind topic=", toString(topic_),
-            " next=", next_->value, " read_elsewhere=", readElsewhere_.value,
+    logInfo(LogPart::Platform, "event=store-read-behind topic=", toString(topic_), " next=", *next_,
+            " read_elsewhere=", *readElsewhere_,
             " reading_ms=", isReading_ ? toMs(clock_.now() - readStart_) : -1,
             " failures=", failures_);
     caughtUp_ = readElsewhere_;
@@ -87,6 +113,8 @@
 void StoreFollower::read(bool isCatchUp)
 {
     const bool isFullRead = !next_.has_value();
+    // A change of the store's era has ended the read in progress, whose connection may be silent.
+    const bool isAfterEnd = isFullRead && isReading_;
     isReading_ = true;
     isCatchingUp_ = isCatchUp;
     readStart_ = clock_.now();
@@ -108,9 +136,9 @@
     const milliseconds answerTimeout = timing_.answerTimeout * (isRetry ? 2 : 1);
     // A retry that began while the store was silent must not outlast its return for long.
     const milliseconds wait = isRetry || isCatchUp ? milliseconds(0) : timing_.longPollWait;
-    readFrom_ = next_.value_or(LogOffset(0));
+    readFrom_ = next_;
     if (isFullRead)
-        store_.readNewest(topic_, answerTimeout, onDone);
+        store_.readNewest(topic_, ReadOptions{milliseconds(0), answerTimeout, isAfterEnd}, onDone);
     else
         store_.readFrom(topic_, *next_, ReadOptions{wait, wait + answerTimeout, isCatchUp}, onDone);
 }
@@ -131,6 +159,10 @@
         const auto unread = readStart_ - asOf_.value_or(readStart_);
         handlers_.onStoreReturned(std::max<std::chrono::nanoseconds>(unread, milliseconds(0)));
     }
+    endedFullReads_ = 0;
+    // Another call has shown meanwhile that the era has changed.
+    if (!isFullRead && !next_)
+        return scheduleFullRead();
     previousAsOf_ = asOf_;
     if (isFullRead) {
         wasFullRead_ = true;
@@ -141,13 +173,17 @@
     // which the next read begins. That read finds no change in such records, but they are changes
     // to routers that have not read them, so its range must not cover them.
     const bool followsFullRead = std::exchange(wasFullRead_, false);
-    const LogOffset from = *next_;
-    const LogOffset to = std::max(batch.next, from);
+    const StorePosition from = *next_;
+    const StorePosition to = isAheadOf(batch.next, from) ? batch.next : from;
+    // The catch-up has shown that the store is not in the era of which another router told.
+    if (readElsewhere_ && caughtUp_ == readElsewhere_ && readElsewhere_->era != to.era)
+        readElsewhere_.reset();
     setCurrent(to, readStart_);
     // Records that were taken over during this read must not be applied after newer ones.
     std::vector<KeyedRecord> records = batch.records;
     if (from != readFrom_)
-        std::erase_if(records, [&](const KeyedRecord &record) { return record.offset < from; });
+        std::erase_if(records,
+                      [&](const KeyedRecord &record) { return record.offset < from.offset; });
     if (records.empty())
         handlers_.onEmptyRead(to);
     else
@@ -158,27 +194,28 @@
 void StoreFollower::onEarlierResult(const KeyedResult &result, TimePoint start)
 {
     const auto *batch = std::get_if<KeyedBatch>(&result);
-    if (!batch || !next_ || batch->next <= *next_)
+    if (!batch || !next_ || batch->next.era != next_->era || covers(*next_, batch->next))
         return;
-    const LogOffset from = *next_;
+    const StorePosition from = *next_;
     std::vector<KeyedRecord> records = batch->records;
-    std::erase_if(records, [&](const KeyedRecord &record) { return record.offset < from; });
+    std::erase_if(records, [&](const KeyedRecord &record) { return record.offset < from.offset; });
     previousAsOf_ = asOf_;
     setCurrent(batch->next, start);
     handlers_.onRecords(records, from, batch->next);
 }
 
-bool StoreFollower::skipUnchanged(LogOffset from, LogOffset to, TimePoint asOf)
+bool StoreFollower::skipUnchanged(const StorePosition &from, const StorePosition &to,
+                                  TimePoint asOf)
 {
-    if (!canSkip() || *next_ < from || to < *next_)
+    if (!canSkip() || !covers(*next_, from) || !covers(to, *next_))
         return false;
     setCurrent(to, asOf);
     return true;
 }
 
-bool StoreFollower::takeOver(LogOffset from, LogOffset to, TimePoint asOf)
+bool StoreFollower::takeOver(const StorePosition &from, const StorePosition &to, TimePoint asOf)
 {
-    if (!next_ || *next_ != from || to <= from)
+    if (!next_ || *next_ != from || covers(from, to) || to.era != from.era)
         return false;
     setCurrent(to, asOf);
     return true;
@@ -188,7 +225,7 @@
 /// returned them, because changes from after it may be missing. A read in progress, and a retry
 /// after a failure, keep their time: only a read by this follower detects that the store has
 /// recovered.
-void StoreFollower::setCurrent(LogOffset next, TimePoint asOf)
+void StoreFollower::setCurrent(const StorePosition &next, TimePoint asOf)
 {
     next_ = next;
     asOf_ = std::max(asOf_.value_or(asOf), asOf);
@@ -236,8 +273,11 @@
         return;
     std::vector<std::function<void(bool)>> answered;
     const auto *batch = std::get_if<KeyedBatch>(&result);
-    const bool isCurrent = batch && batch->isAtEnd && next_ && batch->next <= *next_;
-    if (isCurrent || (!batch && isLast))
+    const bool isCurrent = batch && batch->isAtEnd && next_ && covers(*next_, batch->next);
+    // After a change of the era they wait for the full read.
+    const bool hasFailed =
+            !batch && isLast && std::get<StoreFault>(result) != StoreFault::EraChanged;
+    if (isCurrent || hasFailed)
         answered = takeReaders(number);
     // Soon for those that wait for a later read or for the rest of the records, else as usual.
     scheduleRead();
@@ -260,9 +300,14 @@
     // the servers that are known stay in use.
     const bool isHistoryLost =
             fault == StoreFault::HistoryLost && topic_ == KeyedTopic::Configuration;
+    if (fault == StoreFault::EraChanged) {
+        endedFullReads_ += readFrom_ ? 0 : 1;
+        next_.reset();
+        return scheduleFullRead();
+    }
     if (fault == StoreFault::Expired || isHistoryLost) {
         logInfo(LogPart::Platform, "event=records-expired topic=", toString(topic_),
-                " from=", next_ ? next_->value : 0, " fault=", toString(fault));
+                " from=", next_.value_or(StorePosition()), " fault=", toString(fault));
         next_.reset();
         timer_.startOnce(milliseconds(0));
         return;
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -11,7 +11,8 @@
 namespace lovagecourse {
 
 /// Follows one topic of the store: reads the newest record of every key first, then new records.
-/// Retries failed reads, and starts over when the next records have expired.
+/// Retries failed reads, and starts over when the next records have expired or when the store has
+/// come back from an older copy.
 class StoreFollower
 {
 public:
@@ -22,10 +23,11 @@
         /// New records in order, and the range of offsets that they cover. For the first read after
         /// a full read the range is empty (from equals to), because the full read may have returned
         /// some of these records already.
-        std::function<void(const std::vector<KeyedRecord> &, LogOffset from, LogOffset to)>
+        std::function<void(const std::vector<KeyedRecord> &, const StorePosition &from,
+                           const StorePosition &to)>
                 onRecords;
-        /// A read returned no records; next is the offset at which it began.
-        std::function<void(LogOffset next)> onEmptyRead;
+        /// A read returned no records; next is the position at which it began.
+        std::function<void(const StorePosition &next)> onEmptyRead;
         /// The store has answered a read; called before the handlers below and above.
         std::function<void()> onAnswer = [] {};
         /// A read succeeded after failures; called before the handler for its records. unread: from
@@ -42,19 +44,23 @@
     void start();
     /// Drops a read in progress and reads the newest record of every key again.
     void startOver();
+    /// The store's era has changed, as the answer to another call shows. Starts over unless this
+    /// follower has read the new era already; a read in progress may still return it.
+    void onEraChanged(std::optional<StoreEra> era);
     /// Another router has read this range of records and found no change in it. Skips the range and
     /// postpones the next read, if this follower has read all records before it; returns whether it
     /// has. asOf: start of the other router's read.
-    bool skipUnchanged(LogOffset from, LogOffset to, TimePoint asOf);
+    bool skipUnchanged(const StorePosition &from, const StorePosition &to, TimePoint asOf);
     /// Another router has read this range of records and passes on those that are changes. Returns
     /// true if this follower continues after the range, so that the caller must apply them. Unlike
     /// a range without changes, it must begin where this follower is: an older change must not
     /// follow a newer one. Also while a read of this follower is in progress or has failed.
-    bool takeOver(LogOffset from, LogOffset to, TimePoint asOf);
-    /// Another router has read all records before this offset. If this follower does not get them
+    bool takeOver(const StorePosition &from, const StorePosition &to, TimePoint asOf);
+    /// Another router has read all records before this position. If this follower does not get them
     /// within the catch-up delay, it reads on a new connection beside the read in progress, whose
-    /// connection may be silent; the first answer counts.
-    void onReadElsewhere(LogOffset next);
+    /// connection may be silent; the first answer counts. So also if the position is of a later
+    /// era, of which only an answer of the store decides.
+    void onReadElsewhere(const StorePosition &next);
     /// Calls onRead with true as soon as all records that were written before this call are
     /// applied: after a read that begins after the call, at once or after the one in progress. With
     /// false if that read fails. Calls share a read; after a failure they wait for the next retry.
@@ -64,8 +70,9 @@
     /// Start of the last read whose records are applied, by this follower or by the router that
     /// passed them on. Changes from before it are known. Empty before the first read.
     std::optional<TimePoint> asOf() const { return asOf_; }
-    /// Offset after the last record that is applied. Empty before the first read.
-    std::optional<LogOffset> next() const { return next_; }
+    /// Position after the last record that is applied. Empty before the first read, and from a
+    /// change of the store's era until the full read.
+    std::optional<StorePosition> next() const { return next_; }
     /// In a handler for records: they were written after this time. Empty after the first read.
     std::optional<TimePoint> writtenAfter() const { return previousAsOf_; }
     /// True while the last read failed.
@@ -85,8 +92,9 @@
     void onResult(const KeyedResult &result, bool isFullRead);
     void onEarlierResult(const KeyedResult &result, TimePoint start);
     void onFault(StoreFault fault);
+    void scheduleFullRead();
     bool canSkip() const;
-    void setCurrent(LogOffset next, TimePoint asOf);
+    void setCurrent(const StorePosition &next, TimePoint asOf);
     void scheduleRead();
     void answerReaders(const KeyedResult &result, std::uint64_t number, bool isLast);
     std::vector<std::function<void(bool)>> takeReaders(std::uint64_t number);
@@ -97,7 +105,7 @@
     PollTiming timing_;
     Handlers handlers_;
     Timer timer_;
-    std::optional<LogOffset> next_;
+    std::optional<StorePosition> next_;
     bool isReading_ = false;
     /// The read in progress uses a new connection, on account of what another router has read.
     bool isCatchingUp_ = false;
@@ -107,13 +115,15 @@
     std::deque<Reader> readers_;
     Timer catchUpTimer_;
     /// Other routers have read all records before it.
-    LogOffset readElsewhere_;
+    std::optional<StorePosition> readElsewhere_;
     /// The last catch-up has looked for records before it.
-    LogOffset caughtUp_;
+    std::optional<StorePosition> caughtUp_;
     TimePoint readStart_;
     std::optional<TimePoint> asOf_;
-    /// Offset at which the last read has begun.
-    LogOffset readFrom_;
+    /// Position at which the last read has begun; empty for a full read.
+    std::optional<StorePosition> readFrom_;
+    /// Full reads in a row that a change of the era has ended.
+    unsigned endedFullReads_ = 0;
     /// asOf_ before the last successful read.
     std::optional<TimePoint> previousAsOf_;
     /// The last successful read was a full read.
--- a/src/placing/EvacuationReads.cpp
+++ b/src/placing/EvacuationReads.cpp
@@ -1,5 +1,6 @@
 #include "placing/EvacuationReads.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace lovagecourse {
@@ -13,28 +14,31 @@
 
 } // namespace
 
-bool EvacuationReads::onFullRead(std::set<DataCentreId> dataCentres, LogOffset next,
+bool EvacuationReads::onFullRead(std::set<DataCentreId> dataCentres, const StorePosition &next,
                                  TimePoint startedAt, TimePoint now)
 {
-    const StorePosition known = newest_.position;
+    const HistoryPosition known = newest_.position;
+    const std::uint64_t era = next.era ? next.era->value : 0;
     // A read that began before the newest set was known may be older than that set, and of an
     // earlier history.
     const bool isLater = startedAt >= newestSince_;
     // The store ends before an offset that was read earlier.
-    const bool hasLostHistory = isLater && next < known.next;
+    const bool hasLostHistory = isLater && era <= known.history && next.offset < known.next;
     if (hasLostHistory)
         own_.position.history = historyAfter(known.history);
     else if (isLater)
-        own_.position.history = known.history;
-    own_.position.next = next;
+        own_.position.history = std::max(era, known.history);
+    else
+        own_.position.history = std::max(era, own_.position.history);
+    own_.position.next = next.offset;
     own_.dataCentres = std::move(dataCentres);
     if (own_.position >= known)
         setNewest(own_, now);
     return hasLostHistory;
 }
 
-bool EvacuationReads::onRecords(const std::vector<EvacuationChange> &changes, LogOffset next,
-                                TimePoint now)
+bool EvacuationReads::onRecords(const std::vector<EvacuationChange> &changes,
+                                const StorePosition &next, TimePoint now)
 {
     for (const EvacuationChange &change : changes) {
         if (change.isEvacuated)
@@ -43,7 +47,7 @@
             own_.dataCentres.erase(change.dataCentre);
         hasEvacuations_ = hasEvacuations_ || change.isEvacuated;
     }
-    own_.position.next = next;
+    own_.position.next = next.offset;
     if (own_.position < newest_.position)
         return false;
     setNewest(own_, now);
--- a/src/placing/EvacuationReads.h
+++ b/src/placing/EvacuationReads.h
@@ -3,6 +3,7 @@
 #include "core/Clock.h"
 #include "core/Ids.h"
 #include "placing/Evacuations.h"
+#include "store/StorePosition.h"
 
 #include <cstdint>
 #include <set>
@@ -10,22 +11,23 @@
 
 namespace lovagecourse {
 
-/// Position of a read of the store. Offsets are comparable only within one history of the store:
-/// after the loss of its records it starts again at lower ones.
-struct StorePosition
+/// Position of a read of the store, in an order over all of its histories: after the loss of
+/// records it gives their offsets to others.
+struct HistoryPosition
 {
-    /// Number of such losses that routers have seen.
+    /// The store's era. If it names none, or one that is lower than before, the number of losses
+    /// that routers have seen counts on from the last one.
     std::uint64_t history = 0;
     /// Offset after the last record that was read.
     LogOffset next;
 
-    auto operator<=>(const StorePosition &) const = default;
+    auto operator<=>(const HistoryPosition &) const = default;
 };
 
 /// The evacuated data centres as one read of the store gave them.
 struct EvacuatedSet
 {
-    StorePosition position;
+    HistoryPosition position;
     std::set<DataCentreId> dataCentres;
 };
 
@@ -48,10 +50,12 @@
 
     /// This router has read the newest records of all keys. Returns true if the store has lost its
     /// history since the newest known set was read.
-    bool onFullRead(std::set<DataCentreId> dataCentres, LogOffset next, TimePoint startedAt,
-                    TimePoint now);
-    /// This router has read the records up to an offset. Returns whether its own set is the newest.
-    bool onRecords(const std::vector<EvacuationChange> &changes, LogOffset next, TimePoint now);
+    bool onFullRead(std::set<DataCentreId> dataCentres, const StorePosition &next,
+                    TimePoint startedAt, TimePoint now);
+    /// This router has read the records up to a position. Returns whether its own set is the
+    /// newest.
+    bool onRecords(const std::vector<EvacuationChange> &changes, const StorePosition &next,
+                   TimePoint now);
     /// Another router passes on a set.
     Outcome onTold(EvacuatedSet told, TimePoint now);
 
--- a/src/resuming/ResumableStreams.cpp
+++ b/src/resuming/ResumableStreams.cpp
@@ -74,8 +74,8 @@
     std::vector<StreamOrigin> untold;
     bool isAppending = false;
     Timer appendTimer;
-    /// Where the next read begins; 0 before the first one.
-    LogOffset next;
+    /// Where the next read begins; offset 0 before the first one.
+    StorePosition next;
     bool isReading = false;
     /// For the read in progress, and for one that begins after it: what a request asks for may have
     /// been appended since the one in progress began.
@@ -162,10 +162,13 @@
 {
     if (const auto *fault = std::get_if<StoreFault>(&result)) {
         logWarning(LogPart::Routing, "event=stream-origins-unread fault=", toString(*fault),
-                   " next=", next.value);
+                   " next=", next);
         // Offsets are given out again after the store has lost records.
-        if (*fault == StoreFault::HistoryLost || *fault == StoreFault::Expired)
-            next = LogOffset(0);
+        if (*fault == StoreFault::HistoryLost || *fault == StoreFault::Expired
+            || *fault == StoreFault::EraChanged)
+            next = {};
+        if (*fault == StoreFault::EraChanged && reads < maxReads)
+            return readOn(reads + 1);
         return endRead();
     }
     const auto &batch = std::get<KeyedBatch>(result);
@@ -266,6 +269,8 @@
 void ResumableStreams::setStore(FleetStore &store)
 {
     impl_->store = &store;
+    // An offset of another store.
+    impl_->next = {};
 }
 
 void ResumableStreams::setServersReader(ServersReader reader)
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -682,6 +682,24 @@
     }
 };
 
+/// What one router tells another of its reads of the store.
+using StoreNews = std::variant<ServersUnchanged, ServersChanged, ConfigurationRead>;
+
+/// Datagram, router to router: news whose offsets are of this era of the store. Routers whose
+/// software does not know eras drop it, as they would misunderstand the offsets. News without an
+/// era concerns a store that names none.
+struct InStoreEra
+{
+    StoreEra era;
+    StoreNews content;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(era, content);
+    }
+};
+
 /// What a server said of its limit in one of its answers, as one router tells it to another.
 struct ServerLimitNews
 {
@@ -741,8 +759,7 @@
 /// ConfigurationRead, and repeated with each RouterPresence.
 struct EvacuatedDataCentres
 {
-    /// How often the store has lost its records, after which its offsets start again; see
-    /// EvacuationReads.
+    /// Era of the store; if it names none, how often it has lost its records. See EvacuationReads.
     std::uint64_t history = 0;
     /// Offset after the last record of that read.
     LogOffset next;
@@ -764,6 +781,6 @@
                      ServiceReport, FairTotals, LeaveNotice, RouterReport, RouterAccountReport,
                      ServersUnchanged, RouterPresence, DataCentreReport, DataCentreAccountReport,
                      ServersChanged, CrashTraitReport, ConfigurationRead, RouterLimitReport,
-                     EvacuatedDataCentres>;
+                     EvacuatedDataCentres, InStoreEra>;
 
 } // namespace lovagecourse
--- a/tests/direct/RouterRegistryTest.cpp
+++ b/tests/direct/RouterRegistryTest.cpp
@@ -15,7 +15,7 @@
 class ManualStore final : public FleetStore
 {
 public:
-    void readNewest(KeyedTopic, milliseconds,
+    void readNewest(KeyedTopic, const ReadOptions &,
                     std::function<void(const KeyedResult &)> onDone) override
     {
         pending.emplace_back([this, onDone] {
@@ -25,7 +25,7 @@
             onDone(batch);
         });
     }
-    void readFrom(KeyedTopic, LogOffset, const ReadOptions &,
+    void readFrom(KeyedTopic, const StorePosition &, const ReadOptions &,
                   std::function<void(const KeyedResult &)>) override
     {}
     void append(KeyedTopic, const std::string &key, const std::string &value, milliseconds,
--- a/tests/direct/StoreFollowerTest.cpp
+++ b/tests/direct/StoreFollowerTest.cpp
@@ -1,11 +1,15 @@
 #include "direct/StoreFollower.h"
 
+#include "store/Positions.h"
+
 #include <catch2/catch.hpp>
 
 #include <deque>
 #include <limits>
 
 using namespace lovagecourse;
+using test::at;
+using test::inEra;
 
 namespace {
 
@@ -25,16 +29,16 @@
 class ScriptedStore final : public ReadOnlyStore
 {
 public:
-    void readNewest(KeyedTopic, milliseconds,
+    void readNewest(KeyedTopic, const ReadOptions &,
                     std::function<void(const KeyedResult &)> onDone) override
     {
         calls.emplace_back("all");
         answer(onDone);
     }
-    void readFrom(KeyedTopic, LogOffset from, const ReadOptions &,
+    void readFrom(KeyedTopic, const StorePosition &from, const ReadOptions &,
                   std::function<void(const KeyedResult &)> onDone) override
     {
-        calls.push_back("from " + std::to_string(from.value));
+        calls.push_back("from " + std::to_string(from.offset.value));
         answer(onDone);
     }
     std::deque<KeyedResult> results;
@@ -61,12 +65,12 @@
         , delay_(delay)
     {}
 
-    void readNewest(KeyedTopic, milliseconds,
+    void readNewest(KeyedTopic, const ReadOptions &,
                     std::function<void(const KeyedResult &)> onDone) override
     {
         answer(onDone);
     }
-    void readFrom(KeyedTopic, LogOffset, const ReadOptions &,
+    void readFrom(KeyedTopic, const StorePosition &, const ReadOptions &,
                   std::function<void(const KeyedResult &)> onDone) override
     {
         answer(onDone);
@@ -77,7 +81,7 @@
     void answer(const std::function<void(const KeyedResult &)> &onDone)
     {
         starts.push_back(clock_.now());
-        timer_ = std::make_unique<Timer>(loop_, [onDone] { onDone(KeyedBatch{{}, LogOffset(7)}); });
+        timer_ = std::make_unique<Timer>(loop_, [onDone] { onDone(KeyedBatch{{}, at(7)}); });
         timer_->startOnce(delay_);
     }
 
@@ -91,15 +95,15 @@
 class HeldStore final : public ReadOnlyStore
 {
 public:
-    void readNewest(KeyedTopic, milliseconds,
+    void readNewest(KeyedTopic, const ReadOptions &,
                     std::function<void(const KeyedResult &)> onDone) override
     {
-        onDone(KeyedBatch{{}, LogOffset(7)});
+        onDone(KeyedBatch{{}, at(7)});
     }
-    void readFrom(KeyedTopic, LogOffset from, const ReadOptions &options,
+    void readFrom(KeyedTopic, const StorePosition &from, const ReadOptions &options,
                   std::function<void(const KeyedResult &)> onDone) override
     {
-        offsets.push_back(from.value);
+        offsets.push_back(from.offset.value);
         isFresh = options.freshConnection;
         pending = std::move(onDone);
     }
@@ -118,17 +122,17 @@
         , silentReads_(silentReads)
     {}
 
-    void readNewest(KeyedTopic, milliseconds,
+    void readNewest(KeyedTopic, const ReadOptions &,
                     std::function<void(const KeyedResult &)> onDone) override
     {
-        onDone(KeyedBatch{{}, LogOffset(7)});
+        onDone(KeyedBatch{{}, at(7)});
     }
-    void readFrom(KeyedTopic, LogOffset, const ReadOptions &options,
+    void readFrom(KeyedTopic, const StorePosition &, const ReadOptions &options,
                   std::function<void(const KeyedResult &)> onDone) override
     {
         ++reads;
         if (isBack || reads > silentReads_) {
-            onDone(KeyedBatch{{KeyedRecord{"k", "v", {}}}, LogOffset(8)});
+            onDone(KeyedBatch{{KeyedRecord{"k", "v", {}}}, at(8)});
             return;
         }
         timeout_ = std::make_unique<Timer>(loop_, [onDone] { onDone(StoreFault::NoAnswer); });
@@ -159,8 +163,8 @@
     {
         StoreFollower::Handlers handlers;
         handlers.onFullRead = [](const auto &) {};
-        handlers.onRecords = [](const auto &, LogOffset, LogOffset) {};
-        handlers.onEmptyRead = [](LogOffset) {};
+        handlers.onRecords = [](const auto &, const auto &, const auto &) {};
+        handlers.onEmptyRead = [](const auto &) {};
         handlers.onStoreReturned = [](auto) {};
         return handlers;
     }
@@ -176,7 +180,7 @@
     {
         StoreFollower::Handlers handlers = ignoringHandlers();
         handlers.onFullRead = [this](const auto &) { ++fullReads; };
-        handlers.onRecords = [this](const auto &, LogOffset, LogOffset) { ++recordReads; };
+        handlers.onRecords = [this](const auto &, const auto &, const auto &) { ++recordReads; };
         handlers.onStoreReturned = [this](auto) { ++recoveries; };
         handlers.onHistoryLost = [this] { ++historyLosses; };
         StoreFollower follower(loop, clock, store, topic, everyMillisecond, std::move(handlers));
@@ -186,8 +190,7 @@
 
     static KeyedBatch batch(std::uint64_t next, std::size_t records)
     {
-        return KeyedBatch{std::vector<KeyedRecord>(records, KeyedRecord{"k", "v", {}}),
-                          LogOffset(next)};
+        return KeyedBatch{std::vector<KeyedRecord>(records, KeyedRecord{"k", "v", {}}), at(next)};
     }
 };
 
@@ -249,10 +252,10 @@
                            ignoringHandlers());
     follower.start();
     // Begins after this follower's offset: a record between them may be a change.
-    follower.skipUnchanged(LogOffset(9), LogOffset(11), clock.now());
+    follower.skipUnchanged(at(9), at(11), clock.now());
     // Ends before this follower's offset.
-    follower.skipUnchanged(LogOffset(2), LogOffset(5), clock.now());
-    follower.skipUnchanged(LogOffset(6), LogOffset(20), clock.now());
+    follower.skipUnchanged(at(2), at(5), clock.now());
+    follower.skipUnchanged(at(6), at(20), clock.now());
     runFor(milliseconds(60));
     CHECK(store.calls == std::vector<std::string>{"all", "from 20"});
 }
@@ -267,7 +270,7 @@
     StoreFollower follower(loop, clock, store, KeyedTopic::Servers, everyMillisecond,
                            std::move(handlers));
     follower.start();
-    Timer other(loop, [&] { follower.skipUnchanged(LogOffset(7), LogOffset(9), clock.now()); });
+    Timer other(loop, [&] { follower.skipUnchanged(at(7), at(9), clock.now()); });
     other.startOnce(milliseconds(20));
     runFor(milliseconds(200));
     CHECK(store.calls == std::vector<std::string>{"all", "from 7", "from 7", "from 9"});
@@ -282,8 +285,8 @@
     store.results = {batch(7, 2), batch(9, 2), batch(12, 1)};
     std::vector<std::pair<std::uint64_t, std::uint64_t>> ranges;
     StoreFollower::Handlers handlers = ignoringHandlers();
-    handlers.onRecords = [&](const auto &, LogOffset from, LogOffset to) {
-        ranges.emplace_back(from.value, to.value);
+    handlers.onRecords = [&](const auto &, const StorePosition &from, const StorePosition &to) {
+        ranges.emplace_back(from.offset.value, to.offset.value);
     };
     StoreFollower follower(loop, clock, store, KeyedTopic::Servers, everyMillisecond,
                            std::move(handlers));
@@ -300,14 +303,14 @@
     store.results = {batch(7, 1)};
     StoreFollower follower(loop, clock, store, KeyedTopic::Servers, every40Milliseconds,
                            ignoringHandlers());
-    CHECK_FALSE(follower.takeOver(LogOffset(7), LogOffset(9), clock.now()));
+    CHECK_FALSE(follower.takeOver(at(7), at(9), clock.now()));
     follower.start();
-    CHECK_FALSE(follower.takeOver(LogOffset(8), LogOffset(11), clock.now()));
-    CHECK_FALSE(follower.takeOver(LogOffset(6), LogOffset(11), clock.now()));
-    CHECK_FALSE(follower.takeOver(LogOffset(7), LogOffset(7), clock.now()));
-    CHECK(follower.takeOver(LogOffset(7), LogOffset(11), clock.now()));
-    CHECK_FALSE(follower.takeOver(LogOffset(7), LogOffset(11), clock.now()));
-    CHECK(follower.takeOver(LogOffset(11), LogOffset(14), clock.now()));
+    CHECK_FALSE(follower.takeOver(at(8), at(11), clock.now()));
+    CHECK_FALSE(follower.takeOver(at(6), at(11), clock.now()));
+    CHECK_FALSE(follower.takeOver(at(7), at(7), clock.now()));
+    CHECK(follower.takeOver(at(7), at(11), clock.now()));
+    CHECK_FALSE(follower.takeOver(at(7), at(11), clock.now()));
+    CHECK(follower.takeOver(at(11), at(14), clock.now()));
     runFor(milliseconds(60));
     CHECK(store.calls == std::vector<std::string>{"all", "from 14"});
 }
@@ -318,13 +321,13 @@
 {
     constexpr milliseconds maxDelay{400};
     const PollTiming timing =
-            GENERATE_COPY(configurationPollTiming(maxDelay), serversPollTiming(maxDelay, 1));
+            GENERATE_COPY(configurationPollTiming(maxDelay, 1), serversPollTiming(maxDelay, 1));
     SilentStore silentStore(loop, 1);
     TimePoint fullRead;
     std::optional<TimePoint> applied;
     StoreFollower::Handlers handlers = ignoringHandlers();
     handlers.onFullRead = [&](const auto &) { fullRead = clock.now(); };
-    handlers.onRecords = [&](const auto &, LogOffset, LogOffset) {
+    handlers.onRecords = [&](const auto &, const auto &, const auto &) {
         applied = clock.now();
         loop.stop();
     };
@@ -347,9 +350,8 @@
     StoreFollower follower(loop, clock, delayingStore, KeyedTopic::Servers, timing,
                            std::move(handlers));
     follower.start();
-    Timer announcement(loop, [&] {
-        follower.skipUnchanged(LogOffset(7), LogOffset(9), clock.now() - milliseconds(150));
-    });
+    Timer announcement(
+            loop, [&] { follower.skipUnchanged(at(7), at(9), clock.now() - milliseconds(150)); });
     announcement.startOnce(milliseconds(180));
     runFor(milliseconds(330));
     // Starts at 0 ms; the announced read began at 30 ms.
@@ -367,10 +369,11 @@
     std::vector<std::uint64_t> applied;
     std::vector<std::pair<std::uint64_t, std::uint64_t>> ranges;
     StoreFollower::Handlers handlers = ignoringHandlers();
-    handlers.onRecords = [&](const auto &records, LogOffset from, LogOffset to) {
+    handlers.onRecords = [&](const auto &records, const StorePosition &from,
+                             const StorePosition &to) {
         for (const KeyedRecord &record : records)
             applied.push_back(record.offset.value);
-        ranges.emplace_back(from.value, to.value);
+        ranges.emplace_back(from.offset.value, to.offset.value);
     };
     std::optional<std::chrono::nanoseconds> unread;
     handlers.onStoreReturned = [&](std::chrono::nanoseconds time) { unread = time; };
@@ -379,34 +382,34 @@
     follower.start();
     runFor(milliseconds(10));
     REQUIRE(heldStore.offsets == std::vector<std::uint64_t>{7});
-    heldStore.pending(KeyedBatch{{}, LogOffset(7)});
+    heldStore.pending(KeyedBatch{{}, at(7)});
     runFor(milliseconds(10));
     REQUIRE(heldStore.offsets.size() == 2);
     const TimePoint told = clock.now();
-    CHECK(follower.takeOver(LogOffset(7), LogOffset(9), told));
+    CHECK(follower.takeOver(at(7), at(9), told));
     CHECK(follower.asOf() == told);
     SECTION("the answer comes late")
     {
         heldStore.pending(
                 KeyedBatch{{KeyedRecord{"a", "1", LogOffset(7)}, KeyedRecord{"a", {}, LogOffset(8)},
                             KeyedRecord{"b", "1", LogOffset(9)}},
-                           LogOffset(10)});
+                           at(10)});
         CHECK(applied == std::vector<std::uint64_t>{9});
         CHECK(ranges == std::vector<std::pair<std::uint64_t, std::uint64_t>>{{9, 10}});
     }
     SECTION("the answer ends before")
     {
-        heldStore.pending(KeyedBatch{{KeyedRecord{"a", "1", LogOffset(7)}}, LogOffset(8)});
+        heldStore.pending(KeyedBatch{{KeyedRecord{"a", "1", LogOffset(7)}}, at(8)});
         CHECK(applied.empty());
     }
     SECTION("the read fails")
     {
         heldStore.pending(StoreFault::NoAnswer);
-        CHECK(follower.takeOver(LogOffset(9), LogOffset(10), clock.now()));
+        CHECK(follower.takeOver(at(9), at(10), clock.now()));
         runFor(milliseconds(150));
         REQUIRE(heldStore.offsets.size() == 3);
-        CHECK(follower.takeOver(LogOffset(10), LogOffset(11), clock.now()));
-        heldStore.pending(KeyedBatch{{}, LogOffset(11)});
+        CHECK(follower.takeOver(at(10), at(11), clock.now()));
+        heldStore.pending(KeyedBatch{{}, at(11)});
         CHECK(unread == std::chrono::nanoseconds(0));
         return;
     }
@@ -422,13 +425,13 @@
 {
     constexpr milliseconds maxDelay{400};
     const PollTiming timing =
-            GENERATE_COPY(configurationPollTiming(maxDelay), serversPollTiming(maxDelay, 1));
+            GENERATE_COPY(configurationPollTiming(maxDelay, 1), serversPollTiming(maxDelay, 1));
     // The read that begins just before the return.
     const int lastSilentRead = GENERATE(1, 2, 5);
     SilentStore silentStore(loop);
     std::optional<TimePoint> applied;
     StoreFollower::Handlers handlers = ignoringHandlers();
-    handlers.onRecords = [&](const auto &, LogOffset, LogOffset) {
+    handlers.onRecords = [&](const auto &, const auto &, const auto &) {
         applied = clock.now();
         loop.stop();
     };
@@ -454,30 +457,29 @@
     HeldStore heldStore;
     std::vector<std::uint64_t> applied;
     StoreFollower::Handlers handlers = ignoringHandlers();
-    handlers.onRecords = [&](const auto &records, LogOffset, LogOffset) {
+    handlers.onRecords = [&](const auto &records, const auto &, const auto &) {
         for (const KeyedRecord &record : records)
             applied.push_back(record.offset.value);
     };
     constexpr PollTiming timing{.longPollWait = seconds(5), .catchUpDelay = milliseconds(30)};
     StoreFollower follower(loop, clock, heldStore, KeyedTopic::Configuration, timing,
                            std::move(handlers));
-    follower.onReadElsewhere(LogOffset(9));
+    follower.onReadElsewhere(at(9));
     follower.start();
     runFor(milliseconds(60));
     REQUIRE(heldStore.offsets == std::vector<std::uint64_t>{7});
     const auto silent = std::exchange(heldStore.pending, nullptr);
     const KeyedBatch answer{
-            {KeyedRecord{"a", "1", LogOffset(7)}, KeyedRecord{"a", "2", LogOffset(8)}},
-            LogOffset(9)};
+            {KeyedRecord{"a", "1", LogOffset(7)}, KeyedRecord{"a", "2", LogOffset(8)}}, at(9)};
     SECTION("nothing new, the read goes on")
     {
-        follower.onReadElsewhere(LogOffset(7));
+        follower.onReadElsewhere(at(7));
         runFor(milliseconds(60));
         CHECK(heldStore.offsets.size() == 1);
     }
     SECTION("the own answer comes meanwhile, no further read")
     {
-        follower.onReadElsewhere(LogOffset(9));
+        follower.onReadElsewhere(at(9));
         silent(answer);
         CHECK(applied == std::vector<std::uint64_t>{7, 8});
         runFor(milliseconds(60));
@@ -486,8 +488,8 @@
     }
     SECTION("the own answer does not come, reads again, ignores a late answer")
     {
-        follower.onReadElsewhere(LogOffset(9));
-        follower.onReadElsewhere(LogOffset(8));
+        follower.onReadElsewhere(at(9));
+        follower.onReadElsewhere(at(8));
         runFor(milliseconds(60));
         REQUIRE(heldStore.offsets == std::vector<std::uint64_t>{7, 7});
         CHECK(heldStore.isFresh);
@@ -503,10 +505,10 @@
     }
     SECTION("changes follow each other, a read on a new connection is not given up")
     {
-        follower.onReadElsewhere(LogOffset(9));
+        follower.onReadElsewhere(at(9));
         for (std::uint64_t next = 10; next < 16; ++next) {
             runFor(milliseconds(40));
-            follower.onReadElsewhere(LogOffset(next));
+            follower.onReadElsewhere(at(next));
         }
         REQUIRE(heldStore.offsets == std::vector<std::uint64_t>{7, 7});
         std::exchange(heldStore.pending, nullptr)(answer);
@@ -519,26 +521,26 @@
     }
     SECTION("the own answer comes after the further read has begun, is used")
     {
-        follower.onReadElsewhere(LogOffset(9));
+        follower.onReadElsewhere(at(9));
         runFor(milliseconds(60));
         REQUIRE(heldStore.offsets == std::vector<std::uint64_t>{7, 7});
         silent(answer);
         CHECK(applied == std::vector<std::uint64_t>{7, 8});
-        CHECK(follower.next() == LogOffset(9));
+        CHECK(follower.next() == at(9));
         std::exchange(heldStore.pending, nullptr)(KeyedBatch{{KeyedRecord{"a", "1", LogOffset(7)},
                                                               KeyedRecord{"a", "2", LogOffset(8)},
                                                               KeyedRecord{"b", "1", LogOffset(9)}},
-                                                             LogOffset(10)});
+                                                             at(10)});
         CHECK(applied == std::vector<std::uint64_t>{7, 8, 9});
     }
     SECTION("another router names records that don't exist, one further read")
     {
-        follower.onReadElsewhere(LogOffset(99));
+        follower.onReadElsewhere(at(99));
         runFor(milliseconds(60));
         REQUIRE(heldStore.offsets.size() == 2);
         std::exchange(heldStore.pending, nullptr)(answer);
         for (int i = 0; i < 5; ++i) {
-            follower.onReadElsewhere(LogOffset(99));
+            follower.onReadElsewhere(at(99));
             runFor(milliseconds(40));
         }
         CHECK(heldStore.offsets == std::vector<std::uint64_t>{7, 7, 9});
@@ -554,7 +556,7 @@
     constexpr PollTiming timing{.interval = seconds(5)};
     std::size_t applied = 0;
     StoreFollower::Handlers handlers = ignoringHandlers();
-    handlers.onRecords = [&](const auto &records, LogOffset, LogOffset) {
+    handlers.onRecords = [&](const auto &records, const auto &, const auto &) {
         applied += records.size();
     };
     StoreFollower follower(loop, clock, heldStore, KeyedTopic::Servers, timing,
@@ -573,16 +575,16 @@
     REQUIRE(heldStore.offsets == std::vector<std::uint64_t>{7});
     ask("third");
     CHECK(answers.empty());
-    const KeyedBatch one{{KeyedRecord{"a", "1", LogOffset(7)}}, LogOffset(8)};
+    const KeyedBatch one{{KeyedRecord{"a", "1", LogOffset(7)}}, at(8)};
     SECTION("the reads succeed")
     {
         std::exchange(heldStore.pending, nullptr)(one);
         CHECK(answers == std::vector<std::string>{"first current 1", "second current 1"});
         // Another router's news don't put the read off.
-        CHECK(follower.skipUnchanged(LogOffset(8), LogOffset(9), clock.now()));
+        CHECK(follower.skipUnchanged(at(8), at(9), clock.now()));
         runFor(milliseconds(20));
         REQUIRE(heldStore.offsets == std::vector<std::uint64_t>{7, 9});
-        std::exchange(heldStore.pending, nullptr)(KeyedBatch{{}, LogOffset(9)});
+        std::exchange(heldStore.pending, nullptr)(KeyedBatch{{}, at(9)});
         CHECK(answers.back() == "third current 1");
         runFor(milliseconds(20));
         CHECK(heldStore.offsets.size() == 2);
@@ -594,7 +596,7 @@
         runFor(milliseconds(20));
         REQUIRE(heldStore.offsets == std::vector<std::uint64_t>{7, 8});
         std::exchange(heldStore.pending,
-                      nullptr)(KeyedBatch{{KeyedRecord{"b", "1", LogOffset(8)}}, LogOffset(9)});
+                      nullptr)(KeyedBatch{{KeyedRecord{"b", "1", LogOffset(8)}}, at(9)});
         CHECK(answers
               == std::vector<std::string>{"first current 2", "second current 2",
                                           "third current 2"});
@@ -631,3 +633,207 @@
         CHECK(answers.size() == 3);
     }
 }
+
+namespace {
+
+/// Store whose calls the test answers, each at any time.
+class AnswerableStore final : public ReadOnlyStore
+{
+public:
+    struct Call
+    {
+        /// Empty for a full read.
+        std::optional<StorePosition> from;
+        bool isFresh = false;
+        std::function<void(const KeyedResult &)> answer;
+    };
+
+    void readNewest(KeyedTopic, const ReadOptions &options,
+                    std::function<void(const KeyedResult &)> onDone) override
+    {
+        calls.push_back({std::nullopt, options.freshConnection, std::move(onDone)});
+    }
+    void readFrom(KeyedTopic, const StorePosition &from, const ReadOptions &options,
+                  std::function<void(const KeyedResult &)> onDone) override
+    {
+        calls.push_back({from, options.freshConnection, std::move(onDone)});
+    }
+
+    std::vector<Call> calls;
+};
+
+/// A follower that has read all records of era 4 before offset 7, and waits for further ones.
+struct EraFixture : StoreFollowerFixture
+{
+    static constexpr PollTiming timing{.interval = milliseconds(1),
+                                       .longPollWait = seconds(5),
+                                       .firstRetryDelay = milliseconds(40),
+                                       .maxRetryDelay = milliseconds(80),
+                                       .catchUpDelay = milliseconds(30),
+                                       .fullReadDelay = milliseconds(20)};
+    AnswerableStore answerable;
+    std::vector<std::string> applied;
+    StoreFollower follower{loop, clock, answerable, KeyedTopic::Configuration, timing, handlers()};
+
+    EraFixture()
+    {
+        follower.start();
+        answerLast(read(4, 7, "a"));
+        runFor(milliseconds(10));
+        REQUIRE(answerable.calls.size() == 2);
+        applied.clear();
+    }
+
+    StoreFollower::Handlers handlers()
+    {
+        StoreFollower::Handlers result = ignoringHandlers();
+        result.onFullRead = [this](const auto &records) {
+            for (const KeyedRecord &record : records)
+                applied.push_back("all " + record.key);
+        };
+        result.onRecords = [this](const auto &records, const auto &, const auto &) {
+            for (const KeyedRecord &record : records)
+                applied.push_back(record.key);
+        };
+        return result;
+    }
+    static KeyedBatch read(std::uint64_t era, std::uint64_t next, const std::string &key)
+    {
+        return KeyedBatch{{KeyedRecord{key, "1", LogOffset(next - 1)}}, inEra(era, next)};
+    }
+    void answerLast(const KeyedResult &result)
+    {
+        const auto answer = answerable.calls.back().answer;
+        answer(result);
+    }
+};
+
+} // namespace
+
+// Guards against records that are never read because their offsets were given out a second time.
+TEST_CASE_METHOD(EraFixture, "store follower, era has changed, reads the newest records again")
+{
+    answerLast(StoreFault::EraChanged);
+    CHECK_FALSE(follower.next());
+    CHECK_FALSE(follower.isFailing());
+    runFor(milliseconds(10));
+    // Routers read at different times.
+    CHECK(answerable.calls.size() == 2);
+    runFor(milliseconds(30));
+    REQUIRE(answerable.calls.size() == 3);
+    CHECK_FALSE(answerable.calls[2].from);
+    answerLast(read(5, 7, "b"));
+    CHECK(applied == std::vector<std::string>{"all b"});
+    CHECK(follower.next() == inEra(5, 7));
+    runFor(milliseconds(10));
+    REQUIRE(answerable.calls.size() == 4);
+    CHECK(answerable.calls[3].from == inEra(5, 7));
+}
+
+// Guards against a read on a connection that went silent with the store, which holds up the full
+// read, and against its late answer.
+TEST_CASE_METHOD(EraFixture,
+                 "store follower, another call shows the new era, reads beside the silent read")
+{
+    follower.onEraChanged(StoreEra(5));
+    runFor(milliseconds(40));
+    REQUIRE(answerable.calls.size() == 3);
+    CHECK_FALSE(answerable.calls[2].from);
+    CHECK(answerable.calls[2].isFresh);
+    answerable.calls[1].answer(read(4, 8, "late"));
+    answerable.calls[1].answer(StoreFault::EraChanged);
+    CHECK(applied.empty());
+    answerable.calls[2].answer(read(5, 7, "b"));
+    CHECK(applied == std::vector<std::string>{"all b"});
+    // It has read that era.
+    follower.onEraChanged(StoreEra(5));
+    CHECK(follower.next() == inEra(5, 7));
+}
+
+// Guards against a call for each refusal of a store that has just come back.
+TEST_CASE_METHOD(EraFixture,
+                 "store follower, refusal shows the new era, keeps the time of the retry")
+{
+    follower.onEraChanged(StoreEra(5));
+    answerLast(StoreFault::Overloaded);
+    runFor(milliseconds(30));
+    CHECK(answerable.calls.size() == 2);
+    follower.onEraChanged(StoreEra(6));
+    runFor(milliseconds(30));
+    REQUIRE(answerable.calls.size() == 3);
+    CHECK_FALSE(answerable.calls[2].from);
+}
+
+// Guards against a store that is called without a pause while its era changes during each read.
+TEST_CASE_METHOD(EraFixture,
+                 "store follower, era changes again and again, pauses between full reads")
+{
+    std::size_t answered = 1;
+    for (int i = 0; i < 30; ++i) {
+        if (answered < answerable.calls.size())
+            answerLast(StoreFault::EraChanged);
+        answered = answerable.calls.size();
+        runFor(milliseconds(10));
+    }
+    // At 20, 80 and 180 ms, and 100 ms after each further one.
+    CHECK(answerable.calls.size() <= 6);
+    CHECK(answerable.calls.size() >= 4);
+}
+
+// Guards against a follower that skips records, or applies them to those of another era, because
+// routers notice the store's return at different times.
+TEST_CASE_METHOD(EraFixture, "store follower, told of a range of another era, stays where it is")
+{
+    CHECK_FALSE(follower.takeOver(inEra(5, 7), inEra(5, 9), clock.now()));
+    CHECK_FALSE(follower.takeOver(inEra(4, 7), inEra(5, 9), clock.now()));
+    CHECK_FALSE(follower.takeOver(at(7), at(9), clock.now()));
+    answerLast(KeyedBatch{{}, inEra(4, 7)});
+    CHECK_FALSE(follower.skipUnchanged(inEra(5, 7), inEra(5, 9), clock.now()));
+    CHECK_FALSE(follower.skipUnchanged(inEra(3, 7), inEra(3, 9), clock.now()));
+    CHECK(follower.next() == inEra(4, 7));
+}
+
+// Guards against a router on a silent connection that is not helped until the offsets of the new
+// era have caught up with its own, and against one read for each message of a later era.
+TEST_CASE_METHOD(EraFixture,
+                 "store follower, other router has read a later era, reads on a new connection")
+{
+    follower.onReadElsewhere(inEra(3, 99));
+    runFor(milliseconds(50));
+    CHECK(answerable.calls.size() == 2);
+    follower.onReadElsewhere(inEra(5, 2));
+    runFor(milliseconds(50));
+    REQUIRE(answerable.calls.size() == 3);
+    CHECK(answerable.calls[2].isFresh);
+    CHECK(answerable.calls[2].from == inEra(4, 7));
+    SECTION("the store is in that era")
+    {
+        answerLast(StoreFault::EraChanged);
+        runFor(milliseconds(40));
+        answerLast(read(5, 3, "b"));
+        CHECK(follower.next() == inEra(5, 3));
+    }
+    SECTION("the store is not, the message was wrong")
+    {
+        answerLast(KeyedBatch{{}, inEra(4, 7)});
+        runFor(milliseconds(50));
+        CHECK(answerable.calls.size() == 4);
+        CHECK_FALSE(answerable.calls[3].isFresh);
+        follower.onReadElsewhere(inEra(4, 9));
+        runFor(milliseconds(50));
+        CHECK(answerable.calls.size() == 5);
+    }
+}
+
+// Guards against a take-up that is decided by records of an era that has ended.
+TEST_CASE_METHOD(EraFixture,
+                 "store follower, asked to read now, era changes, waits for the full read")
+{
+    std::vector<bool> answers;
+    follower.readNow([&](bool isCurrent) { answers.push_back(isCurrent); });
+    answerLast(StoreFault::EraChanged);
+    CHECK(answers.empty());
+    runFor(milliseconds(40));
+    answerLast(read(5, 3, "b"));
+    CHECK(answers == std::vector<bool>{true});
+}
--- a/tests/integration/EvacuationTest.cpp
+++ b/tests/integration/EvacuationTest.cpp
@@ -18,6 +18,8 @@
 // Within it, the router must have read a record of an evacuation.
 constexpr auto evacuationLimit = 5000ms;
 constexpr auto changeLimit = 10s;
+// Of the store at its start.
+constexpr std::uint64_t storeEra = 1;
 
 /// Sends one request; returns the status, or 0 without an answer.
 int sendRequest(const RouterHost &host)
@@ -70,15 +72,15 @@
     });
     CHECK(sendRequest(host) == 200);
     CHECK(arrivals == 1);
-    sendDatagram(host, EvacuatedDataCentres{0, LogOffset(50), {DataCentreId("zone-a")}});
+    sendDatagram(host, EvacuatedDataCentres{storeEra, LogOffset(50), {DataCentreId("zone-a")}});
     REQUIRE(waitForLog(host, "event=evacuated data_centre=zone-a", evacuationLimit));
-    sendDatagram(host, EvacuatedDataCentres{0, LogOffset(49), {}});
+    sendDatagram(host, EvacuatedDataCentres{storeEra, LogOffset(49), {}});
     REQUIRE(waitUntil(changeLimit, [&] {
         return host.metric("lovagecourse_evacuation_reports_total{reason=\"outdated\"}") == 1;
     }));
     CHECK(sendRequest(host) == 503);
     CHECK(arrivals == 1);
-    sendDatagram(host, EvacuatedDataCentres{0, LogOffset(51), {}});
+    sendDatagram(host, EvacuatedDataCentres{storeEra, LogOffset(51), {}});
     REQUIRE(waitForLog(host, "event=evacuation-over data_centre=zone-a", changeLimit));
     CHECK(sendRequest(host) == 200);
 }
--- a/tests/placing/EvacuationReadsTest.cpp
+++ b/tests/placing/EvacuationReadsTest.cpp
@@ -1,8 +1,12 @@
 #include "placing/EvacuationReads.h"
 
+#include "store/Positions.h"
+
 #include <catch2/catch.hpp>
 
 using namespace lovagecourse;
+using test::at;
+using test::inEra;
 
 namespace {
 
@@ -18,12 +22,12 @@
     bool readAll(std::set<DataCentreId> dataCentres, std::uint64_t next)
     {
         clock.advance(seconds(1));
-        return reads.onFullRead(std::move(dataCentres), LogOffset(next), clock.now(), clock.now());
+        return reads.onFullRead(std::move(dataCentres), at(next), clock.now(), clock.now());
     }
     bool readRecord(const DataCentreId &dataCentre, bool isEvacuated, std::uint64_t next)
     {
         clock.advance(seconds(1));
-        return reads.onRecords({{dataCentre, isEvacuated}}, LogOffset(next), clock.now());
+        return reads.onRecords({{dataCentre, isEvacuated}}, at(next), clock.now());
     }
     Outcome tell(std::uint64_t history, std::uint64_t next, std::set<DataCentreId> dataCentres)
     {
@@ -77,7 +81,7 @@
     readAll({a}, 100);
     CHECK(readAll({b}, 3));
     CHECK(evacuated() == std::set{b});
-    CHECK(reads.newest().position == StorePosition{1, LogOffset(3)});
+    CHECK(reads.newest().position == HistoryPosition{1, LogOffset(3)});
     CHECK(tell(0, 101, {a}) == Outcome::Outdated);
     CHECK(tell(1, 4, {}) == Outcome::Newer);
     CHECK(evacuated().empty());
@@ -98,7 +102,7 @@
     CHECK_FALSE(readRecord(a, true, 101));
     CHECK(evacuated() == std::set{b});
     CHECK_FALSE(readAll({}, 4));
-    CHECK(reads.newest().position == StorePosition{1, LogOffset(4)});
+    CHECK(reads.newest().position == HistoryPosition{1, LogOffset(4)});
     CHECK(evacuated().empty());
 }
 
@@ -109,7 +113,7 @@
 {
     const TimePoint startedAt = clock.now();
     CHECK(tell(0, 20, {a}) == Outcome::Newer);
-    CHECK_FALSE(reads.onFullRead({}, LogOffset(15), startedAt, clock.now()));
+    CHECK_FALSE(reads.onFullRead({}, at(15), startedAt, clock.now()));
     CHECK(evacuated() == std::set{a});
     CHECK_FALSE(readRecord(a, true, 18));
     CHECK(readRecord(a, false, 21));
@@ -124,3 +128,24 @@
     CHECK(readAll({}, 3));
     CHECK(tell(0, 30, {a}) == Outcome::Outdated);
 }
+
+// Guards against a set from before the store's return that counts as newer because its offset is
+// higher, and against one era that routers count twice.
+TEST_CASE_METHOD(EvacuationReadsFixture, "evacuation reads, store names its eras, later era counts")
+{
+    const auto readInEra = [&](std::uint64_t era, std::uint64_t next,
+                               std::set<DataCentreId> dataCentres) {
+        clock.advance(seconds(1));
+        return reads.onFullRead(std::move(dataCentres), inEra(era, next), clock.now(), clock.now());
+    };
+    CHECK_FALSE(readInEra(4, 20, {a}));
+    CHECK(reads.newest().position == HistoryPosition{4, LogOffset(20)});
+    CHECK_FALSE(readInEra(5, 3, {b}));
+    CHECK(reads.newest().position == HistoryPosition{5, LogOffset(3)});
+    CHECK(tell(4, 30, {}) == Outcome::Outdated);
+    CHECK(tell(5, 4, {}) == Outcome::Newer);
+    // A store that counts its eras anew, behind what is known.
+    CHECK(readInEra(1, 2, {a}));
+    CHECK(reads.newest().position == HistoryPosition{6, LogOffset(2)});
+    CHECK(evacuated() == std::set{a});
+}
--- a/tests/platform/KeyedRecordsTest.cpp
+++ b/tests/platform/KeyedRecordsTest.cpp
@@ -2,11 +2,14 @@
 #include "platform/ConfigurationDecoder.h"
 #include "platform/StoreClient.h"
 
+#include "store/Positions.h"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 
 using namespace lovagecourse;
+using test::at;
 
 namespace {
 
@@ -30,10 +33,10 @@
 TEST_CASE("keyed records, values and a deleted key, are read in order")
 {
     const std::string bytes = number(12, 8) + number(3, 8) + record("a", "one") + record("b", "");
-    const auto result = platform::decodeKeyedRecords(bytes, LogOffset(10), KeyedTopic::Servers);
+    const auto result = platform::decodeKeyedRecords(bytes, at(10), KeyedTopic::Servers);
     REQUIRE(std::holds_alternative<KeyedBatch>(result));
     const auto &batch = std::get<KeyedBatch>(result);
-    CHECK(batch.next == LogOffset(12));
+    CHECK(batch.next == at(12));
     REQUIRE(batch.records.size() == 2);
     CHECK(batch.records[0].key == "a");
     CHECK(batch.records[0].value == "one");
@@ -47,12 +50,12 @@
     const std::string valid = number(11, 8) + number(0, 8) + record("a", "one");
     for (std::size_t length = 17; length < valid.size(); ++length)
         CHECK(std::holds_alternative<StoreFault>(platform::decodeKeyedRecords(
-                valid.substr(0, length), LogOffset(10), KeyedTopic::Servers)));
+                valid.substr(0, length), at(10), KeyedTopic::Servers)));
     CHECK(std::holds_alternative<StoreFault>(
-            platform::decodeKeyedRecords("", LogOffset(0), KeyedTopic::Servers)));
+            platform::decodeKeyedRecords("", at(0), KeyedTopic::Servers)));
     // More records than the end offset allows.
     CHECK(std::holds_alternative<StoreFault>(
-            platform::decodeKeyedRecords(valid, LogOffset(11), KeyedTopic::Servers)));
+            platform::decodeKeyedRecords(valid, at(11), KeyedTopic::Servers)));
 }
 
 // Guards against an empty record that stops all routers, which read it again and again.
@@ -60,10 +63,10 @@
 {
     const std::string bytes =
             number(3, 8) + number(0, 8) + record("a", "x") + number(0, 4) + record("b", "y");
-    const auto result = platform::decodeKeyedRecords(bytes, LogOffset(0), KeyedTopic::Servers);
+    const auto result = platform::decodeKeyedRecords(bytes, at(0), KeyedTopic::Servers);
     REQUIRE(std::holds_alternative<KeyedBatch>(result));
     CHECK(std::get<KeyedBatch>(result).records.size() == 2);
-    CHECK(std::get<KeyedBatch>(result).next == LogOffset(3));
+    CHECK(std::get<KeyedBatch>(result).next == at(3));
 }
 
 // Guards against one item that can't be read and hides all others, which routers need to start.
@@ -107,21 +110,21 @@
 {
     const std::string foreignRecord = number(1, 4) + number(200, 1);
     const std::string bytes = number(2, 8) + number(0, 8) + foreignRecord + record("a", "x");
-    const auto result = platform::decodeKeyedRecords(bytes, LogOffset(0), KeyedTopic::Servers);
+    const auto result = platform::decodeKeyedRecords(bytes, at(0), KeyedTopic::Servers);
     REQUIRE(std::holds_alternative<KeyedBatch>(result));
     CHECK(std::get<KeyedBatch>(result).records.size() == 1);
-    CHECK(std::get<KeyedBatch>(result).next == LogOffset(2));
+    CHECK(std::get<KeyedBatch>(result).next == at(2));
 }
 
 // Guards against a store that has lost its records and is taken for one with damaged answers.
 TEST_CASE("keyed records, store ends before the offset, has lost its history")
 {
-    const auto result = platform::decodeKeyedRecords(number(3, 8) + number(0, 8), LogOffset(7),
-                                                     KeyedTopic::Servers);
+    const auto result =
+            platform::decodeKeyedRecords(number(3, 8) + number(0, 8), at(7), KeyedTopic::Servers);
     REQUIRE(std::holds_alternative<StoreFault>(result));
     CHECK(std::get<StoreFault>(result) == StoreFault::HistoryLost);
     const auto damaged = platform::decodeKeyedRecords(
-            number(3, 8) + number(0, 8) + record("a", "x"), LogOffset(7), KeyedTopic::Servers);
+            number(3, 8) + number(0, 8) + record("a", "x"), at(7), KeyedTopic::Servers);
     REQUIRE(std::holds_alternative<StoreFault>(damaged));
     CHECK(std::get<StoreFault>(damaged) == StoreFault::Malformed);
 }
@@ -137,14 +140,13 @@
     for (int i = 0; i < 20; ++i)
         bytes += record("k", value);
     const test::HeapMeter meter;
-    const auto servers = platform::decodeKeyedRecords(bytes, LogOffset(0), KeyedTopic::Servers);
+    const auto servers = platform::decodeKeyedRecords(bytes, at(0), KeyedTopic::Servers);
     CHECK(meter.peak() <= 4 * value.size());
     REQUIRE(std::holds_alternative<KeyedBatch>(servers));
     CHECK(std::get<KeyedBatch>(servers).records.size() == 20);
     CHECK(std::get<KeyedBatch>(servers).records[0].value == "{}");
     // The values of the other topics have other readers.
-    const auto others =
-            platform::decodeKeyedRecords(bytes, LogOffset(0), KeyedTopic::Configuration);
+    const auto others = platform::decodeKeyedRecords(bytes, at(0), KeyedTopic::Configuration);
     CHECK(std::get<KeyedBatch>(others).records[0].value == value);
 }
 
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -3,6 +3,7 @@
 #include "core/HeapMeter.h"
 #include "direct/ScriptedServer.h"
 #include "platform/ConfigurationDecoder.h"
+#include "store/Positions.h"
 
 #include <catch2/catch.hpp>
 #include <openssl/evp.h>
@@ -10,6 +11,8 @@
 #include <set>
 
 using namespace lovagecourse;
+using test::at;
+using test::inEra;
 using test::ScriptedServer;
 
 namespace {
@@ -19,9 +22,12 @@
 {
     EventLoop loop;
     HttpClient http{loop};
+    std::shared_ptr<StoreEras> eras = std::make_shared<StoreEras>();
     std::optional<platform::StoreClient> client;
     std::optional<KeyedResult> result;
 
+    static ReadOptions within(milliseconds timeout) { return {milliseconds(0), timeout}; }
+
     static std::string answer(const std::string &body)
     {
         return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
@@ -105,13 +111,13 @@
     ScriptedServer other(loop, pagesOf("other"));
     ScriptedServer store(loop, [&](auto &connection, const std::string &request) {
         if (isReplaced)
-            client.emplace(http, urlOf(other));
+            client.emplace(http, urlOf(other), eras);
         else
             client.reset();
         pagesOf("own")(connection, request);
     });
-    client.emplace(http, urlOf(store));
-    client->readNewest(KeyedTopic::Servers, seconds(1), keepResult());
+    client.emplace(http, urlOf(store), eras);
+    client->readNewest(KeyedTopic::Servers, within(seconds(1)), keepResult());
     runUntilDone();
     REQUIRE(result);
     const auto *batch = std::get_if<KeyedBatch>(&*result);
@@ -119,7 +125,7 @@
     REQUIRE(batch->records.size() == 2);
     CHECK(batch->records[0].key == "own-1");
     CHECK(batch->records[1].key == "own-2");
-    CHECK(batch->next == LogOffset(7));
+    CHECK(batch->next == at(7));
     CHECK(other.requests().empty());
 }
 
@@ -130,8 +136,8 @@
     ScriptedServer store(loop, [](auto &, const std::string &) {});
     {
         HttpClient shortLived(loop);
-        platform::StoreClient(shortLived, urlOf(store))
-                .readNewest(KeyedTopic::Servers, milliseconds(50), keepResult());
+        platform::StoreClient(shortLived, urlOf(store), eras)
+                .readNewest(KeyedTopic::Servers, within(milliseconds(50)), keepResult());
     }
     Timer limit(loop, [this] { loop.stop(); });
     limit.startOnce(milliseconds(100));
@@ -154,13 +160,13 @@
         bytes.replace(bytes.find("200 OK\r\n"), 8, status + "\r\n" + line);
         connection.send(bytes);
     });
-    client.emplace(http, urlOf(store));
-    client->readNewest(KeyedTopic::Servers, seconds(1), keepResult());
+    client.emplace(http, urlOf(store), eras);
+    client->readNewest(KeyedTopic::Servers, within(seconds(1)), keepResult());
     runUntilDone();
     REQUIRE(result);
     CHECK(std::get<StoreFault>(*result) == StoreFault::NoAnswer);
     result.reset();
-    client->readFrom(KeyedTopic::Servers, LogOffset(3), {}, keepResult());
+    client->readFrom(KeyedTopic::Servers, at(3), {}, keepResult());
     runUntilDone();
     REQUIRE(result);
     CHECK(std::get<StoreFault>(*result) == StoreFault::NoAnswer);
@@ -184,12 +190,12 @@
             connection.send(answer(std::string(7, '\0') + end + std::string("\0\0\0\0\0\0\0\x28", 8)
                                    + std::string("\0\0\0\x04\x01kva", 8)));
         });
-        client.emplace(http, urlOf(store));
+        client.emplace(http, urlOf(store), eras);
         result.reset();
         ReadOptions options;
         options.timeout = seconds(1);
         options.skipsExpired = skipsExpired;
-        client->readFrom(KeyedTopic::Servers, LogOffset(0), options, keepResult());
+        client->readFrom(KeyedTopic::Servers, at(0), options, keepResult());
         runUntilDone();
         REQUIRE(result);
         return *result;
@@ -199,7 +205,7 @@
     const auto &batch = std::get<KeyedBatch>(read);
     REQUIRE(batch.records.size() == 1);
     CHECK(batch.records[0].value == "va");
-    CHECK(batch.next == LogOffset(41));
+    CHECK(batch.next == at(41));
     CHECK(batch.isAtEnd);
     end = '\x2a';
     CHECK_FALSE(std::get<KeyedBatch>(readWith(R"({"first":40})", true)).isAtEnd);
@@ -231,8 +237,8 @@
             return loop.stop();
         answerPage(connection, request);
     });
-    client.emplace(http, urlOf(store));
-    client->readNewest(KeyedTopic::Servers, seconds(1), keepResult());
+    client.emplace(http, urlOf(store), eras);
+    client->readNewest(KeyedTopic::Servers, within(seconds(1)), keepResult());
     runUntilDone();
     CAPTURE(calls);
     REQUIRE(result);
@@ -255,8 +261,8 @@
             return loop.stop();
         connection.send(answer(page(key, true)));
     });
-    client.emplace(http, urlOf(store));
-    client->readNewest(KeyedTopic::Servers, seconds(1), keepResult());
+    client.emplace(http, urlOf(store), eras);
+    client->readNewest(KeyedTopic::Servers, within(seconds(1)), keepResult());
     runUntilDone();
     CHECK(calls == 2);
     REQUIRE(result);
@@ -282,12 +288,12 @@
         --left;
         connection.send(answer(bytes.replace(bytes.find("dg=="), 4, encoded)));
     });
-    client.emplace(http, urlOf(store));
+    client.emplace(http, urlOf(store), eras);
     const auto peakOf = [&](int records) {
         left = records;
         result.reset();
         const test::HeapMeter meter;
-        client->readNewest(KeyedTopic::Servers, seconds(2), keepResult());
+        client->readNewest(KeyedTopic::Servers, within(seconds(2)), keepResult());
         runUntilDone();
         REQUIRE(result);
         REQUIRE(std::holds_alternative<KeyedBatch>(*result));
@@ -325,13 +331,13 @@
         sender->startRepeating(milliseconds(1));
     });
     store.onClosed([&] { sender.reset(); });
-    client.emplace(http, urlOf(store));
+    client.emplace(http, urlOf(store), eras);
     if (isRead) {
         ReadOptions options;
         options.timeout = seconds(10);
-        client->readFrom(KeyedTopic::Servers, LogOffset(0), options, keepResult());
+        client->readFrom(KeyedTopic::Servers, at(0), options, keepResult());
     } else {
-        client->readNewest(KeyedTopic::Servers, seconds(10), keepResult());
+        client->readNewest(KeyedTopic::Servers, within(seconds(10)), keepResult());
     }
     Timer limit(loop, [this] { loop.stop(); });
     limit.startOnce(seconds(8));
@@ -341,3 +347,91 @@
     // What the sockets buffer was sent as well.
     CHECK(sentBytes <= 2 * mostBytes);
 }
+
+namespace {
+
+/// A store whose answers name an era, as the test says.
+struct StoreEraFixture : StoreClientFixture
+{
+    /// Lines of headers after the status line.
+    std::string eraLines = "Store-Era: 4\r\n";
+    int status = 200;
+    bool hasSecondPage = false;
+    ScriptedServer store{loop, [this](auto &connection, const std::string &request) {
+                             const bool isRead = request.find("/v1/log-read") != std::string::npos;
+                             const bool isFirst = request.find("&after=") == std::string::npos;
+                             std::string body =
+                                     isRead ? std::string(7, 0) + '\x09' + std::string(8, 0)
+                                            : page("k", hasSecondPage && isFirst);
+                             if (!isFirst)
+                                 eraLines = "Store-Era: 5\r\n";
+                             connection.send("HTTP/1.1 " + std::to_string(status) + " X\r\n"
+                                             + eraLines + "Content-Length: "
+                                             + std::to_string(body.size()) + "\r\n\r\n" + body);
+                         }};
+
+    StoreEraFixture() { client.emplace(http, urlOf(store), eras); }
+
+    KeyedResult readFrom(const StorePosition &from)
+    {
+        result.reset();
+        client->readFrom(KeyedTopic::Servers, from, within(seconds(1)), keepResult());
+        runUntilDone();
+        return result.value();
+    }
+    KeyedResult readNewest()
+    {
+        result.reset();
+        client->readNewest(KeyedTopic::Servers, within(seconds(1)), keepResult());
+        runUntilDone();
+        return result.value();
+    }
+    static StorePosition nextOf(const KeyedResult &read) { return std::get<KeyedBatch>(read).next; }
+};
+
+} // namespace
+
+// Guards against records that are skipped because an offset of an earlier era is read on.
+TEST_CASE_METHOD(StoreEraFixture, "store client, offset of another era, is a typed fault")
+{
+    CHECK(nextOf(readNewest()) == inEra(4, 7));
+    CHECK(nextOf(readFrom(inEra(4, 9))) == inEra(4, 9));
+    CHECK(std::get<StoreFault>(readFrom(inEra(3, 9))) == StoreFault::EraChanged);
+    CHECK(std::get<StoreFault>(readFrom(at(9))) == StoreFault::EraChanged);
+    // The beginning of a topic is the same place in all eras.
+    CHECK(nextOf(readFrom(at(0))) == inEra(4, 0));
+    status = 410;
+    CHECK(std::get<StoreFault>(readFrom(inEra(3, 9))) == StoreFault::EraChanged);
+    CHECK(std::get<StoreFault>(readFrom(inEra(4, 9))) == StoreFault::Expired);
+    status = 404;
+    CHECK(std::get<StoreFault>(readFrom(inEra(3, 9))) == StoreFault::EraChanged);
+    CHECK(nextOf(readNewest()) == inEra(4, 0));
+}
+
+// Guards against a list of records that is put together from two eras.
+TEST_CASE_METHOD(StoreEraFixture, "store client, era changes between pages, is a typed fault")
+{
+    hasSecondPage = true;
+    CHECK(std::get<StoreFault>(readNewest()) == StoreFault::EraChanged);
+    CHECK(eras->current() == StoreEra(5));
+}
+
+// Guards against eras that are read from what is no number, and against a refusal by another
+// program that counts as a change.
+TEST_CASE_METHOD(StoreEraFixture, "store client, era unreadable or in a refusal, is told as such")
+{
+    readNewest();
+    status = 503;
+    eraLines.clear();
+    CHECK(std::get<StoreFault>(readNewest()) == StoreFault::Unavailable);
+    CHECK(eras->current() == StoreEra(4));
+    eraLines = "Store-Era: 5\r\n";
+    CHECK(std::get<StoreFault>(readNewest()) == StoreFault::Unavailable);
+    CHECK(eras->current() == StoreEra(5));
+    status = 200;
+    eraLines = GENERATE("Store-Era: \r\n", "Store-Era: -5\r\n", "Store-Era: 5.0\r\n",
+                        "Store-Era: 99999999999999999999\r\n", "Store-Era: 5, 5\r\n",
+                        "Store-Era: 5\r\nStore-Era: 6\r\n", "");
+    CHECK(nextOf(readNewest()) == at(7));
+    CHECK(eras->current() == std::nullopt);
+}
--- a/tests/resuming/ResumableStreamsTest.cpp
+++ b/tests/resuming/ResumableStreamsTest.cpp
@@ -14,8 +14,10 @@
 class SharedStore final : public FleetStore
 {
 public:
-    void readNewest(KeyedTopic, milliseconds, std::function<void(const KeyedResult &)>) override {}
-    void readFrom(KeyedTopic, LogOffset from, const ReadOptions &,
+    void readNewest(KeyedTopic, const ReadOptions &,
+                    std::function<void(const KeyedResult &)>) override
+    {}
+    void readFrom(KeyedTopic, const StorePosition &from, const ReadOptions &,
                   std::function<void(const KeyedResult &)> onDone) override
     {
         ++reads;
@@ -23,11 +25,11 @@
             return;
         if (isAway)
             return onDone(StoreFault::Unavailable);
-        if (from.value > records.size())
+        if (from.offset.value > records.size())
             return onDone(StoreFault::HistoryLost);
         KeyedBatch batch;
-        batch.next = LogOffset(records.size());
-        for (std::size_t i = from.value; i < records.size(); ++i)
+        batch.next.offset = LogOffset(records.size());
+        for (std::size_t i = from.offset.value; i < records.size(); ++i)
             batch.records.push_back(KeyedRecord{"router", records[i], LogOffset(i)});
         onDone(batch);
     }
--- a/tests/wire/CodecTest.cpp
+++ b/tests/wire/CodecTest.cpp
@@ -38,6 +38,21 @@
     CHECK(std::get<AnswerData>(messages[1]).bytes == std::string(100, 'x'));
 }
 
+// Guards against news of the store that lose their era.
+TEST_CASE_METHOD(CodecFixture, "codec, news of an era of the store, keep it")
+{
+    const auto decoded = decodeMessages(
+            encodeMessages({InStoreEra{StoreEra(5), ServersUnchanged{LogOffset(1), LogOffset(2)}},
+                            ConfigurationRead{LogOffset(3)}}));
+    REQUIRE(decoded.index() == 0);
+    const auto &messages = std::get<0>(decoded);
+    REQUIRE(messages.size() == 2);
+    const auto &news = std::get<InStoreEra>(messages[0]);
+    CHECK(news.era == StoreEra(5));
+    CHECK(std::get<ServersUnchanged>(news.content).to == LogOffset(2));
+    CHECK(std::get<ConfigurationRead>(messages[1]).next == LogOffset(3));
+}
+
 // Guards against exceptions and excessive allocations caused by damaged input.
 TEST_CASE_METHOD(CodecFixture, "codec, truncated or bit-flipped messages, never throw")
 {
