Keep servers that an older copy of the store lacks

What callers would see: after the store's return from an older copy, a full read of the servers' topic is taken as it is. Servers that joined since the copy get no requests until they have written again, and servers that left, or said that they leave, get requests again.

Cause: a server that is missing from a full read counted as removed, at once if it had renewed within three intervals. That is right for a log that loses nothing; of a copy from before the renewal it proves nothing. An entry of the full read counted as newer than what was known.

Change: the first full read of another era starts the grace period that an outage of the store starts, and earlier renewals no longer count. A missing server stays in use until it renews or the grace of two seconds ends.

Measured: StoreCopyTest, "servers came and left", three routers. On the commit before, 0 of 3 requests reach the server that the copy lacks, 3 of 3 the one that has left; now 3 of 3 and 0.

--- a/src/direct/RouterNodeSync.cpp
+++ b/src/direct/RouterNodeSync.cpp
@@ -63,6 +63,7 @@
             configurationPollTiming(settings.maxConfigurationDelay, pollStagger()),
             std::move(forConfiguration));
     StoreFollower::Handlers forServers;
+    forServers.onOlderCopy = [this] { directory.onOlderCopy(clock.now()); };
     forServers.onFullRead = [this](const auto &records) {
         // Servers may have come and left since the last read.
         if (serversLoaded)
--- a/src/direct/ServerDirectory.cpp
+++ b/src/direct/ServerDirectory.cpp
@@ -1,5 +1,7 @@
 #include "direct/ServerDirectory.h"
 
+#include <algorithm>
+
 namespace lovagecourse {
 
 namespace {
@@ -28,6 +30,7 @@
         found->second.missingAfter = found->second.missingAfter.value_or(after);
         return {};
     }
+    removed_.onRemoved(found->second.entry, now);
     entries_.erase(found);
     return {RegistrationChange{id, std::nullopt, after}};
 }
@@ -40,6 +43,14 @@
     return !entry || found->second.missingAfter || found->second.entry != *entry;
 }
 
+void ServerDirectory::onOlderCopy(TimePoint now)
+{
+    copyUntil_ = now + reregistrationGrace;
+    graceUntil_ = std::max(graceUntil_, copyUntil_);
+    for (auto &[id, known] : entries_)
+        known.renewedAfter.reset();
+}
+
 std::vector<RegistrationChange>
 ServerDirectory::applyAll(const std::map<ServerId, ServerEntry> &entries, TimePoint now)
 {
@@ -54,7 +65,15 @@
             changes.push_back(std::move(change));
     }
     for (const auto &[id, entry] : entries) {
-        for (RegistrationChange &change : apply(id, entry, std::nullopt, now))
+        std::optional<ServerEntry> used = entry;
+        if (now < copyUntil_) {
+            const auto known = entries_.find(id);
+            used = entryFromCopy(entry, known == entries_.end() ? nullptr : &known->second.entry,
+                                 removed_);
+        }
+        if (!used)
+            continue;
+        for (RegistrationChange &change : apply(id, std::move(used), std::nullopt, now))
             changes.push_back(std::move(change));
     }
     return changes;
@@ -92,6 +111,7 @@
         return changes;
     for (auto known = entries_.begin(); known != entries_.end();) {
         if (known->second.missingAfter) {
+            removed_.onRemoved(known->second.entry, now);
             changes.push_back(
                     RegistrationChange{known->first, std::nullopt, *known->second.missingAfter});
             known = entries_.erase(known);
--- a/src/direct/ServerDirectory.h
+++ b/src/direct/ServerDirectory.h
@@ -3,6 +3,7 @@
 #include "core/Clock.h"
 #include "direct/ServerEntry.h"
 #include "direct/StoreContact.h"
+#include "store/OlderCopy.h"
 
 #include <map>
 #include <optional>
@@ -21,7 +22,8 @@
 };
 
 /// The registered servers. Registrations of live servers may expire during an outage of the store,
-/// so removals that may have this cause are held for reregistrationGrace after its return.
+/// so removals that may have this cause are held for reregistrationGrace after its return. So are
+/// those that follow from an older copy, from which the store has come back.
 class ServerDirectory
 {
 public:
@@ -41,6 +43,10 @@
                                           std::optional<TimePoint> writtenAfter, TimePoint now);
     /// True when the record would change the directory; false for a mere heartbeat.
     bool isChange(const ServerId &id, const std::optional<ServerEntry> &entry) const;
+    /// The store has come back from an older copy, which may lack servers and list some that have
+    /// left. Call it before the first full read from there is applied. Starts the grace period:
+    /// what was written before proves nothing of the copy.
+    void onOlderCopy(TimePoint now);
     /// Applies all records of the store; servers without a record are removed or marked missing.
     std::vector<RegistrationChange> applyAll(const std::map<ServerId, ServerEntry> &entries,
                                              TimePoint now);
@@ -72,6 +78,9 @@
     std::map<ServerId, KnownServer> entries_;
     milliseconds renewalInterval_;
     TimePoint graceUntil_;
+    /// Full reads until then may return what the older copy held.
+    TimePoint copyUntil_;
+    RemovedServers removed_;
 };
 
 } // namespace lovagecourse
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -166,7 +166,10 @@
     previousAsOf_ = asOf_;
     if (isFullRead) {
         wasFullRead_ = true;
+        const bool isOlderCopy = lastNext_ && lastNext_->era != batch.next.era;
         setCurrent(batch.next, readStart_);
+        if (isOlderCopy)
+            handlers_.onOlderCopy();
         return handlers_.onFullRead(batch.records);
     }
     // The pages of a full read are no snapshot: they may contain changes from after the offset at
@@ -228,6 +231,7 @@
 void StoreFollower::setCurrent(const StorePosition &next, TimePoint asOf)
 {
     next_ = next;
+    lastNext_ = next;
     asOf_ = std::max(asOf_.value_or(asOf), asOf);
     scheduleRead();
 }
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -18,6 +18,9 @@
 public:
     struct Handlers
     {
+        /// The store has come back from an older copy since the last read; called before
+        /// onFullRead, whose records may lack changes that were read earlier.
+        std::function<void()> onOlderCopy = [] {};
         /// Newest records of all keys of the topic.
         std::function<void(const std::vector<KeyedRecord> &)> onFullRead;
         /// New records in order, and the range of offsets that they cover. For the first read after
@@ -122,6 +125,8 @@
     std::optional<TimePoint> asOf_;
     /// Position at which the last read has begun; empty for a full read.
     std::optional<StorePosition> readFrom_;
+    /// Where the last successful read has ended, also after a change of the era.
+    std::optional<StorePosition> lastNext_;
     /// Full reads in a row that a change of the era has ended.
     unsigned endedFullReads_ = 0;
     /// asOf_ before the last successful read.
--- a/tests/direct/ServerDirectoryTest.cpp
+++ b/tests/direct/ServerDirectoryTest.cpp
@@ -151,3 +151,103 @@
     now += milliseconds(600);
     CHECK(directory.expire(true, now).size() == 1);
 }
+
+namespace {
+
+/// The store has come back from a copy from before what the directory knows.
+struct OlderCopyFixture : ServerDirectoryFixture
+{
+    std::vector<RegistrationChange> readCopy(std::vector<ServerEntry> entries)
+    {
+        std::map<ServerId, ServerEntry> copied;
+        for (ServerEntry &entry : entries)
+            copied.emplace(entry.id, entry);
+        directory.onOlderCopy(now);
+        return directory.applyAll(copied, now);
+    }
+    static ServerEntry entryOf(const std::string &id, std::uint64_t startedMs, bool isDraining)
+    {
+        ServerEntry result = entry(id);
+        result.startedMs = startedMs;
+        result.isDraining = isDraining;
+        return result;
+    }
+    void apply(const ServerEntry &entry)
+    {
+        directory.apply(entry.id, entry, now - milliseconds(100), now);
+    }
+    bool isKnown(const ServerEntry &entry) const { return !directory.isChange(entry.id, entry); }
+};
+
+} // namespace
+
+// Guards against the loss of sound servers that have joined since the copy, although they have
+// renewed just before the store went away.
+TEST_CASE_METHOD(OlderCopyFixture,
+                 "server directory, older copy lacks a server, stays in use until the grace ends")
+{
+    apply(entry("old"));
+    apply(entry("renews"));
+    apply(entry("gone"));
+    CHECK(readCopy({entry("old")}).size() == 1);
+    CHECK(directory.size() == 3);
+    // A record that deletes a server of the copy may be the expiry of an old registration.
+    CHECK(remove("old").empty());
+    now += milliseconds(1200);
+    apply(entry("old"));
+    apply(entry("renews"));
+    CHECK(directory.expire(true, now).empty());
+    // Since it was written after the return, its removal is one.
+    CHECK(remove("renews").size() == 1);
+    now += milliseconds(900);
+    const auto removed = directory.expire(true, now);
+    REQUIRE(removed.size() == 1);
+    CHECK(removed[0].id == ServerId("gone"));
+}
+
+// Guards against requests to a server that has left, or is about to, and that the copy still lists
+// as ready.
+TEST_CASE_METHOD(OlderCopyFixture,
+                 "server directory, older copy lists servers as before they left, stay out")
+{
+    const ServerEntry left = entryOf("left", 5, false);
+    apply(left);
+    remove("left");
+    const ServerEntry leaving = entryOf("leaving", 5, true);
+    apply(leaving);
+    const ServerEntry restarted = entryOf("restarted", 9, false);
+    apply(restarted);
+    readCopy({left, entryOf("leaving", 5, false), entryOf("restarted", 5, true)});
+    CHECK(directory.size() == 2);
+    CHECK(isKnown(leaving));
+    CHECK(isKnown(restarted));
+    // Their next records don't come from the copy.
+    apply(left);
+    apply(entryOf("leaving", 6, false));
+    CHECK(directory.size() == 3);
+    CHECK(isKnown(entryOf("leaving", 6, false)));
+}
+
+// Guards against a server that stays out because an earlier run of it has left.
+TEST_CASE_METHOD(OlderCopyFixture, "server directory, older copy lists a later run, is used")
+{
+    apply(entryOf("a", 5, false));
+    remove("a");
+    readCopy({entryOf("a", 6, false)});
+    CHECK(directory.size() == 1);
+    CHECK(isKnown(entryOf("a", 6, false)));
+}
+
+// Guards against a removal that is forgotten, or remembered for ever.
+TEST_CASE_METHOD(OlderCopyFixture,
+                 "server directory, full read long after the copy, counts as it is")
+{
+    const ServerEntry left = entryOf("left", 5, false);
+    apply(left);
+    remove("left");
+    readCopy({left});
+    CHECK(directory.size() == 0);
+    now += milliseconds(2100);
+    directory.applyAll({{left.id, left}}, now);
+    CHECK(directory.size() == 1);
+}
--- a/tests/integration/StoreCopyTest.cpp
+++ b/tests/integration/StoreCopyTest.cpp
@@ -172,6 +172,44 @@
     CHECK(statusAt(*late, "/second/") == 404);
 }
 
+// Guards against a removal that is lost for good because its offset was given out before, against
+// the loss of a server that has joined since the copy, and against one that comes back from it.
+TEST_CASE_METHOD(StoreCopyFixture, "store copy, servers came and left, routers know them")
+{
+    const auto pause = [] { std::this_thread::sleep_for(1500ms); };
+    removeServer(0);
+    pause();
+    store.makeCopy();
+    writeServer(0);
+    removeServer(1);
+    pause();
+    goAwayUntilNoticed();
+    store.restoreCopy();
+    store.comeBack();
+    pause();
+    // The copy lists the second server only.
+    const std::array<int, 2> before{requestsAt[0], requestsAt[1]};
+    for (const auto &router : routers)
+        CHECK(statusAt(*router, "/plain/") == 200);
+    CHECK(requestsAt[0] == before[0] + 3);
+    CHECK(requestsAt[1] == before[1]);
+    writeServer(0);
+    removeServer(1);
+    std::this_thread::sleep_for(bound);
+    for (const auto &router : routers) {
+        CHECK(router->metric("lovagecourse_servers") == 1);
+        CHECK(statusAt(*router, "/plain/") == 200);
+    }
+    CHECK(requestsAt[1] == before[1]);
+    // The two records have the offsets that those before the return had.
+    removeServer(0);
+    writeServer(1);
+    std::this_thread::sleep_for(bound);
+    for (const auto &router : routers)
+        CHECK(statusAt(*router, "/plain/") == 200);
+    CHECK(requestsAt[1] == before[1] + 3);
+}
+
 // Guards against a router that never reads again because the store has stopped to name its era.
 TEST_CASE_METHOD(StoreCopyFixture, "store copy, era is missing from now on, changes are in force")
 {
