Keep evacuations that an older copy of the store lacks

What callers would see: after the store's return from an older copy, requests go to an evacuated data centre again until the operator has written the evacuation again.

Cause: the full read after the return replaced the set of evacuated data centres, and a record that the store has lost looks like one that was deleted.

Change: what is known to be evacuated stays so, until a record ends it or two seconds have passed since the full read, the time in which the platform brings lost registrations back. A withdrawal that was lost is not told apart from an evacuation that is in force; the data centre then waits for the record to be deleted again.

Measured: StoreCopyTest, "evacuation lost", three routers.

--- a/src/direct/RouterNode.cpp
+++ b/src/direct/RouterNode.cpp
@@ -410,6 +410,8 @@
     updateProcessLoad(now);
     updateRelay(now);
     applyChanges(directory.expire(!serversFollower->isFailing(), now));
+    if (evacuationReads.expire(now))
+        applyEvacuations();
     crashTraits.expire(now);
     pool.updateLimitParts(limitCounts(), now);
     updateWarming(now);
--- a/src/placing/EvacuationReads.cpp
+++ b/src/placing/EvacuationReads.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace lovagecourse {
 
@@ -14,6 +15,26 @@
 
 } // namespace
 
+void EvacuationReads::onOlderCopy(TimePoint now)
+{
+    kept_ = newest_.dataCentres;
+    kept_.insert(own_.dataCentres.begin(), own_.dataCentres.end());
+    keptUntil_ = now + rewriteTime;
+}
+
+bool EvacuationReads::expire(TimePoint now)
+{
+    if (kept_.empty() || now < keptUntil_)
+        return false;
+    const bool isOwnNewest = own_.position == newest_.position;
+    for (const DataCentreId &dataCentre : std::exchange(kept_, {})) {
+        own_.dataCentres.erase(dataCentre);
+        if (isOwnNewest)
+            newest_.dataCentres.erase(dataCentre);
+    }
+    return true;
+}
+
 bool EvacuationReads::onFullRead(std::set<DataCentreId> dataCentres, const StorePosition &next,
                                  TimePoint startedAt, TimePoint now)
 {
@@ -31,7 +52,10 @@
     else
         own_.position.history = std::max(era, own_.position.history);
     own_.position.next = next.offset;
+    for (const DataCentreId &dataCentre : dataCentres)
+        kept_.erase(dataCentre);
     own_.dataCentres = std::move(dataCentres);
+    own_.dataCentres.insert(kept_.begin(), kept_.end());
     if (own_.position >= known)
         setNewest(own_, now);
     return hasLostHistory;
@@ -41,6 +65,7 @@
                                 const StorePosition &next, TimePoint now)
 {
     for (const EvacuationChange &change : changes) {
+        kept_.erase(change.dataCentre);
         if (change.isEvacuated)
             own_.dataCentres.insert(change.dataCentre);
         else
--- a/src/placing/EvacuationReads.h
+++ b/src/placing/EvacuationReads.h
@@ -48,6 +48,16 @@
         NewerHistory
     };
 
+    /// Time within which what the store has lost is written again after its return.
+    static constexpr milliseconds rewriteTime{2000};
+
+    /// The store has come back from an older copy, which may lack evacuations. Call it before the
+    /// full read is passed on: what is evacuated stays so for rewriteTime, or until a record ends
+    /// it.
+    void onOlderCopy(TimePoint now);
+    /// Ends the evacuations that have not been written again in time. Returns whether there were
+    /// any.
+    bool expire(TimePoint now);
     /// This router has read the newest records of all keys. Returns true if the store has lost its
     /// history since the newest known set was read.
     bool onFullRead(std::set<DataCentreId> dataCentres, const StorePosition &next,
@@ -69,6 +79,9 @@
     /// As read by this router; later records apply to this set only.
     EvacuatedSet own_;
     EvacuatedSet newest_;
+    /// Evacuations that the older copy lacks and that have not been written again.
+    std::set<DataCentreId> kept_;
+    TimePoint keptUntil_;
     /// When newest_ became known.
     TimePoint newestSince_;
     bool hasEvacuations_ = false;
--- a/tests/integration/StoreCopyTest.cpp
+++ b/tests/integration/StoreCopyTest.cpp
@@ -210,6 +210,38 @@
     CHECK(requestsAt[1] == before[1] + 3);
 }
 
+// Guards against requests to an evacuated data centre whose record the store has lost.
+TEST_CASE_METHOD(StoreCopyFixture, "store copy, evacuation lost, holds until it is written again")
+{
+    const auto writeEvacuation = [&] {
+        store.write(LoopbackStore::operatorTopic, "evacuate/zone-a", "{}");
+    };
+    store.makeCopy();
+    writeEvacuation();
+    for (const auto &router : routers) {
+        REQUIRE(waitUntil(
+                limit, [&] { return router->metric("lovagecourse_evacuated_data_centres") == 1; }));
+    }
+    const int before = requestsAt[0] + requestsAt[1];
+    goAwayUntilNoticed();
+    store.restoreCopy();
+    store.comeBack();
+    const auto allRead = [&] {
+        return std::all_of(routers.begin(), routers.end(), [&](const auto &router) {
+            return router->metric("lovagecourse_store_era_changes_total") == 1;
+        });
+    };
+    REQUIRE(waitUntil(limit, allRead));
+    std::this_thread::sleep_for(500ms);
+    for (const auto &router : routers)
+        CHECK(statusAt(*router, "/plain/") == 503);
+    writeEvacuation();
+    std::this_thread::sleep_for(bound);
+    for (const auto &router : routers)
+        CHECK(statusAt(*router, "/plain/") == 503);
+    CHECK(requestsAt[0] + requestsAt[1] == before);
+}
+
 // Guards against a router that never reads again because the store has stopped to name its era.
 TEST_CASE_METHOD(StoreCopyFixture, "store copy, era is missing from now on, changes are in force")
 {
--- a/tests/placing/EvacuationReadsTest.cpp
+++ b/tests/placing/EvacuationReadsTest.cpp
@@ -149,3 +149,48 @@
     CHECK(reads.newest().position == HistoryPosition{6, LogOffset(2)});
     CHECK(evacuated() == std::set{a});
 }
+
+// Guards against requests to an evacuated data centre whose record the store has lost, and against
+// an evacuation that does not end because it has lost the end's record.
+TEST_CASE_METHOD(EvacuationReadsFixture,
+                 "evacuation reads, older copy lacks an evacuation, is kept until written again")
+{
+    const auto readCopy = [&](std::uint64_t era, std::uint64_t next,
+                              std::set<DataCentreId> dataCentres) {
+        reads.onOlderCopy(clock.now());
+        reads.onFullRead(std::move(dataCentres), inEra(era, next), clock.now(), clock.now());
+    };
+    reads.onFullRead({a, b}, inEra(4, 20), clock.now(), clock.now());
+    readCopy(5, 3, {b});
+    CHECK(evacuated() == std::set{a, b});
+    SECTION("it is written again")
+    {
+        reads.onRecords({{a, true}}, inEra(5, 4), clock.now());
+        clock.advance(EvacuationReads::rewriteTime);
+        CHECK_FALSE(reads.expire(clock.now()));
+        CHECK(evacuated() == std::set{a, b});
+    }
+    SECTION("it is ended by a record")
+    {
+        reads.onRecords({{a, false}}, inEra(5, 4), clock.now());
+        CHECK(evacuated() == std::set{b});
+    }
+    SECTION("it is not written again")
+    {
+        CHECK_FALSE(reads.expire(clock.now()));
+        clock.advance(EvacuationReads::rewriteTime);
+        CHECK(reads.expire(clock.now()));
+        CHECK(evacuated() == std::set{b});
+        reads.onRecords({}, inEra(5, 4), clock.now());
+        CHECK(evacuated() == std::set{b});
+    }
+    SECTION("the store returns twice")
+    {
+        clock.advance(milliseconds(1500));
+        readCopy(6, 2, {});
+        CHECK(evacuated() == std::set{a, b});
+        clock.advance(EvacuationReads::rewriteTime);
+        CHECK(reads.expire(clock.now()));
+        CHECK(evacuated().empty());
+    }
+}
