Write routers' records again after the store has lost them

What callers would see: a router that starts after the store's return from an older copy does not find routers whose records were lost, and divides shares, retries and limits as if they did not exist, until one of them happens to be heard.

Cause: a router wrote its record once, at its start.

--- a/src/direct/RouterRegistry.cpp
+++ b/src/direct/RouterRegistry.cpp
@@ -92,6 +92,12 @@
     impl_->write();
 }
 
+void RouterRegistry::onOlderCopy(milliseconds delay)
+{
+    if (impl_->store)
+        impl_->writeTimer.startOnce(delay);
+}
+
 void RouterRegistry::setStore(FleetStore &store)
 {
     impl_->store = &store;
--- a/src/direct/RouterRegistry.h
+++ b/src/direct/RouterRegistry.h
@@ -28,6 +28,10 @@
     ~RouterRegistry();
 
     void start(FleetStore &store);
+    /// The store has come back from an older copy, which may lack records of routers: writes the
+    /// own record again after the delay, and reads the others', since a router that has started
+    /// meanwhile may have found none.
+    void onOlderCopy(milliseconds delay);
     /// Uses another store from now on, when a call is repeated.
     void setStore(FleetStore &store);
 
--- a/tests/direct/RouterRegistryTest.cpp
+++ b/tests/direct/RouterRegistryTest.cpp
@@ -144,3 +144,22 @@
     store.doAllCalls();
     CHECK(store.records.size() == 1);
 }
+
+// Guards against routers that don't find each other because the store has lost their records, and
+// against one that starts meanwhile and finds nobody.
+TEST_CASE_METHOD(RouterRegistryFixture,
+                 "router registry, store lost the records, writes again and reads")
+{
+    first.registry.start(store);
+    store.doAllCalls();
+    store.records.clear();
+    second.registry.start(store);
+    store.doAllCalls();
+    CHECK_FALSE(hasOneFoundTheOther());
+    first.registry.onOlderCopy(milliseconds(20));
+    CHECK(store.pending.empty());
+    runFor(milliseconds(40));
+    store.doAllCalls();
+    CHECK(store.records.contains("first"));
+    CHECK(first.found.contains("second"));
+}
--- a/tests/integration/StoreCopyTest.cpp
+++ b/tests/integration/StoreCopyTest.cpp
@@ -242,6 +242,23 @@
     CHECK(requestsAt[0] + requestsAt[1] == before);
 }
 
+// Guards against routers that those that start later don't find, as the store has lost the records.
+TEST_CASE_METHOD(StoreCopyFixture, "store copy, record of a router lost, it is written again")
+{
+    const auto isListed = [&](const std::string &name) {
+        return waitUntil(limit, [&] { return store.contains(LoopbackStore::routersTopic, name); });
+    };
+    REQUIRE(isListed("router-1"));
+    store.makeCopy();
+    const auto fourth = startRouter("router-4");
+    REQUIRE(isListed("router-4"));
+    goAwayUntilNoticed();
+    store.restoreCopy();
+    CHECK_FALSE(store.contains(LoopbackStore::routersTopic, "router-4"));
+    store.comeBack();
+    CHECK(isListed("router-4"));
+}
+
 // Guards against a router that never reads again because the store has stopped to name its era.
 TEST_CASE_METHOD(StoreCopyFixture, "store copy, era is missing from now on, changes are in force")
 {
