Tell stream origins again after the store has lost them

What callers would see: after the store's return from an older copy, a client that takes up a stream at another router, or at the same one after a restart, is refused, because the record of the version that began it is gone. A router that had read past the end of the copy would also miss the origins that are written at the offsets given out again.

Cause: each origin was appended once, and the next read began at an offset of the earlier era.

A read that finds another era begins again at the start of the topic.

Measured: ResumableStreamsTest, "store comes back from an older copy".

--- a/src/direct/RouterNodeSync.cpp
+++ b/src/direct/RouterNodeSync.cpp
@@ -112,6 +112,7 @@
     serversFollower->onEraChanged(era);
     registry.onOlderCopy(
             std::chrono::duration_cast<milliseconds>(registrationSpread * pollStagger()));
+    streams.onOlderCopy();
 }
 
 /// Tells the other routers what this one has read, unless one of them has done so meanwhile.
--- a/src/resuming/ResumableStreams.cpp
+++ b/src/resuming/ResumableStreams.cpp
@@ -72,6 +72,8 @@
     StreamOrigins origins;
     /// Own origins that are not in the store yet.
     std::vector<StreamOrigin> untold;
+    /// Own origins that have been appended; the store may lose them.
+    StreamOrigins told;
     bool isAppending = false;
     Timer appendTimer;
     /// Where the next read begins; offset 0 before the first one.
@@ -118,6 +120,8 @@
     isAppending = false;
     if (!fault) {
         metrics.count("lovagecourse_stream_origin_appends_total");
+        for (const StreamOrigin &origin : batch)
+            told.add(origin, clock.now());
         return tell({});
     }
     logWarning(LogPart::Routing, "event=stream-origins-not-told fault=", toString(*fault),
@@ -273,6 +277,14 @@
     impl_->next = {};
 }
 
+void ResumableStreams::onOlderCopy()
+{
+    impl_->next = {};
+    const std::vector<StreamOrigin> told = impl_->told.all(impl_->clock.now());
+    logInfo(LogPart::Routing, "event=stream-origins-told-again origins=", told.size());
+    impl_->tell(told);
+}
+
 void ResumableStreams::setServersReader(ServersReader reader)
 {
     impl_->serversReader = std::move(reader);
--- a/src/resuming/ResumableStreams.h
+++ b/src/resuming/ResumableStreams.h
@@ -34,6 +34,9 @@
 
     /// Uses this store from now on; before, origins are only remembered.
     void setStore(FleetStore &store);
+    /// The store has come back from an older copy: tells again what it may have lost, and reads it
+    /// from the beginning.
+    void onOlderCopy();
     /// Without one, no version counts as the only one.
     void setServersReader(ServersReader reader);
     /// Reads of registrations start, or have missed some.
--- a/tests/resuming/ResumableStreamsTest.cpp
+++ b/tests/resuming/ResumableStreamsTest.cpp
@@ -25,10 +25,12 @@
             return;
         if (isAway)
             return onDone(StoreFault::Unavailable);
+        if (from.offset.value > 0 && from.era != era)
+            return onDone(StoreFault::EraChanged);
         if (from.offset.value > records.size())
             return onDone(StoreFault::HistoryLost);
         KeyedBatch batch;
-        batch.next.offset = LogOffset(records.size());
+        batch.next = {era, LogOffset(records.size())};
         for (std::size_t i = from.offset.value; i < records.size(); ++i)
             batch.records.push_back(KeyedRecord{"router", records[i], LogOffset(i)});
         onDone(batch);
@@ -44,6 +46,7 @@
     }
 
     std::vector<std::string> records;
+    std::optional<StoreEra> era;
     unsigned reads = 0;
     bool isAway = false;
     /// Reads get no answer.
@@ -299,6 +302,34 @@
     CHECK(decide(*second, "unknown").action == TakeUpAction::Refuse);
 }
 
+// Guards against streams that nobody can take up because the store has lost their origins, and
+// against origins that are never read because their offsets were given out before.
+TEST_CASE_METHOD(ResumableStreamsFixture,
+                 "resumable streams, store comes back from an older copy, origins are told again")
+{
+    store.era = StoreEra(1);
+    mix(*first);
+    mix(*second);
+    first->onBegun("before", service, older, services);
+    runFor(appendTime);
+    CHECK(goesOnAt(*second, "before", older));
+    first->onBegun("lost", service, newer, services);
+    runFor(appendTime);
+    REQUIRE(store.records.size() == 2);
+    store.records.resize(1);
+    store.era = StoreEra(2);
+    first->onOlderCopy();
+    runFor(appendTime);
+    CHECK(store.records.size() == 2);
+    // The second router has not noticed the change: its offset is of the earlier era.
+    CHECK(goesOnAt(*second, "lost", newer));
+    // A router that starts reads all of it.
+    const auto third = start();
+    mix(*third);
+    CHECK(goesOnAt(*third, "before", older));
+    CHECK(goesOnAt(*third, "lost", newer));
+}
+
 // Guards against a record of another writer that ends the process or names origins that it lacks.
 TEST_CASE("stream origin record, cut off, keeps the whole origins")
 {
