Move the reading of the store into a folder of its own

src/direct was the largest folder, and grew with the store's eras. FleetStore, StoreFollower, StoreContact and PollTiming go to src/store, with their tests. Nothing else changes.

--- a/src/direct/PlatformBinding.h
+++ b/src/direct/PlatformBinding.h
@@ -2,8 +2,8 @@
 
 #include "direct/ClientRequest.h"
 #include "direct/DirectConfiguration.h"
-#include "direct/FleetStore.h"
 #include "direct/ServerEntry.h"
+#include "store/FleetStore.h"
 
 #include <functional>
 #include <memory>
--- a/src/direct/RouterNodeImpl.h
+++ b/src/direct/RouterNodeImpl.h
@@ -4,11 +4,11 @@
 #include "direct/RouterNode.h"
 #include "direct/RouterPeers.h"
 #include "direct/RouterRegistry.h"
-#include "direct/StoreFollower.h"
 #include "placing/EvacuationReads.h"
 #include "placing/IntakeLimit.h"
 #include "placing/Readiness.h"
 #include "placing/RotationPause.h"
+#include "store/StoreFollower.h"
 #include "wire/DatagramSocket.h"
 
 #include <optional>
--- a/src/direct/RouterRegistry.h
+++ b/src/direct/RouterRegistry.h
@@ -2,8 +2,8 @@
 
 #include "core/EventLoop.h"
 #include "core/Ids.h"
-#include "direct/FleetStore.h"
 #include "direct/RouterRecord.h"
+#include "store/FleetStore.h"
 
 #include <functional>
 #include <memory>
--- a/src/direct/ServerDirectory.h
+++ b/src/direct/ServerDirectory.h
@@ -2,8 +2,8 @@
 
 #include "core/Clock.h"
 #include "direct/ServerEntry.h"
-#include "direct/StoreContact.h"
 #include "store/OlderCopy.h"
+#include "store/StoreContact.h"
 
 #include <map>
 #include <optional>
--- a/src/resuming/ResumableStreams.h
+++ b/src/resuming/ResumableStreams.h
@@ -2,9 +2,9 @@
 
 #include "core/EventLoop.h"
 #include "core/Metrics.h"
-#include "direct/FleetStore.h"
 #include "direct/ServerEntry.h"
 #include "placing/TakeUp.h"
+#include "store/FleetStore.h"
 
 #include <functional>
 #include <memory>
--- a/src/direct/PollTiming.cpp
+++ b/src/store/PollTiming.cpp
@@ -1,4 +1,4 @@
-#include "direct/PollTiming.h"
+#include "store/PollTiming.h"
 
 #include <algorithm>
 
--- a/src/direct/StoreContact.cpp
+++ b/src/store/StoreContact.cpp
@@ -1,4 +1,4 @@
-#include "direct/StoreContact.h"
+#include "store/StoreContact.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/direct/StoreFollower.cpp
+++ b/src/store/StoreFollower.cpp
@@ -1,4 +1,4 @@
-#include "direct/StoreFollower.h"
+#include "store/StoreFollower.h"
 
 #include "core/Log.h"
 
--- a/src/direct/StoreFollower.h
+++ b/src/store/StoreFollower.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/EventLoop.h"
-#include "direct/FleetStore.h"
-#include "direct/PollTiming.h"
+#include "store/FleetStore.h"
+#include "store/PollTiming.h"
 
 #include <deque>
 #include <functional>
--- a/tests/direct/StoreContactTest.cpp
+++ b/tests/store/StoreContactTest.cpp
@@ -1,7 +1,7 @@
-#include "direct/StoreContact.h"
+#include "store/StoreContact.h"
 
-#include "direct/FleetStore.h"
 #include "direct/ServerDirectory.h"
+#include "store/FleetStore.h"
 
 #include <catch2/catch.hpp>
 
