--- a/src/direct/RouterNodeSync.cpp
+++ b/src/direct/RouterNodeSync.cpp
@@ -66,7 +66,11 @@
             configurationPollTiming(settings.maxConfigurationDelay, pollStagger()),
             std::move(forConfiguration));
     StoreFollower::Handlers forServers;
-    forServers.onOlderCopy = [this] { directory.onOlderCopy(clock.now()); };
+    forServers.onOlderCopy = [this] {
+        directory.onOlderCopy(clock.now());
+        logInfo(LogPart::Membership, "event=older-copy-read servers=", directory.size(),
+                " holds_removals_ms=", ServerDirectory::reregistrationGrace.count());
+    };
     forServers.onFullRead = [this](const auto &records) {
         // Servers may have come and left since the last read.
         if (serversLoaded)
--- a/src/store/FleetStore.h
+++ b/src/store/FleetStore.h
@@ -52,7 +52,7 @@
     /// The answer can't be decoded or has an unknown status.
     Malformed,
     /// The store has come back from an older copy: the position of the read is of another era, or
-    /// the era has changed since the read began.
+    /// the era has changed since the call began. A write may have been lost.
     EraChanged
 };
 
--- a/src/store/StoreFollower.cpp
+++ b/src/store/StoreFollower.cpp
@@ -65,16 +65,16 @@
         scheduleFullRead();
 }
 
-/// Routers read at different times, and a store whose era changes during each read is not called
+/// Routers read at different times, and a store whose era changes with each answer is not called
 /// without a pause.
 void StoreFollower::scheduleFullRead()
 {
     catchUpTimer_.stop();
     readElsewhere_.reset();
     caughtUp_.reset();
+    const int repetitions = std::max(0, static_cast<int>(endedReads_) - 1);
     timer_.startOnce(timing_.fullReadDelay
-                     + std::min(timing_.maxRetryDelay,
-                                timing_.firstRetryDelay * static_cast<int>(endedFullReads_)));
+                     + std::min(timing_.maxRetryDelay, timing_.firstRetryDelay * repetitions));
 }
 
 void StoreFollower::onReadElsewhere(const StorePosition &next)
@@ -159,7 +159,8 @@
         const auto unread = readStart_ - asOf_.value_or(readStart_);
         handlers_.onStoreReturned(std::max<std::chrono::nanoseconds>(unread, milliseconds(0)));
     }
-    endedFullReads_ = 0;
+    if (!isFullRead)
+        endedReads_ = 0;
     // Another call has shown meanwhile that the era has changed.
     if (!isFullRead && !next_)
         return scheduleFullRead();
@@ -305,7 +306,7 @@
     const bool isHistoryLost =
             fault == StoreFault::HistoryLost && topic_ == KeyedTopic::Configuration;
     if (fault == StoreFault::EraChanged) {
-        endedFullReads_ += readFrom_ ? 0 : 1;
+        ++endedReads_;
         next_.reset();
         return scheduleFullRead();
     }
--- a/src/store/StoreFollower.h
+++ b/src/store/StoreFollower.h
@@ -127,8 +127,9 @@
     std::optional<StorePosition> readFrom_;
     /// Where the last successful read has ended, also after a change of the era.
     std::optional<StorePosition> lastNext_;
-    /// Full reads in a row that a change of the era has ended.
-    unsigned endedFullReads_ = 0;
+    /// Reads that a change of the era has ended, since the last one from a position that was
+    /// answered.
+    unsigned endedReads_ = 0;
     /// asOf_ before the last successful read.
     std::optional<TimePoint> previousAsOf_;
     /// The last successful read was a full read.
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -435,3 +435,29 @@
     CHECK(nextOf(readNewest()) == at(7));
     CHECK(eras->current() == std::nullopt);
 }
+
+// Guards against a record that counts as written although the store has lost it.
+TEST_CASE_METHOD(StoreEraFixture,
+                 "store client, write acknowledged in an ended era, is a typed fault")
+{
+    readNewest();
+    std::optional<WriteResult> written;
+    const auto append = [&] {
+        written.reset();
+        client->append(KeyedTopic::Daemons, "k", "v", seconds(1), [&](const WriteResult &fault) {
+            written = fault;
+            loop.stop();
+        });
+    };
+    append();
+    // Another call shows the new era before the answer to the write arrives.
+    eras->onAnswer(StoreEra(5), eras->mark());
+    runUntilDone();
+    REQUIRE(written);
+    CHECK(*written == StoreFault::EraChanged);
+    eraLines = "Store-Era: 5\r\n";
+    append();
+    runUntilDone();
+    REQUIRE(written);
+    CHECK_FALSE(*written);
+}
--- a/tests/store/StoreFollowerTest.cpp
+++ b/tests/store/StoreFollowerTest.cpp
@@ -780,6 +780,25 @@
     CHECK(answerable.calls.size() >= 4);
 }
 
+// Guards against full reads without a pause while only some answers name the era.
+TEST_CASE_METHOD(EraFixture,
+                 "store follower, answers of two eras by turns, pauses between full reads")
+{
+    std::size_t answered = 1;
+    for (int i = 0; i < 40; ++i) {
+        if (answered < answerable.calls.size()) {
+            answered = answerable.calls.size();
+            const bool isFullRead = !answerable.calls.back().from;
+            answerLast(isFullRead ? KeyedResult(KeyedBatch{{}, inEra(5, 7)})
+                                  : KeyedResult(StoreFault::EraChanged));
+        }
+        runFor(milliseconds(10));
+    }
+    // Full reads at 20 and 80 ms, and 100 ms after each further one, each followed by a read.
+    CHECK(answerable.calls.size() <= 14);
+    CHECK(answerable.calls.size() >= 6);
+}
+
 // Guards against a follower that skips records, or applies them to those of another era, because
 // routers notice the store's return at different times.
 TEST_CASE_METHOD(EraFixture, "store follower, told of a range of another era, stays where it is")
